--- /dev/null
+++ b/modules/core/core.h
@@ -0,0 +1,19 @@
+#ifndef MODULES_CORE_CORE_H_
+#define MODULES_CORE_CORE_H_
+
+/** Face of the core module: ids, errors, findings, counters, logs, hashes and
+    the time line. May include only libraries.
+
+    Classes: StrongId, AttemptId, Error, Findings, Counters, TimeLine;
+    functions of log.h and hashing.h. */
+
+#include "modules/core/attempt_id.h"
+#include "modules/core/counters.h"
+#include "modules/core/error.h"
+#include "modules/core/findings.h"
+#include "modules/core/hashing.h"
+#include "modules/core/log.h"
+#include "modules/core/strong_id.h"
+#include "modules/core/time_line.h"
+
+#endif  // MODULES_CORE_CORE_H_
--- /dev/null
+++ b/modules/decisions/decisions.h
@@ -0,0 +1,18 @@
+#ifndef MODULES_DECISIONS_DECISIONS_H_
+#define MODULES_DECISIONS_DECISIONS_H_
+
+/** Face of the decisions module: every choice the system makes, as tables and
+    systems that run over them. Includes no header of sockets, threads, clocks
+    or random devices; time and random numbers are arguments. May include core
+    and config.
+
+    Classes: Dispatcher, PlacementPolicy, LengthAwarePlacement,
+    LeastBusyPlacement, PrefixIndex, RequestQueue, RetryBudget, CrashGuard,
+    UpstreamTable, AccountLimits, GossipNode, OnceCall, LeaseKeeper,
+    OrphanSystem, ConfigurationGate. */
+
+#include "modules/decisions/dispatcher.h"
+#include "modules/decisions/least_busy_placement.h"
+#include "modules/decisions/length_aware_placement.h"
+
+#endif  // MODULES_DECISIONS_DECISIONS_H_
--- /dev/null
+++ b/modules/decisions/gossip_node.cc
@@ -0,0 +1,341 @@
+#include "modules/decisions/gossip_node.h"
+
+#include <algorithm>
+#include <bit>
+
+#include "absl/random/distributions.h"
+#include "absl/strings/str_cat.h"
+#include "modules/core/hashing.h"
+
+namespace chicory {
+
+const char* MemberStateName(MemberState state) {
+  static constexpr const char* kNames[] = {"alive", "suspect", "dead", "left"};
+  return kNames[static_cast<int>(state)];
+}
+
+namespace {
+
+/** Bits of a member's version that count refutations. */
+constexpr int kRefutationBits = 10;
+
+Rumour RumourOf(const MemberRow& row) {
+  return {.kind = RumourKind::kMember,
+          .subject = row.name,
+          .version = row.version,
+          .value = static_cast<int64_t>(row.state),
+          .address = row.address,
+          .data_centre = row.data_centre};
+}
+
+bool IsOver(MemberState state) {
+  return state == MemberState::kDead || state == MemberState::kLeft;
+}
+
+}  // namespace
+
+uint64_t MemberVersion(uint64_t incarnation, uint64_t refutations) {
+  return (incarnation << kRefutationBits) + refutations;
+}
+
+uint64_t IncarnationOf(uint64_t version) {
+  return version >> kRefutationBits;
+}
+
+GossipNode::GossipNode(const Options& options)
+    : self_(options), version_(MemberVersion(options.incarnation, 0)) {}
+
+std::string GossipNode::KeyOf(const Rumour& rumour) {
+  return absl::StrCat(static_cast<int>(rumour.kind), "/", rumour.subject, "/",
+                      rumour.origin);
+}
+
+int GossipNode::Rides() const {
+  return kRidesPerDoubling *
+         std::bit_width(static_cast<unsigned>(members_.size() + 1));
+}
+
+void GossipNode::AddSeed(const std::string& name,
+                         const std::string& address,
+                         const std::string& data_centre,
+                         absl::Time now) {
+  if (name == self_.instance || members_.contains(name))
+    return;
+  MemberRow& row = members_[name];
+  row = {.name = name,
+         .address = address,
+         .data_centre = data_centre,
+         .since = now};
+  if (listener_ != nullptr)
+    listener_->OnMember(row);
+}
+
+void GossipNode::Queue(Rumour rumour, absl::Time now) {
+  const std::string key = KeyOf(rumour);
+  facts_[key] = {.rumour = std::move(rumour), .heard = now};
+  std::erase_if(riding_,
+                [&](const Riding& riding) { return riding.key == key; });
+  riding_.insert(riding_.begin(), {.key = key, .rides_left = Rides()});
+}
+
+void GossipNode::Spread(Rumour rumour, absl::Time now) {
+  auto known = facts_.find(KeyOf(rumour));
+  if (known != facts_.end())
+    rumour.version = std::max(rumour.version, known->second.rumour.version + 1);
+  Queue(std::move(rumour), now);
+}
+
+void GossipNode::SpreadMember(const MemberRow& row, absl::Time now) {
+  Queue(RumourOf(row), now);
+}
+
+void GossipNode::QueueSelf(MemberState state, absl::Time now) {
+  Queue({.kind = RumourKind::kMember,
+         .subject = self_.instance,
+         .version = version_,
+         .value = static_cast<int64_t>(state),
+         .address = self_.address,
+         .data_centre = self_.data_centre},
+        now);
+}
+
+void GossipNode::SetMemberState(MemberRow* row,
+                                MemberState state,
+                                absl::Time now) {
+  row->state = state;
+  row->since = now;
+  SpreadMember(*row, now);
+  if (listener_ != nullptr)
+    listener_->OnMember(*row);
+}
+
+void GossipNode::Leave(absl::Time now) {
+  is_leaving_ = true;
+  QueueSelf(MemberState::kLeft, now);
+}
+
+GossipMessage GossipNode::Header() const {
+  return {.sender = self_.instance,
+          .address = self_.address,
+          .data_centre = self_.data_centre,
+          .version = version_,
+          .configuration_revision = revision_};
+}
+
+GossipMessage GossipNode::MakeMessageFor(const std::string& to) {
+  GossipMessage message = Header();
+  size_t taken = 0;
+  auto receiver = members_.find(to);
+  if (receiver != members_.end() &&
+      receiver->second.state != MemberState::kAlive) {
+    message.rumours.push_back(RumourOf(receiver->second));
+    ++taken;
+  }
+  for (Riding& riding : riding_) {
+    if (taken == kMaxRumours)
+      break;
+    auto fact = facts_.find(riding.key);
+    --riding.rides_left;
+    ++taken;
+    if (fact != facts_.end())
+      message.rumours.push_back(fact->second.rumour);
+  }
+  std::erase_if(riding_,
+                [](const Riding& riding) { return riding.rides_left <= 0; });
+  // What rode least goes first next time.
+  std::stable_sort(riding_.begin(), riding_.end(),
+                   [](const Riding& a, const Riding& b) {
+                     return a.rides_left > b.rides_left;
+                   });
+  return message;
+}
+
+GossipMessage GossipNode::FullState() const {
+  GossipMessage message = Header();
+  for (const auto& [name, row] : members_)
+    message.rumours.push_back(RumourOf(row));
+  for (const auto& [key, fact] : facts_) {
+    if (fact.rumour.kind != RumourKind::kMember)
+      message.rumours.push_back(fact.rumour);
+  }
+  return message;
+}
+
+std::vector<ExchangeOrder> GossipNode::Tick(absl::Time now,
+                                            absl::BitGenRef random) {
+  std::vector<std::string> forgotten;
+  for (auto& [name, row] : members_) {
+    if (row.state == MemberState::kSuspect && now - row.since >= kSuspicion)
+      SetMemberState(&row, MemberState::kDead, now);
+    if (IsOver(row.state) && now - row.since >= kForgetAfter)
+      forgotten.push_back(name);
+  }
+  for (const std::string& name : forgotten)
+    members_.erase(name);
+  absl::erase_if(facts_, [&](const auto& entry) {
+    return now - entry.second.heard >= kForgetAfter;
+  });
+  if (probe_order_.empty()) {
+    for (const auto& [name, row] : members_) {
+      if (!IsOver(row.state))
+        probe_order_.push_back(name);
+    }
+    std::sort(probe_order_.begin(), probe_order_.end());
+    std::shuffle(probe_order_.begin(), probe_order_.end(), random);
+  }
+  while (!probe_order_.empty()) {
+    const std::string name = probe_order_.back();
+    probe_order_.pop_back();
+    auto found = members_.find(name);
+    if (found == members_.end())
+      continue;
+    const MemberRow& row = found->second;
+    if (IsOver(row.state))
+      continue;
+    return {{.name = name,
+             .address = row.address,
+             .message = MakeMessageFor(name)}};
+  }
+  return {};
+}
+
+GossipMessage GossipNode::OnMessage(const GossipMessage& message,
+                                    absl::Time now) {
+  const bool is_newcomer = !members_.contains(message.sender);
+  Absorb(message, now);
+  return is_newcomer ? FullState() : MakeMessageFor(message.sender);
+}
+
+void GossipNode::OnAnswer(const GossipMessage& message, absl::Time now) {
+  Absorb(message, now);
+}
+
+void GossipNode::Absorb(const GossipMessage& message, absl::Time now) {
+  // The sender speaks for itself: it is alive in this incarnation.
+  AbsorbMember({.kind = RumourKind::kMember,
+                .subject = message.sender,
+                .version = message.version,
+                .value = static_cast<int64_t>(MemberState::kAlive),
+                .address = message.address,
+                .data_centre = message.data_centre},
+               now);
+  for (const Rumour& rumour : message.rumours)
+    AbsorbRumour(rumour, now);
+  if (message.configuration_revision > revision_ && listener_ != nullptr) {
+    listener_->OnNewerConfiguration(message.address,
+                                    message.configuration_revision);
+  }
+}
+
+void GossipNode::AbsorbRumour(const Rumour& rumour, absl::Time now) {
+  if (rumour.kind == RumourKind::kMember)
+    return AbsorbMember(rumour, now);
+  const std::string key = KeyOf(rumour);
+  auto known = facts_.find(key);
+  if (known != facts_.end()) {
+    const Rumour& old = known->second.rumour;
+    if (std::pair(rumour.version, rumour.value) <=
+        std::pair(old.version, old.value)) {
+      return;
+    }
+  }
+  if (facts_.size() >= kMaxFacts)
+    return;
+  Queue(rumour, now);
+  if (listener_ != nullptr)
+    listener_->OnRumour(rumour);
+}
+
+void GossipNode::AbsorbMember(const Rumour& rumour, absl::Time now) {
+  const auto state = static_cast<MemberState>(rumour.value);
+  if (rumour.subject == self_.instance) {
+    // Refute what is said of this process while it lives.
+    const bool is_wrong = state != MemberState::kAlive && !is_leaving_ &&
+                          rumour.version >= version_;
+    if (is_wrong) {
+      version_ = rumour.version + 1;
+      QueueSelf(MemberState::kAlive, now);
+    }
+    return;
+  }
+  auto found = members_.find(rumour.subject);
+  if (found == members_.end()) {
+    if (IsOver(state))
+      return;
+    MemberRow& row = members_[rumour.subject];
+    row = {.name = rumour.subject,
+           .address = rumour.address,
+           .data_centre = rumour.data_centre,
+           .version = rumour.version};
+    SetMemberState(&row, state, now);
+    return;
+  }
+  MemberRow& row = found->second;
+  if (std::pair(rumour.version, state) <= std::pair(row.version, row.state))
+    return;
+  const bool is_same_state = row.state == state && row.version != 0;
+  row.version = rumour.version;
+  row.address = rumour.address;
+  row.data_centre = rumour.data_centre;
+  if (is_same_state) {
+    SpreadMember(row, now);
+    return;
+  }
+  SetMemberState(&row, state, now);
+}
+
+std::vector<std::string> GossipNode::OnSilence(const std::string& name,
+                                               absl::Time now,
+                                               absl::BitGenRef random) {
+  auto found = members_.find(name);
+  if (found == members_.end() || found->second.state != MemberState::kAlive)
+    return {};
+  std::vector<std::string> helpers;
+  for (const auto& [other, row] : members_) {
+    if (other != name && row.state == MemberState::kAlive)
+      helpers.push_back(other);
+  }
+  std::sort(helpers.begin(), helpers.end());
+  std::shuffle(helpers.begin(), helpers.end(), random);
+  if (helpers.size() > kIndirectProbes)
+    helpers.resize(kIndirectProbes);
+  if (helpers.empty())
+    SetMemberState(&found->second, MemberState::kSuspect, now);
+  return helpers;
+}
+
+void GossipNode::OnConfirmedSilence(const std::string& name, absl::Time now) {
+  auto found = members_.find(name);
+  if (found != members_.end() && found->second.state == MemberState::kAlive)
+    SetMemberState(&found->second, MemberState::kSuspect, now);
+}
+
+const MemberRow* GossipNode::Find(const std::string& name) const {
+  auto found = members_.find(name);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+std::vector<std::string> GossipNode::LiveNames() const {
+  std::vector<std::string> names{self_.instance};
+  for (const auto& [name, row] : members_) {
+    if (!IsOver(row.state))
+      names.push_back(name);
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+bool GossipNode::IsWatcher(size_t count) const {
+  std::vector<std::string> names{self_.instance};
+  for (const auto& [name, row] : members_) {
+    if (row.state == MemberState::kAlive &&
+        row.data_centre == self_.data_centre) {
+      names.push_back(name);
+    }
+  }
+  const std::vector<std::string> top =
+      RendezvousTop("configuration-watch", names, count);
+  return std::find(top.begin(), top.end(), self_.instance) != top.end();
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/decisions/orphan_system.cc
@@ -0,0 +1,58 @@
+#include "modules/decisions/orphan_system.h"
+
+#include <optional>
+#include <utility>
+
+namespace chicory {
+
+bool OrphanSystem::IsOrphan(const AttemptId& attempt,
+                            absl::Duration doubted_for,
+                            const OwnerLookup& owner_state,
+                            const OwnLookup& is_running) const {
+  if (attempt.instance == instance_) {
+    if (attempt.incarnation < incarnation_)
+      return true;
+    return !is_running(attempt.sequence) && doubted_for >= kOwnGrace;
+  }
+  switch (owner_state(attempt)) {
+    case OwnerState::kAlive:
+      return false;
+    case OwnerState::kGone:
+      return true;
+    case OwnerState::kSilent:
+    case OwnerState::kUnheard:
+      return doubted_for >= kSilenceLimit;
+  }
+  return false;
+}
+
+std::vector<AttemptId> OrphanSystem::Sweep(
+    const std::string& upstream,
+    const std::vector<std::string>& attempts,
+    const OwnerLookup& owner_state,
+    const OwnLookup& is_running,
+    absl::Time now) {
+  std::vector<AttemptId> orphans;
+  absl::flat_hash_map<std::string, absl::Time> still_doubted;
+  auto& doubted = doubted_since_[upstream];
+  for (const std::string& text : attempts) {
+    const std::optional<AttemptId> attempt = AttemptId::Parse(text);
+    // What this project did not start it must not end.
+    if (!attempt.has_value())
+      continue;
+    const bool in_doubt = attempt->instance == instance_
+                              ? !is_running(attempt->sequence)
+                              : owner_state(*attempt) != OwnerState::kAlive;
+    if (!in_doubt)
+      continue;
+    auto known = doubted.find(text);
+    const absl::Time since = known == doubted.end() ? now : known->second;
+    still_doubted[text] = since;
+    if (IsOrphan(*attempt, now - since, owner_state, is_running))
+      orphans.push_back(*attempt);
+  }
+  doubted = std::move(still_doubted);
+  return orphans;
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/decisions/request_queue.cc
@@ -0,0 +1,82 @@
+#include "modules/decisions/request_queue.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace chicory {
+
+namespace {
+
+/** Span over which the drain rate is measured. */
+constexpr absl::Duration kDrainWindow = absl::Milliseconds(500);
+
+/** Weight of the newest window in the smoothed rate. */
+constexpr double kDrainSmoothing = 0.3;
+
+/** Account tags kept per level before old ones are dropped. */
+constexpr size_t kMaxAccountTags = 8192;
+
+double CostOf(const RequestSpec& spec) {
+  return static_cast<double>(MemoryNeedOf(spec) + 1);
+}
+
+}  // namespace
+
+void RequestQueue::Push(RequestRow* row) {
+  assert(row->spec.weight > 0);
+  const int index = PriorityLevelOf(row->spec);
+  LevelState& state = states_[index];
+  if (state.account_tags.size() > kMaxAccountTags) {
+    absl::erase_if(state.account_tags, [&](const auto& entry) {
+      return entry.second <= state.virtual_time;
+    });
+  }
+  double& last_tag = state.account_tags[row->spec.account];
+  const double start = std::max(state.virtual_time, last_tag);
+  last_tag = start + CostOf(row->spec) / row->spec.weight;
+  row->queue_tag = start;
+  row->queue_level = index;
+  levels_[index].insert({row->queue_tag, row->spec.id});
+  state.tokens += row->spec.prompt_tokens;
+  ++size_;
+}
+
+bool RequestQueue::Remove(const RequestRow& row) {
+  if (levels_[row.queue_level].erase({row.queue_tag, row.spec.id}) == 0)
+    return false;
+  states_[row.queue_level].tokens -= row.spec.prompt_tokens;
+  --size_;
+  return true;
+}
+
+void RequestQueue::OnPlaced(const RequestRow& row, absl::Time now) {
+  LevelState& state = states_[row.queue_level];
+  state.virtual_time = std::max(state.virtual_time, row.queue_tag);
+  drained_in_window_ += static_cast<double>(row.spec.prompt_tokens);
+  if (window_start_ == absl::InfinitePast())
+    window_start_ = now;
+  const absl::Duration span = now - window_start_;
+  if (span < kDrainWindow)
+    return;
+  const double rate = drained_in_window_ / absl::ToDoubleSeconds(span);
+  drain_rate_ = drain_rate_ == 0
+                    ? rate
+                    : drain_rate_ + kDrainSmoothing * (rate - drain_rate_);
+  drained_in_window_ = 0;
+  window_start_ = now;
+}
+
+int64_t RequestQueue::TokensAhead(int level) const {
+  int64_t tokens = 0;
+  for (int i = 0; i <= level; ++i)
+    tokens += states_[i].tokens;
+  return tokens;
+}
+
+absl::Duration RequestQueue::EstimatedWait(int level) const {
+  if (drain_rate_ <= 0)
+    return absl::ZeroDuration();
+  return absl::Seconds(static_cast<double>(TokensAhead(level)) / drain_rate_);
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/decisions/request_table.cc
@@ -0,0 +1,38 @@
+#include "modules/decisions/request_table.h"
+
+#include <algorithm>
+
+namespace chicory {
+
+namespace {
+
+/** Levels by which one rank outweighs length classes. */
+constexpr int kLevelsPerRank = 2;
+
+}  // namespace
+
+const char* RunStateName(RunState state) {
+  static constexpr const char* kNames[] = {"not run", "outcome unknown", "ran"};
+  return kNames[static_cast<int>(state)];
+}
+
+const char* RefusalReasonName(RefusalReason reason) {
+  static constexpr const char* kNames[] = {
+      "overloaded",      "deadline_exceeded", "no_upstream",
+      "account_limit",   "retries_exhausted", "crashes_upstreams",
+      "upstream_failed", "prompt_too_long",   "stopping",
+  };
+  return kNames[static_cast<int>(reason)];
+}
+
+int PriorityLevelOf(const RequestSpec& spec) {
+  const int level =
+      static_cast<int>(spec.length_class) + kLevelsPerRank * spec.rank;
+  return std::clamp(level, 0, kPriorityLevels - 1);
+}
+
+int64_t MemoryNeedOf(const RequestSpec& spec) {
+  return spec.prompt_tokens + spec.answer_tokens;
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/peers/peer_codec.cc
@@ -0,0 +1,76 @@
+#include "modules/peers/peer_codec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include "absl/strings/escaping.h"
+
+namespace chicory {
+
+void WriteGossip(const GossipMessage& message, wire::Gossip::Builder builder) {
+  builder.setSender(message.sender);
+  builder.setAddress(message.address);
+  builder.setDataCentre(message.data_centre);
+  builder.setVersion(message.version);
+  builder.setConfigurationRevision(message.configuration_revision);
+  builder.setStamp(message.stamp);
+  auto rumours = builder.initRumours(message.rumours.size());
+  for (size_t i = 0; i < message.rumours.size(); ++i) {
+    const Rumour& rumour = message.rumours[i];
+    rumours[i].setKind(static_cast<uint8_t>(rumour.kind));
+    rumours[i].setSubject(rumour.subject);
+    if (!rumour.origin.empty())
+      rumours[i].setOrigin(rumour.origin);
+    rumours[i].setVersion(rumour.version);
+    rumours[i].setValue(rumour.value);
+    if (!rumour.address.empty())
+      rumours[i].setAddress(rumour.address);
+    if (!rumour.data_centre.empty())
+      rumours[i].setDataCentre(rumour.data_centre);
+  }
+}
+
+GossipMessage ReadGossip(wire::Gossip::Reader reader) {
+  GossipMessage message{
+      .sender = reader.getSender(),
+      .address = reader.getAddress(),
+      .data_centre = reader.getDataCentre(),
+      .version = reader.getVersion(),
+      .configuration_revision = reader.getConfigurationRevision(),
+      .stamp = reader.getStamp()};
+  for (const auto& rumour : reader.getRumours()) {
+    if (rumour.getKind() > static_cast<uint8_t>(RumourKind::kDeaths))
+      continue;
+    message.rumours.push_back(
+        {.kind = static_cast<RumourKind>(rumour.getKind()),
+         .subject = rumour.getSubject(),
+         .origin = rumour.getOrigin(),
+         .version = rumour.getVersion(),
+         .value = rumour.getValue(),
+         .address = rumour.getAddress(),
+         .data_centre = rumour.getDataCentre()});
+  }
+  return message;
+}
+
+size_t GossipWireBytes(const GossipMessage& message) {
+  capnp::MallocMessageBuilder builder;
+  WriteGossip(message, builder.initRoot<wire::Gossip>());
+  return capnp::computeSerializedSizeInWords(builder) * sizeof(capnp::word);
+}
+
+std::string PeerProof(std::string_view shared_key, std::string_view sender) {
+  if (shared_key.empty())
+    return "";
+  unsigned char digest[EVP_MAX_MD_SIZE];
+  unsigned int length = 0;
+  HMAC(EVP_sha256(), shared_key.data(), static_cast<int>(shared_key.size()),
+       reinterpret_cast<const unsigned char*>(sender.data()), sender.size(),
+       digest, &length);
+  return absl::BytesToHexString(
+      absl::string_view(reinterpret_cast<const char*>(digest), length));
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/peers/peer_node.cc
@@ -0,0 +1,501 @@
+#include "modules/peers/peer_node.h"
+
+#include <capnp/ez-rpc.h>
+#include <kj/async-io.h>
+#include <kj/async.h>
+#include <kj/timer.h>
+
+#include <atomic>
+#include <thread>
+#include <utility>
+
+#include "absl/random/random.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/synchronization/notification.h"
+#include "modules/config/published.h"
+#include "modules/core/hashing.h"
+#include "modules/peers/peer_codec.h"
+
+namespace chicory {
+
+namespace {
+
+/** How often the loop looks whether it is to stop. */
+constexpr auto kStep = 50 * kj::MILLISECONDS;
+
+constexpr auto kExchangeTimeout = 700 * kj::MILLISECONDS;
+constexpr auto kFetchTimeout = 5 * kj::SECONDS;
+
+/** Most demands on one call. */
+constexpr size_t kMaxDemands = 2000;
+
+}  // namespace
+
+/** Everything that lives on the node's thread. */
+class PeerNode::Loop : public GossipNode::Listener {
+ public:
+  Loop(Options options, Host* host)
+      : options_(std::move(options)), host_(host) {}
+
+  ~Loop() noexcept override = default;
+
+  bool Start() {
+    thread_ = std::thread([this] { Run(); });
+    started_.WaitForNotification();
+    return is_listening_;
+  }
+
+  void Stop() {
+    is_stopping_ = true;
+    if (thread_.joinable())
+      thread_.join();
+  }
+
+  std::string address() const { return address_; }
+
+  template <class Function>
+  void With(Function&& function) {
+    std::vector<std::function<void()>> notes;
+    {
+      absl::MutexLock lock(&mutex_);
+      if (gossip_ == nullptr)
+        return;
+      function(*gossip_);
+      notes.swap(notes_);
+    }
+    // The host is told outside the lock.
+    for (const auto& note : notes)
+      note();
+  }
+
+  void Inspect(const std::function<void(const GossipNode&)>& function) {
+    absl::MutexLock lock(&mutex_);
+    if (gossip_ != nullptr)
+      function(*gossip_);
+  }
+
+  // GossipNode::Listener; called with the lock held.
+  void OnMember(const MemberRow& member) override {
+    notes_.push_back([this, member] { host_->OnMember(member); });
+  }
+  void OnRumour(const Rumour& rumour) override {
+    notes_.push_back([this, rumour] { host_->OnRumour(rumour); });
+  }
+  void OnNewerConfiguration(const std::string& address, uint64_t) override {
+    fetch_from_ = address;
+  }
+
+ private:
+  class Service;
+
+  void Run();
+  void Step();
+  void Exchange(const ExchangeOrder& order);
+  void ProbeThrough(const std::string& name,
+                    const std::vector<std::string>& helpers);
+  void FetchConfiguration(const std::string& address);
+  void FetchBlobs(std::string address,
+                  std::string index_json,
+                  std::map<std::string, std::string> blobs,
+                  std::vector<std::string> missing);
+  void TellDemands();
+  wire::Peer::Client ClientOf(const std::string& address);
+  void Forget(const std::string& address) { clients_.erase(address); }
+  std::string ProofOf(const std::string& sender) const {
+    return PeerProof(options_.shared_key, sender);
+  }
+  bool IsProven(kj::StringPtr proof, const std::string& sender) const {
+    return options_.shared_key.empty() ||
+           ConstantTimeEquals(std::string_view(proof.begin(), proof.size()),
+                              ProofOf(sender));
+  }
+  GossipMessage Stamped(GossipMessage message) {
+    message.stamp = host_->Stamp();
+    return message;
+  }
+  void AddTask(kj::Promise<void> task) {
+    tasks_->add(task.catch_([](kj::Exception&&) {}));
+  }
+
+  /** Drops failures; each task handles its own. */
+  class QuietTasks : public kj::TaskSet::ErrorHandler {
+   public:
+    void taskFailed(kj::Exception&&) override {}
+  };
+
+  const Options options_;
+  Host* const host_;
+  std::thread thread_;
+  absl::Notification started_;
+  std::atomic<bool> is_stopping_{false};
+  bool is_listening_ = false;
+  std::string address_;
+
+  absl::Mutex mutex_;
+  std::unique_ptr<GossipNode> gossip_ ABSL_GUARDED_BY(mutex_);
+  std::vector<std::function<void()>> notes_;
+
+  // Of the node's thread alone.
+  absl::BitGen random_;
+  kj::Timer* timer_ = nullptr;
+  QuietTasks quiet_;
+  kj::Own<kj::TaskSet> tasks_;
+  std::map<std::string, kj::Own<capnp::EzRpcClient>> clients_;
+  std::string fetch_from_;
+  bool is_fetching_ = false;
+  absl::Time next_exchange_ = absl::InfinitePast();
+  absl::Time next_demands_ = absl::InfinitePast();
+};
+
+/** Answers the calls of peers. */
+class PeerNode::Loop::Service final : public wire::Peer::Server {
+ public:
+  explicit Service(Loop* loop) : loop_(loop) {}
+
+  kj::Promise<void> exchange(ExchangeContext context) override {
+    const GossipMessage message = ReadGossip(context.getParams().getMessage());
+    KJ_REQUIRE(loop_->IsProven(context.getParams().getMessage().getProof(),
+                               message.sender),
+               "not a peer");
+    loop_->host_->ObserveStamp(message.stamp);
+    GossipMessage answer;
+    loop_->With([&](GossipNode& gossip) {
+      answer = gossip.OnMessage(message, absl::Now());
+    });
+    auto builder = context.getResults().initAnswer();
+    WriteGossip(loop_->Stamped(answer), builder);
+    builder.setProof(loop_->ProofOf(answer.sender));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> probe(ProbeContext context) override {
+    const std::string address = context.getParams().getAddress();
+    KJ_REQUIRE(loop_->IsProven(context.getParams().getProof(), address),
+               "not a peer");
+    auto request = loop_->ClientOf(address).configurationIndexRequest();
+    request.setProof(loop_->ProofOf("index"));
+    return loop_->timer_->timeoutAfter(kExchangeTimeout, request.send())
+        .then([context](
+                  auto&&) mutable { context.getResults().setAnswered(true); },
+              [this, context, address](kj::Exception&&) mutable {
+                loop_->Forget(address);
+                context.getResults().setAnswered(false);
+              });
+  }
+
+  kj::Promise<void> configurationIndex(
+      ConfigurationIndexContext context) override {
+    KJ_REQUIRE(loop_->IsProven(context.getParams().getProof(), "index"),
+               "not a peer");
+    context.getResults().setJson(loop_->host_->ConfigurationIndexJson());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> configurationBlob(
+      ConfigurationBlobContext context) override {
+    KJ_REQUIRE(loop_->IsProven(context.getParams().getProof(), "blob"),
+               "not a peer");
+    context.getResults().setContent(
+        loop_->host_->ConfigurationBlob(context.getParams().getName()));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> demand(DemandContext context) override {
+    const std::string sender = context.getParams().getSender();
+    KJ_REQUIRE(loop_->IsProven(context.getParams().getProof(), sender),
+               "not a peer");
+    std::vector<AccountDemand> demands;
+    for (const auto& demand : context.getParams().getDemands()) {
+      if (demands.size() >= kMaxDemands)
+        break;
+      demands.push_back({.account = demand.getAccount(),
+                         .offered = {demand.getRequestsPerSecond(),
+                                     demand.getTokensPerSecond()}});
+    }
+    const auto grants = loop_->host_->OnDemands(sender, demands);
+    auto builder = context.getResults().initGrants(grants.size());
+    for (size_t i = 0; i < grants.size(); ++i) {
+      builder[i].setAccount(grants[i].account);
+      builder[i].setRequestsPerSecond(grants[i].share.requests_per_second);
+      builder[i].setTokensPerSecond(grants[i].share.tokens_per_second);
+      builder[i].setValidMicroseconds(
+          absl::ToInt64Microseconds(grants[i].valid_for));
+    }
+    return kj::READY_NOW;
+  }
+
+ private:
+  Loop* loop_;
+};
+
+wire::Peer::Client PeerNode::Loop::ClientOf(const std::string& address) {
+  auto found = clients_.find(address);
+  if (found == clients_.end()) {
+    found =
+        clients_.emplace(address, kj::heap<capnp::EzRpcClient>(address)).first;
+  }
+  return found->second->getMain<wire::Peer>();
+}
+
+void PeerNode::Loop::Run() {
+  try {
+    capnp::EzRpcServer server(kj::heap<Service>(this), options_.listen);
+    auto& scope = server.getWaitScope();
+    const uint32_t port = server.getPort().wait(scope);
+    const std::vector<std::string> parts =
+        absl::StrSplit(options_.listen, absl::MaxSplits(':', 1));
+    address_ = absl::StrCat(parts[0], ":", port);
+    timer_ = &server.getIoProvider().getTimer();
+    tasks_ = kj::heap<kj::TaskSet>(quiet_);
+    {
+      absl::MutexLock lock(&mutex_);
+      GossipNode::Options gossip = options_.gossip;
+      gossip.address = address_;
+      gossip_ = std::make_unique<GossipNode>(gossip);
+      gossip_->set_listener(this);
+    }
+    is_listening_ = true;
+    started_.Notify();
+    while (!is_stopping_) {
+      Step();
+      timer_->afterDelay(kStep).wait(scope);
+    }
+    tasks_ = nullptr;
+    clients_.clear();
+  } catch (const kj::Exception&) {
+    // The address cannot be bound; Start says so.
+    if (!started_.HasBeenNotified())
+      started_.Notify();
+  }
+}
+
+void PeerNode::Loop::Step() {
+  const absl::Time now = absl::Now();
+  if (now >= next_exchange_) {
+    // Jitter keeps instances that started together from staying in step.
+    next_exchange_ = now + options_.period * absl::Uniform(random_, 0.9, 1.1);
+    std::vector<ExchangeOrder> orders;
+    With([&](GossipNode& gossip) { orders = gossip.Tick(now, random_); });
+    for (const ExchangeOrder& order : orders)
+      Exchange(order);
+  }
+  if (now >= next_demands_) {
+    next_demands_ = now + AccountLimits::kPeriod;
+    TellDemands();
+  }
+  if (!fetch_from_.empty() && !is_fetching_)
+    FetchConfiguration(std::exchange(fetch_from_, ""));
+}
+
+void PeerNode::Loop::Exchange(const ExchangeOrder& order) {
+  auto request = ClientOf(order.address).exchangeRequest();
+  auto builder = request.initMessage();
+  WriteGossip(Stamped(order.message), builder);
+  builder.setProof(ProofOf(order.message.sender));
+  AddTask(
+      timer_->timeoutAfter(kExchangeTimeout, request.send())
+          .then(
+              [this](auto&& response) {
+                const GossipMessage answer = ReadGossip(response.getAnswer());
+                if (!IsProven(response.getAnswer().getProof(), answer.sender)) {
+                  return;
+                }
+                host_->ObserveStamp(answer.stamp);
+                With([&](GossipNode& gossip) {
+                  gossip.OnAnswer(answer, absl::Now());
+                });
+              },
+              [this, order](kj::Exception&&) {
+                Forget(order.address);
+                std::vector<std::string> helpers;
+                With([&](GossipNode& gossip) {
+                  helpers = gossip.OnSilence(order.name, absl::Now(), random_);
+                });
+                if (!helpers.empty())
+                  ProbeThrough(order.name, helpers);
+              }));
+}
+
+void PeerNode::Loop::ProbeThrough(const std::string& name,
+                                  const std::vector<std::string>& helpers) {
+  std::string target;
+  std::vector<std::string> addresses;
+  Inspect([&](const GossipNode& gossip) {
+    if (const MemberRow* row = gossip.Find(name))
+      target = row->address;
+    for (const std::string& helper : helpers) {
+      if (const MemberRow* row = gossip.Find(helper))
+        addresses.push_back(row->address);
+    }
+  });
+  auto probes = kj::heapArrayBuilder<kj::Promise<bool>>(addresses.size());
+  for (const std::string& address : addresses) {
+    auto request = ClientOf(address).probeRequest();
+    request.setAddress(target);
+    request.setProof(ProofOf(target));
+    probes.add(timer_->timeoutAfter(2 * kExchangeTimeout, request.send())
+                   .then([](auto&& response) { return response.getAnswered(); },
+                         [this, address](kj::Exception&&) {
+                           Forget(address);
+                           return false;
+                         }));
+  }
+  AddTask(kj::joinPromises(probes.finish())
+              .then([this, name](kj::Array<bool> answered) {
+                for (bool one : answered) {
+                  if (one)
+                    return;
+                }
+                With([&](GossipNode& gossip) {
+                  gossip.OnConfirmedSilence(name, absl::Now());
+                });
+              }));
+}
+
+void PeerNode::Loop::FetchConfiguration(const std::string& address) {
+  is_fetching_ = true;
+  auto request = ClientOf(address).configurationIndexRequest();
+  request.setProof(ProofOf("index"));
+  AddTask(timer_->timeoutAfter(kFetchTimeout, request.send())
+              .then(
+                  [this, address](auto&& response) {
+                    std::string json = response.getJson();
+                    auto index = Capture(
+                        [&] { return ConfigurationIndex::FromJson(json); });
+                    if (!index.ok) {
+                      is_fetching_ = false;
+                      return;
+                    }
+                    std::map<std::string, std::string> blobs;
+                    std::vector<std::string> missing;
+                    for (const auto& [team, name] : index.value.blobs) {
+                      blobs[name] = host_->ConfigurationBlob(name);
+                      if (blobs[name].empty())
+                        missing.push_back(name);
+                    }
+                    FetchBlobs(address, std::move(json), std::move(blobs),
+                               std::move(missing));
+                  },
+                  [this, address](kj::Exception&&) {
+                    Forget(address);
+                    is_fetching_ = false;
+                  }));
+}
+
+void PeerNode::Loop::FetchBlobs(std::string address,
+                                std::string index_json,
+                                std::map<std::string, std::string> blobs,
+                                std::vector<std::string> missing) {
+  if (missing.empty()) {
+    is_fetching_ = false;
+    host_->OnConfiguration(index_json, std::move(blobs));
+    return;
+  }
+  const std::string name = missing.back();
+  missing.pop_back();
+  auto request = ClientOf(address).configurationBlobRequest();
+  request.setName(name);
+  request.setProof(ProofOf("blob"));
+  AddTask(timer_->timeoutAfter(kFetchTimeout, request.send())
+              .then(
+                  [this, address, name, index_json = std::move(index_json),
+                   blobs = std::move(blobs),
+                   missing = std::move(missing)](auto&& response) mutable {
+                    blobs[name] = response.getContent();
+                    FetchBlobs(address, std::move(index_json), std::move(blobs),
+                               std::move(missing));
+                  },
+                  [this, address](kj::Exception&&) {
+                    Forget(address);
+                    is_fetching_ = false;
+                  }));
+}
+
+void PeerNode::Loop::TellDemands() {
+  for (const auto& entry : host_->TakeDemands()) {
+    const std::string& owner = entry.first;
+    const std::vector<AccountDemand>& demands = entry.second;
+    std::string address;
+    Inspect([&](const GossipNode& gossip) {
+      if (const MemberRow* row = gossip.Find(owner))
+        address = row->address;
+    });
+    if (address.empty())
+      continue;
+    auto request = ClientOf(address).demandRequest();
+    request.setSender(options_.gossip.instance);
+    request.setProof(ProofOf(options_.gossip.instance));
+    auto builder = request.initDemands(demands.size());
+    for (size_t i = 0; i < demands.size(); ++i) {
+      builder[i].setAccount(demands[i].account);
+      builder[i].setRequestsPerSecond(demands[i].offered.requests_per_second);
+      builder[i].setTokensPerSecond(demands[i].offered.tokens_per_second);
+    }
+    AddTask(timer_->timeoutAfter(kExchangeTimeout, request.send())
+                .then(
+                    [this](auto&& response) {
+                      std::vector<AccountGrant> grants;
+                      for (const auto& grant : response.getGrants()) {
+                        grants.push_back(
+                            {.account = grant.getAccount(),
+                             .share = {grant.getRequestsPerSecond(),
+                                       grant.getTokensPerSecond()},
+                             .valid_for = absl::Microseconds(
+                                 grant.getValidMicroseconds())});
+                      }
+                      host_->OnGrants(grants);
+                    },
+                    [this, address](kj::Exception&&) { Forget(address); }));
+  }
+}
+
+PeerNode::PeerNode(Options options, Host* host)
+    : loop_(std::make_unique<Loop>(std::move(options), host)) {}
+
+PeerNode::~PeerNode() {
+  Stop();
+}
+
+bool PeerNode::Start() {
+  return loop_->Start();
+}
+
+void PeerNode::Stop() {
+  loop_->Stop();
+}
+
+std::string PeerNode::address() const {
+  return loop_->address();
+}
+
+void PeerNode::AddSeed(const std::string& name,
+                       const std::string& address,
+                       const std::string& data_centre) {
+  loop_->With([&](GossipNode& gossip) {
+    gossip.AddSeed(name, address, data_centre, absl::Now());
+  });
+}
+
+void PeerNode::Spread(Rumour rumour) {
+  loop_->With([&](GossipNode& gossip) {
+    gossip.Spread(std::move(rumour), absl::Now());
+  });
+}
+
+void PeerNode::Leave() {
+  loop_->With([](GossipNode& gossip) { gossip.Leave(absl::Now()); });
+}
+
+void PeerNode::SetConfigurationRevision(uint64_t revision) {
+  loop_->With(
+      [&](GossipNode& gossip) { gossip.set_configuration_revision(revision); });
+}
+
+void PeerNode::Inspect(
+    const std::function<void(const GossipNode&)>& function) const {
+  loop_->Inspect(function);
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/serving/account_gate.cc
@@ -0,0 +1,82 @@
+#include "modules/serving/account_gate.h"
+
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/strip.h"
+#include "modules/core/hashing.h"
+
+namespace chicory {
+
+namespace {
+
+AccountRate RateOf(const ClientAccount& account) {
+  return {account.requests_per_second, account.tokens_per_second};
+}
+
+}  // namespace
+
+const ClientAccount* AccountGate::Authenticate(
+    const Configuration& configuration,
+    std::string_view authorization) {
+  constexpr std::string_view kScheme = "Bearer ";
+  if (authorization.substr(0, kScheme.size()) != kScheme)
+    return nullptr;
+  const std::string_view key = authorization.substr(kScheme.size());
+  const size_t dot = key.find('.');
+  if (dot == std::string_view::npos)
+    return nullptr;
+  auto found = configuration.accounts.find(std::string(key.substr(0, dot)));
+  if (found == configuration.accounts.end())
+    return nullptr;
+  const ClientAccount& account = found->second;
+  const std::string hash = Sha256Hex(account.key_salt + std::string(key));
+  return ConstantTimeEquals(hash, account.key_sha256) ? &account : nullptr;
+}
+
+bool AccountGate::Admit(const ClientAccount& account,
+                        double tokens,
+                        absl::Duration* retry_after) {
+  absl::MutexLock lock(&mutex_);
+  return limits_.Admit(account.name, RateOf(account), tokens, absl::Now(),
+                       retry_after);
+}
+
+void AccountGate::GiveBack(const ClientAccount& account, double tokens) {
+  absl::MutexLock lock(&mutex_);
+  limits_.GiveBack(account.name, tokens);
+}
+
+void AccountGate::SetMembers(std::vector<std::string> members) {
+  absl::MutexLock lock(&mutex_);
+  limits_.SetMembers(std::move(members));
+}
+
+std::map<std::string, std::vector<AccountDemand>> AccountGate::TakeDemands() {
+  absl::MutexLock lock(&mutex_);
+  return limits_.TakeDemands(absl::Now());
+}
+
+std::vector<AccountGrant> AccountGate::OnDemands(
+    const std::string& from,
+    const std::vector<AccountDemand>& demands,
+    const Configuration& configuration) {
+  std::vector<AccountGrant> grants;
+  absl::MutexLock lock(&mutex_);
+  for (const AccountDemand& demand : demands) {
+    auto found = configuration.accounts.find(demand.account);
+    if (found == configuration.accounts.end())
+      continue;
+    grants.push_back(
+        limits_.OnDemand(from, demand, RateOf(found->second), absl::Now()));
+  }
+  return grants;
+}
+
+void AccountGate::OnGrants(const std::vector<AccountGrant>& grants) {
+  absl::MutexLock lock(&mutex_);
+  for (const AccountGrant& grant : grants)
+    limits_.OnGrant(grant, absl::Now());
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/serving/caller_front.h
@@ -0,0 +1,98 @@
+#ifndef MODULES_SERVING_CALLER_FRONT_H_
+#define MODULES_SERVING_CALLER_FRONT_H_
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "absl/time/time.h"
+#include "modules/config/configuration.h"
+#include "modules/serving/account_gate.h"
+#include "modules/serving/answers.h"
+#include "modules/serving/configuration_keeper.h"
+#include "modules/serving/once_runner.h"
+#include "modules/serving/request_broker.h"
+#include "modules/serving/token_estimator.h"
+
+namespace httplib {
+class Server;
+struct Request;
+struct Response;
+}  // namespace httplib
+
+namespace chicory {
+
+/** What callers reach: the chat interface that assistants' client libraries
+    speak, and plain services by route. Handlers run on the server's threads.
+    @see HttpFront */
+class CallerFront {
+ public:
+  /** All must outlive this object. */
+  struct Parts {
+    /** Name of this instance; part of every request's name. */
+    std::string instance;
+    ConfigurationKeeper* keeper = nullptr;
+    AccountGate* gate = nullptr;
+    RequestBroker* broker = nullptr;
+    UpstreamClient* client = nullptr;
+    OnceRunner* once = nullptr;
+    Counters* counters = nullptr;
+    TimeLine* time_line = nullptr;
+  };
+
+  explicit CallerFront(const Parts& parts) : parts_(parts) {}
+
+  /** Adds the handlers. */
+  void AddRoutes(httplib::Server* server);
+
+  /** From now on new work is refused as not run. */
+  void StopTaking() { is_stopping_ = true; }
+
+ private:
+  /** A caller known by its key, and what it asked for. */
+  struct Caller {
+    ConfigurationKeeper::Snapshot snapshot;
+    const ClientAccount* account = nullptr;
+    std::string request_name;
+  };
+
+  struct Generation;
+
+  std::optional<Caller> Enter(const httplib::Request& request,
+                              httplib::Response* response);
+  void HandleModels(const httplib::Request& request,
+                    httplib::Response* response);
+  void HandleChat(const httplib::Request& request, httplib::Response* response);
+  void HandleService(const httplib::Request& request,
+                     httplib::Response* response);
+  void RunOnce(const Caller& caller,
+               const httplib::Request& request,
+               RequestSpec spec,
+               httplib::Response* response);
+  AttemptEnd RunAttempt(Generation* generation,
+                        const AttemptOrder& order,
+                        Interrupt* interrupt);
+  bool PrepareGroup(const Generation& generation,
+                    const AttemptOrder& order,
+                    Interrupt* interrupt,
+                    AttemptEnd* end);
+  RequestEnd CallService(const httplib::Request& request,
+                         const RequestSpec& spec,
+                         const std::optional<CallerConnection>& connection,
+                         const std::string& attempt,
+                         ServiceAnswer* answer);
+  void Refuse(const Caller& caller,
+              const CallerError& error,
+              httplib::Response* response);
+
+  const Parts parts_;
+  TokenEstimator estimator_;
+  std::atomic<bool> is_stopping_{false};
+  std::atomic<uint64_t> next_name_{1};
+};
+
+}  // namespace chicory
+
+#endif  // MODULES_SERVING_CALLER_FRONT_H_
--- /dev/null
+++ b/modules/serving/chat_request.cc
@@ -0,0 +1,167 @@
+#include "modules/serving/chat_request.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "modules/core/hashing.h"
+#include "modules/decisions/request_table.h"
+#include "nlohmann/json.hpp"
+
+namespace chicory {
+
+namespace {
+
+using Json = nlohmann::json;
+using OrderedJson = nlohmann::ordered_json;
+
+constexpr auto kReplaceBadUtf8 = Json::error_handler_t::replace;
+
+/** Blocks that are looked at; beyond them a shared prefix decides nothing. */
+constexpr size_t kMaxPrefixBlocks = 64;
+
+/** Adds a message's content: a text, or a list of text parts. */
+bool AddContent(const Json& content, std::string* prompt) {
+  if (content.is_string()) {
+    prompt->append(content.get_ref<const std::string&>());
+    return true;
+  }
+  if (!content.is_array())
+    return false;
+  for (const Json& part : content) {
+    if (!part.is_object() || !part.contains("text") ||
+        !part["text"].is_string()) {
+      return false;
+    }
+    prompt->append(part["text"].get_ref<const std::string&>());
+  }
+  return true;
+}
+
+std::string Event(const OrderedJson& json) {
+  return absl::StrCat("data: ", json.dump(-1, ' ', false, kReplaceBadUtf8),
+                      "\n\n");
+}
+
+OrderedJson ChunkOf(const ChatAnswer& answer) {
+  return {{"id", answer.id},
+          {"object", "chat.completion.chunk"},
+          {"created", answer.created_unix_seconds},
+          {"model", answer.model},
+          {"choices", OrderedJson::array()}};
+}
+
+OrderedJson UsageOf(const ChatAnswer& answer) {
+  return {{"prompt_tokens", answer.prompt_tokens},
+          {"completion_tokens", answer.completion_tokens},
+          {"total_tokens", answer.prompt_tokens + answer.completion_tokens}};
+}
+
+}  // namespace
+
+Result<ChatRequest> ChatRequest::FromJson(std::string_view body) {
+  const Json json = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object())
+    return Fail(ErrorCode::kInvalid, "the body is not a JSON object");
+  ChatRequest request;
+  if (!json.contains("model") || !json["model"].is_string())
+    return Fail(ErrorCode::kInvalid, "`model` must be a text");
+  request.model = json["model"].get<std::string>();
+  if (!json.contains("messages") || !json["messages"].is_array() ||
+      json["messages"].empty()) {
+    return Fail(ErrorCode::kInvalid,
+                "`messages` must be a list that holds "
+                "at least one message");
+  }
+  size_t index = 0;
+  for (const Json& message : json["messages"]) {
+    const std::string place = absl::StrCat("`messages[", index++, "]`");
+    if (!message.is_object() || !message.contains("role") ||
+        !message["role"].is_string()) {
+      return Fail(ErrorCode::kInvalid, place + " must have a `role`");
+    }
+    absl::StrAppend(&request.prompt, message["role"].get<std::string>(), ": ");
+    if (!message.contains("content") ||
+        !AddContent(message["content"], &request.prompt)) {
+      return Fail(ErrorCode::kInvalid, place + " must have `content` of text");
+    }
+    request.prompt += "\n";
+  }
+  for (const char* key : {"max_tokens", "max_completion_tokens"}) {
+    if (!json.contains(key) || json[key].is_null())
+      continue;
+    if (!json[key].is_number_integer() || json[key].get<int64_t>() < 1 ||
+        json[key].get<int64_t>() > kMaxMaxTokens) {
+      return Fail(ErrorCode::kInvalid,
+                  absl::StrCat("`", key, "` must be 1 to ", kMaxMaxTokens));
+    }
+    request.max_tokens = json[key].get<int64_t>();
+  }
+  if (json.contains("stream") && !json["stream"].is_null()) {
+    if (!json["stream"].is_boolean())
+      return Fail(ErrorCode::kInvalid, "`stream` must be true or false");
+    request.is_streamed = json["stream"].get<bool>();
+  }
+  if (json.contains("stream_options") && json["stream_options"].is_object()) {
+    const Json& options = json["stream_options"];
+    request.wants_usage = options.contains("include_usage") &&
+                          options["include_usage"] == Json(true);
+  }
+  return request;
+}
+
+std::string ChatAnswer::ToJson() const {
+  const OrderedJson json = {
+      {"id", id},
+      {"object", "chat.completion"},
+      {"created", created_unix_seconds},
+      {"model", model},
+      {"choices",
+       {{{"index", 0},
+         {"message", {{"role", "assistant"}, {"content", text}}},
+         {"finish_reason", finish_reason}}}},
+      {"usage", UsageOf(*this)}};
+  return json.dump(-1, ' ', false, kReplaceBadUtf8);
+}
+
+std::string ChatAnswer::ToDeltaEvent(std::string_view delta,
+                                     bool is_first) const {
+  OrderedJson json = ChunkOf(*this);
+  OrderedJson content = {{"content", delta}};
+  if (is_first)
+    content["role"] = "assistant";
+  json["choices"].push_back(
+      {{"index", 0}, {"delta", content}, {"finish_reason", nullptr}});
+  return Event(json);
+}
+
+std::string ChatAnswer::ToFinalEvents(bool with_usage) const {
+  OrderedJson last = ChunkOf(*this);
+  last["choices"].push_back({{"index", 0},
+                             {"delta", OrderedJson::object()},
+                             {"finish_reason", finish_reason}});
+  std::string events = Event(last);
+  if (with_usage) {
+    OrderedJson usage = ChunkOf(*this);
+    usage["usage"] = UsageOf(*this);
+    events += Event(usage);
+  }
+  return events + "data: [DONE]\n\n";
+}
+
+std::vector<uint64_t> PrefixBlocksOf(std::string_view prompt, int64_t tokens) {
+  std::vector<uint64_t> blocks;
+  const double bytes_per_token =
+      static_cast<double>(prompt.size()) / static_cast<double>(tokens);
+  const size_t block_bytes = std::max<size_t>(
+      1, static_cast<size_t>(bytes_per_token * kPrefixBlockTokens));
+  uint64_t hash = 0;
+  for (size_t begin = 0;
+       begin + block_bytes <= prompt.size() && blocks.size() < kMaxPrefixBlocks;
+       begin += block_bytes) {
+    hash = StableHash(prompt.substr(begin, block_bytes), hash);
+    blocks.push_back(hash);
+  }
+  return blocks;
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/serving/http_upstream_client.h
@@ -0,0 +1,44 @@
+#ifndef MODULES_SERVING_HTTP_UPSTREAM_CLIENT_H_
+#define MODULES_SERVING_HTTP_UPSTREAM_CLIENT_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "modules/serving/upstream_client.h"
+
+namespace chicory {
+
+/** The upstream protocol over HTTP with JSON lines. Keeps connections for a
+    short while, since an idle one may be closed by the other side just when it
+    is used again. Thread-safe. */
+class HttpUpstreamClient : public UpstreamClient {
+ public:
+  HttpUpstreamClient();
+  ~HttpUpstreamClient() override;
+
+  UpstreamEnd Stream(const StreamCall& call,
+                     const EventSink& sink,
+                     Interrupt* interrupt) override;
+  UpstreamEnd Hold(const StreamCall& call,
+                   int64_t tokens,
+                   Interrupt* interrupt) override;
+  Result<bool> IsHoldReady(const std::string& address,
+                           const std::string& attempt) override;
+  UpstreamEnd Call(const ServiceCall& call,
+                   ServiceAnswer* answer,
+                   Interrupt* interrupt) override;
+  Result<void> Cancel(const std::string& address,
+                      const std::string& attempt) override;
+  Result<LoadReport> Load(const std::string& address) override;
+  Result<std::vector<std::string>> Attempts(
+      const std::string& address) override;
+
+ private:
+  class Connections;
+  std::unique_ptr<Connections> connections_;
+};
+
+}  // namespace chicory
+
+#endif  // MODULES_SERVING_HTTP_UPSTREAM_CLIENT_H_
--- /dev/null
+++ b/modules/serving/once_runner.cc
@@ -0,0 +1,184 @@
+#include "modules/serving/once_runner.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "modules/core/hashing.h"
+#include "modules/core/log.h"
+
+namespace chicory {
+
+namespace {
+
+constexpr absl::Duration kWaitForFirstRun = absl::Milliseconds(100);
+constexpr absl::Duration kSettlePause = absl::Seconds(1);
+constexpr absl::Duration kStopPoll = absl::Milliseconds(50);
+
+/** Records that may wait to be settled; past it the oldest are dropped, and
+    their keys answer "outcome unknown". */
+constexpr size_t kMaxUnsettled = 10000;
+
+std::string ObjectOf(const std::string& key) {
+  const std::string hash = Sha256Hex(key);
+  return absl::StrCat("once/", hash.substr(0, 2), "/", hash);
+}
+
+std::optional<ErrorCode> CodeOf(bool ok, const Error& error) {
+  if (ok)
+    return std::nullopt;
+  return error.code;
+}
+
+}  // namespace
+
+OnceRunner::OnceRunner(const Options& options,
+                       ObjectStore* store,
+                       TimeLine* time_line)
+    : options_(options), store_(store), time_line_(time_line) {}
+
+OnceRunner::~OnceRunner() {
+  Stop();
+}
+
+void OnceRunner::Start() {
+  thread_ = std::thread([this] { SettleLater(); });
+}
+
+void OnceRunner::Stop() {
+  is_stopping_ = true;
+  if (thread_.joinable())
+    thread_.join();
+}
+
+size_t OnceRunner::unsettled() const {
+  absl::MutexLock lock(&mutex_);
+  return unsettled_.size();
+}
+
+OnceRunner::Outcome OnceRunner::Run(const Request& request,
+                                    const SendFunction& send) {
+  const std::string object = ObjectOf(request.key);
+  OnceCall call({.state = OnceState::kStarted,
+                 .attempt = request.attempt,
+                 .body_hash = request.body_hash,
+                 .expires_unix_seconds =
+                     absl::ToUnixSeconds(absl::Now() + options_.retention)},
+                request.deadline);
+  OnceAction action = call.Begin();
+  while (action.step != OnceStep::kReply) {
+    switch (action.step) {
+      case OnceStep::kCreate:
+      case OnceStep::kUpdate: {
+        const auto written = Capture([&] {
+          return store_->Write(object, action.record.ToJson(),
+                               action.expected_version);
+        });
+        action = call.OnWritten(CodeOf(written.ok, written.error),
+                                written.value, absl::Now());
+        break;
+      }
+      case OnceStep::kWaitThenRead:
+        absl::SleepFor(kWaitForFirstRun);
+        [[fallthrough]];
+      case OnceStep::kRead: {
+        const auto read = Capture([&] { return store_->Read(object); });
+        if (!read.ok) {
+          action = call.OnReadFailed(read.error.code, absl::Now());
+          break;
+        }
+        const auto record = OnceRecord::FromJson(read.value.value);
+        action = record ? call.OnRead(*record, read.value.version, absl::Now())
+                        : call.OnReadFailed(ErrorCode::kInvalid, absl::Now());
+        break;
+      }
+      case OnceStep::kSend: {
+        time_line_->Record(absl::Now(), EventKind::kOnceRecorded,
+                           request.attempt, {});
+        OnceRecord answer;
+        const OnceSent sent = send(&answer);
+        if (answer.body.size() > options_.max_answer_bytes) {
+          OnceRecord kept = answer;
+          kept.body.clear();
+          kept.body_omitted = true;
+          action = call.OnSent(sent, kept, absl::Now());
+          // This caller still gets the whole of it.
+          if (action.step == OnceStep::kUpdate) {
+            const auto written = Capture([&] {
+              return store_->Write(object, action.record.ToJson(),
+                                   action.expected_version);
+            });
+            action = call.OnWritten(CodeOf(written.ok, written.error),
+                                    written.value, absl::Now());
+          }
+          action.record.body = answer.body;
+          action.record.body_omitted = false;
+          break;
+        }
+        action = call.OnSent(sent, answer, absl::Now());
+        break;
+      }
+      case OnceStep::kReply:
+        break;
+    }
+  }
+  if (action.settle_later) {
+    OnceRecord record = action.record;
+    if (record.body.size() > options_.max_answer_bytes) {
+      record.body.clear();
+      record.body_omitted = true;
+    }
+    absl::MutexLock lock(&mutex_);
+    if (unsettled_.size() >= kMaxUnsettled)
+      unsettled_.pop_front();
+    unsettled_.push_back({object, std::move(record)});
+  }
+  if (action.reply == OnceReply::kReplay)
+    time_line_->Record(absl::Now(), EventKind::kOnceReplayed, request.attempt,
+                       {{"first", action.record.attempt}});
+  return {.reply = action.reply, .answer = action.record};
+}
+
+bool OnceRunner::TrySettle(const Unsettled& entry) {
+  const auto read = Capture([&] { return store_->Read(entry.object); });
+  uint64_t version = 0;
+  if (read.ok) {
+    const auto present = OnceRecord::FromJson(read.value.value);
+    // Settled already, or another attempt's by now.
+    if (!present || present->attempt != entry.record.attempt ||
+        present->state != OnceState::kStarted) {
+      return true;
+    }
+    version = read.value.version;
+  } else if (read.error.code != ErrorCode::kNotFound) {
+    return false;
+  }
+  // Created if nothing is there, so that a late claim of ours cannot land.
+  const auto written = Capture([&] {
+    return store_->Write(entry.object, entry.record.ToJson(), version);
+  });
+  return written.ok;
+}
+
+void OnceRunner::SettleLater() {
+  while (true) {
+    const bool is_last_try = is_stopping_;
+    std::deque<Unsettled> entries;
+    {
+      absl::MutexLock lock(&mutex_);
+      entries.swap(unsettled_);
+    }
+    for (Unsettled& entry : entries) {
+      if (TrySettle(entry))
+        continue;
+      absl::MutexLock lock(&mutex_);
+      unsettled_.push_back(std::move(entry));
+    }
+    if (is_last_try)
+      return;
+    const absl::Time until = absl::Now() + kSettlePause;
+    while (!is_stopping_ && absl::Now() < until)
+      absl::SleepFor(kStopPoll);
+  }
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/serving/upstream_watcher.cc
@@ -0,0 +1,200 @@
+#include "modules/serving/upstream_watcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "modules/core/hashing.h"
+#include "modules/core/log.h"
+
+namespace chicory {
+
+namespace {
+
+constexpr absl::Duration kStopPoll = absl::Milliseconds(50);
+
+/** Readings of the list that an upstream may be missing from. */
+constexpr int kMissingReadings = 3;
+
+/** Unanswered polls in a row after which an engine counts as silent. */
+constexpr int kSilentPolls = 3;
+constexpr absl::Duration kSilentPause = absl::Seconds(2);
+
+}  // namespace
+
+UpstreamWatcher::UpstreamWatcher(const Options& options,
+                                 Links links,
+                                 ObjectStore* store,
+                                 UpstreamClient* client,
+                                 RequestBroker* broker,
+                                 Counters* counters,
+                                 TimeLine* time_line)
+    : options_(options),
+      links_(std::move(links)),
+      store_(store),
+      client_(client),
+      broker_(broker),
+      counters_(counters),
+      time_line_(time_line),
+      orphans_(options.instance, options.incarnation) {}
+
+UpstreamWatcher::~UpstreamWatcher() {
+  Stop();
+}
+
+void UpstreamWatcher::Start() {
+  threads_.emplace_back([this] { RunList(); });
+  threads_.emplace_back([this] { RunLoads(); });
+  threads_.emplace_back([this] { RunSweeps(); });
+}
+
+void UpstreamWatcher::Stop() {
+  is_stopping_ = true;
+  for (std::thread& thread : threads_)
+    thread.join();
+  threads_.clear();
+}
+
+void UpstreamWatcher::Pause(absl::Duration wait) const {
+  const absl::Time until = absl::Now() + wait;
+  while (!is_stopping_ && absl::Now() < until)
+    absl::SleepFor(std::min(kStopPoll, wait));
+}
+
+void UpstreamWatcher::RunList() {
+  while (!is_stopping_) {
+    ReadList();
+    Pause(options_.list_period);
+  }
+}
+
+void UpstreamWatcher::ReadList() {
+  const auto records = Capture([&] { return store_->Instances(); });
+  // While the platform is away, what is known stays in force.
+  if (!records.ok) {
+    counters_->Add("chicory_instance_list_failures_total");
+    return;
+  }
+  std::map<std::string, int> missing;
+  broker_->With([&](Dispatcher& dispatcher, absl::Time) {
+    for (const auto& [id, row] : dispatcher.upstreams().rows())
+      missing[row.name] = missing_[row.name] + 1;
+    for (const InstanceRecord& record : records.value) {
+      if (record.role == "entry")
+        continue;
+      missing[record.name] = 0;
+      dispatcher.OnUpstreamSeen({.name = record.name,
+                                 .address = record.address,
+                                 .data_centre = record.data_centre,
+                                 .pool = record.pool,
+                                 .models = record.models});
+      dispatcher.OnUpstreamState(record.name, record.leaving
+                                                  ? UpstreamState::kLeaving
+                                                  : UpstreamState::kLive);
+    }
+    for (const auto& [name, readings] : missing) {
+      if (readings == kMissingReadings)
+        dispatcher.OnUpstreamState(name, UpstreamState::kGone);
+    }
+  });
+  missing_ = std::move(missing);
+  for (const InstanceRecord& record : records.value) {
+    if (record.role == "entry")
+      links_.on_entry(record);
+  }
+}
+
+std::vector<UpstreamWatcher::Engine> UpstreamWatcher::Engines() const {
+  std::vector<Engine> engines;
+  broker_->With([&](Dispatcher& dispatcher, absl::Time) {
+    for (const auto& [id, row] : dispatcher.upstreams().rows()) {
+      if (!row.models.empty() && row.state != UpstreamState::kGone)
+        engines.push_back({.name = row.name, .address = row.address});
+    }
+  });
+  std::sort(engines.begin(), engines.end(),
+            [](const Engine& a, const Engine& b) { return a.name < b.name; });
+  return engines;
+}
+
+void UpstreamWatcher::RunLoads() {
+  std::map<std::string, Engine> known;
+  while (!is_stopping_) {
+    std::vector<Engine> engines = Engines();
+    if (engines.size() > options_.max_polled) {
+      std::vector<std::string> names;
+      for (const Engine& engine : engines)
+        names.push_back(engine.name);
+      const std::vector<std::string> mine =
+          RendezvousTop(options_.instance, names, options_.max_polled);
+      std::erase_if(engines, [&](const Engine& engine) {
+        return std::count(mine.begin(), mine.end(), engine.name) == 0;
+      });
+    }
+    for (const Engine& engine : engines) {
+      if (is_stopping_)
+        return;
+      Engine& state = known.try_emplace(engine.name, engine).first->second;
+      state.address = engine.address;
+      if (absl::Now() >= state.next_poll)
+        PollLoad(&state);
+    }
+    Pause(options_.load_period);
+  }
+}
+
+void UpstreamWatcher::PollLoad(Engine* engine) {
+  const auto load = Capture([&] { return client_->Load(engine->address); });
+  if (load.ok) {
+    engine->silent_polls = 0;
+    broker_->With([&](Dispatcher& dispatcher, absl::Time) {
+      dispatcher.OnLoadReportFrom(engine->name, load.value);
+    });
+    return;
+  }
+  counters_->Add("chicory_load_poll_failures_total");
+  if (++engine->silent_polls < kSilentPolls)
+    return;
+  engine->next_poll = absl::Now() + kSilentPause;
+  time_line_->Record(absl::Now(), EventKind::kUpstreamState, "",
+                     {{"upstream", engine->name}, {"state", "silent"}});
+  LogEvent(Severity::kWarning, "upstream_silent", {{"upstream", engine->name}});
+  broker_->OnUpstreamSilent(engine->name);
+}
+
+void UpstreamWatcher::RunSweeps() {
+  while (!is_stopping_) {
+    const std::vector<std::string> instances = links_.live_instances();
+    for (const Engine& engine : Engines()) {
+      if (is_stopping_)
+        return;
+      // One instance sweeps each engine; two that disagree do no harm.
+      const auto sweeper = RendezvousTop("sweep/" + engine.name, instances, 1);
+      if (sweeper.empty() || sweeper.front() == options_.instance)
+        Sweep(engine);
+    }
+    Pause(options_.sweep_period);
+  }
+}
+
+void UpstreamWatcher::Sweep(const Engine& engine) {
+  const auto attempts =
+      Capture([&] { return client_->Attempts(engine.address); });
+  if (!attempts.ok)
+    return;
+  const std::vector<AttemptId> orphans = orphans_.Sweep(
+      engine.name, attempts.value, links_.owner_state,
+      [&](uint64_t sequence) { return broker_->IsRunning(sequence); },
+      absl::Now());
+  for (const AttemptId& orphan : orphans) {
+    const std::string text = orphan.ToString();
+    counters_->Add("chicory_orphans_released_total");
+    time_line_->Record(absl::Now(), EventKind::kOrphanReleased, text,
+                       {{"upstream", engine.name}});
+    LogEvent(Severity::kWarning, "orphan_released",
+             {{"upstream", engine.name}, {"attempt", text}});
+    broker_->Cancel(engine.address, text);
+  }
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/programs/program.cc
@@ -0,0 +1,102 @@
+#include "programs/program.h"
+
+#include <signal.h>
+
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "modules/config/settings.h"
+#include "modules/core/log.h"
+
+namespace chicory {
+
+std::optional<CheckedRow> StartProgram(int argc,
+                                       char** argv,
+                                       const std::string& name,
+                                       const std::string& purpose,
+                                       const SectionRule& settings,
+                                       int* exit_code) {
+  cxxopts::Options options(name, purpose);
+  std::string config;
+  std::vector<std::string> overrides;
+  options.add_options()("help", "Print this help")(
+      "version", "Print the version")("keys", "Print the settings' keys")(
+      "config", "Settings file", cxxopts::value(config))(
+      "set", "A setting, key=value; may be repeated",
+      cxxopts::value(overrides));
+  *exit_code = static_cast<int>(ExitCode::kUsage);
+  try {
+    const auto parsed = options.parse(argc, argv);
+    *exit_code = static_cast<int>(ExitCode::kOk);
+    if (parsed.count("help") != 0) {
+      std::cout << options.help();
+      return std::nullopt;
+    }
+    if (parsed.count("version") != 0) {
+      std::cout << name << " " << kVersion << "\n";
+      return std::nullopt;
+    }
+    if (parsed.count("keys") != 0) {
+      std::cout << SchemaChecker::ToMarkdown({settings});
+      return std::nullopt;
+    }
+    *exit_code = static_cast<int>(ExitCode::kUsage);
+    if (!parsed.unmatched().empty()) {
+      std::cerr << name << ": unknown argument `" << parsed.unmatched().front()
+                << "`; see --help\n";
+      return std::nullopt;
+    }
+  } catch (const std::exception& exception) {
+    std::cerr << name << ": " << exception.what() << "; see --help\n";
+    return std::nullopt;
+  }
+  Findings findings;
+  auto row = Settings::Load(settings, config, overrides, &findings);
+  if (!row) {
+    std::cerr << findings.ToText();
+    return std::nullopt;
+  }
+  StartLog(row->text("log_level"));
+  *exit_code = static_cast<int>(ExitCode::kOk);
+  return row;
+}
+
+namespace {
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+}  // namespace
+
+void BlockStopSignals() {
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+}
+
+void WaitForStopSignal() {
+  const sigset_t signals = StopSignals();
+  int received = 0;
+  sigwait(&signals, &received);
+}
+
+void PrintListening(
+    const std::vector<std::pair<std::string, std::string>>& addresses) {
+  std::cout << "listening";
+  for (const auto& [name, address] : addresses)
+    std::cout << " " << name << "=" << address;
+  std::cout << std::endl;
+}
+
+std::vector<KeyRule> CommonSettings() {
+  return {{"log_level", ValueType::kText, "", false, "info", 1, 16,
+           "debug|info|warn|error", "Least severity that is logged."}};
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/programs/timeline/main.cc
@@ -0,0 +1,160 @@
+#include <httplib.h>
+
+#include <algorithm>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/time.h"
+#include "nlohmann/json.hpp"
+#include "programs/program.h"
+
+namespace chicory {
+namespace {
+
+constexpr char kPurpose[] =
+    "Merges the time lines of processes into one order that respects cause "
+    "and\n"
+    "effect.\n\n"
+    "  chicory_timeline --from ip:port ... [--file FILE ...] [--request NAME]\n"
+    "                   [--json]\n\n"
+    "Exit codes: 0 done, 2 wrong usage, 3 a source cannot be read (the others\n"
+    "are still printed).";
+
+using Json = nlohmann::ordered_json;
+
+/** An event and the text that stands for it in JSON lines. */
+struct Event {
+  uint64_t stamp = 0;
+  std::string process;
+  int64_t time_us = 0;
+  Json json;
+};
+
+/** Reads JSON lines; false when a line is malformed. */
+bool ReadLines(std::istream& lines, std::vector<Event>* events) {
+  bool is_good = true;
+  for (std::string line; std::getline(lines, line);) {
+    const Json json = Json::parse(line, nullptr, /*allow_exceptions=*/false);
+    if (!json.is_object()) {
+      is_good = false;
+      continue;
+    }
+    events->push_back({.stamp = json.value("stamp", uint64_t{0}),
+                       .process = json.value("process", ""),
+                       .time_us = json.value("time_us", int64_t{0}),
+                       .json = json});
+  }
+  return is_good;
+}
+
+bool ReadProcess(const std::string& address, std::vector<Event>* events) {
+  httplib::Client client("http://" + address);
+  client.set_connection_timeout(std::chrono::seconds(2));
+  client.set_read_timeout(std::chrono::seconds(5));
+  const auto result = client.Get("/timeline");
+  if (!result || result->status != 200)
+    return false;
+  std::istringstream lines(result->body);
+  return ReadLines(lines, events);
+}
+
+bool Concerns(const Event& event, const std::string& request) {
+  if (request.empty())
+    return true;
+  for (const auto& [key, value] : event.json.items()) {
+    if (value.is_string() &&
+        absl::StrContains(value.get<std::string>(), request)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void PrintText(const Event& event) {
+  std::cout << absl::FormatTime("%H:%M:%E6S",
+                                absl::FromUnixMicros(event.time_us),
+                                absl::UTCTimeZone())
+            << " stamp=" << event.stamp << " process=" << event.process;
+  for (const auto& [key, value] : event.json.items()) {
+    if (key == "stamp" || key == "time_us" || key == "process")
+      continue;
+    const std::string text =
+        value.is_string() ? value.get<std::string>() : value.dump();
+    if (!text.empty())
+      std::cout << " " << key << "=" << text;
+  }
+  std::cout << "\n";
+}
+
+int Run(int argc, char** argv) {
+  cxxopts::Options options("chicory_timeline", kPurpose);
+  std::vector<std::string> addresses;
+  std::vector<std::string> files;
+  std::string request;
+  bool as_json = false;
+  options.add_options()("help", "Print this help")(
+      "version", "Print the version")("from",
+                                      "Operators' address of a process; may be "
+                                      "repeated",
+                                      cxxopts::value(addresses))(
+      "file", "File of JSON lines; may be repeated", cxxopts::value(files))(
+      "request", "Only events that name this request or attempt",
+      cxxopts::value(request))("json", "Print JSON lines",
+                               cxxopts::value(as_json));
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") != 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    if (parsed.count("version") != 0) {
+      std::cout << "chicory_timeline " << kVersion << "\n";
+      return 0;
+    }
+  } catch (const std::exception& exception) {
+    std::cerr << "chicory_timeline: " << exception.what() << "; see --help\n";
+    return static_cast<int>(ExitCode::kUsage);
+  }
+  int exit_code = 0;
+  std::vector<Event> events;
+  for (const std::string& address : addresses) {
+    if (ReadProcess(address, &events))
+      continue;
+    std::cerr << "chicory_timeline: cannot read " << address << "\n";
+    exit_code = static_cast<int>(ExitCode::kUnavailable);
+  }
+  for (const std::string& name : files) {
+    std::ifstream file(name);
+    if (file && ReadLines(file, &events))
+      continue;
+    std::cerr << "chicory_timeline: cannot read " << name << "\n";
+    exit_code = static_cast<int>(ExitCode::kUnavailable);
+  }
+  std::stable_sort(
+      events.begin(), events.end(), [](const Event& a, const Event& b) {
+        return std::tie(a.stamp, a.process) < std::tie(b.stamp, b.process);
+      });
+  for (const Event& event : events) {
+    if (!Concerns(event, request))
+      continue;
+    if (as_json)
+      std::cout << event.json.dump() << "\n";
+    else
+      PrintText(event);
+  }
+  return exit_code;
+}
+
+}  // namespace
+}  // namespace chicory
+
+int main(int argc, char** argv) {
+  return chicory::Run(argc, argv);
+}
--- /dev/null
+++ b/stand_ins/object_api_main.cc
@@ -0,0 +1,217 @@
+#include <httplib.h>
+
+#include <iostream>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "modules/serving/http_front.h"
+#include "nlohmann/json.hpp"
+#include "programs/program.h"
+#include "stand_ins/memory_object_store.h"
+
+namespace chicory {
+namespace {
+
+using Json = nlohmann::json;
+
+SectionRule SettingsRule() {
+  SectionRule rule{"settings", false, "Settings of the object API stand-in.",
+                   CommonSettings()};
+  rule.keys.push_back({"listen", ValueType::kText, "", false, "127.0.0.1:0", 1,
+                       64, "", "Address, ip:port."});
+  return rule;
+}
+
+int StatusOf(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kNotFound:
+      return 404;
+    case ErrorCode::kConflict:
+      return 409;
+    case ErrorCode::kTimeout:
+      return 304;
+    case ErrorCode::kInvalid:
+      return 413;
+    case ErrorCode::kUnavailable:
+    case ErrorCode::kOutcomeUnknown:
+      return 503;
+  }
+  return 500;
+}
+
+uint64_t NumberParam(const httplib::Request& request, const char* name) {
+  uint64_t number = 0;
+  if (!absl::SimpleAtoi(request.get_param_value(name), &number))
+    return 0;
+  return number;
+}
+
+/** HTTP around a MemoryObjectStore. */
+class Server {
+ public:
+  explicit Server(const std::string& listen)
+      : front_({.listen = listen, .max_body_bytes = 2 << 20}) {
+    AddObjects();
+    AddInstances();
+    AddFaults();
+  }
+
+  Result<std::string> Start() { return front_.Start(); }
+
+ private:
+  using Request = httplib::Request;
+  using Response = httplib::Response;
+
+  /** Sends what an object call gave. A lost answer breaks the connection. */
+  template <class Taken, class ToJson>
+  void Answer(const Taken& taken, Response* response, ToJson&& to_json) {
+    absl::SleepFor(store_.faults().delay);
+    if (taken.ok) {
+      response->set_content(to_json(taken.value).dump(), "application/json");
+      return;
+    }
+    if (taken.error.code == ErrorCode::kOutcomeUnknown) {
+      DirectResponse lost;
+      lost.Begin("application/json");
+      lost.Abort();
+      return;
+    }
+    response->status = StatusOf(taken.error.code);
+    if (response->status != 304)
+      response->set_content(taken.error.message, "text/plain");
+  }
+
+  void AddObjects() {
+    auto object_json = [](const StoredObject& object) {
+      return Json{{"version", object.version}, {"value", object.value}};
+    };
+    httplib::Server& routes = front_.routes();
+    routes.Get(
+        "/objects/(.+)", [=, this](const Request& request, Response& response) {
+          Answer(Capture([&] { return store_.Read(request.matches[1]); }),
+                 &response, object_json);
+        });
+    routes.Put("/objects/(.+)",
+               [this](const Request& request, Response& response) {
+                 Answer(Capture([&] {
+                          return store_.Write(request.matches[1], request.body,
+                                              NumberParam(request, "expected"));
+                        }),
+                        &response, [](uint64_t version) {
+                          return Json{{"version", version}};
+                        });
+               });
+    routes.Delete(
+        "/objects/(.+)", [this](const Request& request, Response& response) {
+          Answer(Capture([&] {
+                   return store_.Remove(request.matches[1],
+                                        NumberParam(request, "expected"));
+                 }),
+                 &response, [](bool) { return Json::object(); });
+        });
+    routes.Get(
+        "/watch/(.+)", [=, this](const Request& request, Response& response) {
+          Answer(Capture([&] {
+                   return store_.Watch(
+                       request.matches[1], NumberParam(request, "after"),
+                       absl::Milliseconds(NumberParam(request, "wait_ms")));
+                 }),
+                 &response, object_json);
+        });
+    routes.Get("/list/(.*)", [this](const Request& request,
+                                    Response& response) {
+      Answer(Capture([&] { return store_.List(request.matches[1]); }),
+             &response,
+             [](const std::vector<std::string>& keys) { return Json(keys); });
+    });
+  }
+
+  void AddInstances() {
+    httplib::Server& routes = front_.routes();
+    routes.Get("/instances", [this](const Request&, Response& response) {
+      Answer(Capture([&] { return store_.Instances(); }), &response,
+             [](const std::vector<InstanceRecord>& records) {
+               Json list = Json::array();
+               for (const InstanceRecord& record : records) {
+                 list.push_back({{"name", record.name},
+                                 {"role", record.role},
+                                 {"pool", record.pool},
+                                 {"address", record.address},
+                                 {"data_centre", record.data_centre},
+                                 {"models", record.models},
+                                 {"leaving", record.leaving}});
+               }
+               return list;
+             });
+    });
+    routes.Put(
+        "/instances/(.+)", [this](const Request& request, Response& response) {
+          const Json json = Json::parse(request.body, nullptr, false);
+          if (!json.is_object()) {
+            response.status = 400;
+            return;
+          }
+          store_.PutInstance(
+              {.name = request.matches[1],
+               .role = json.value("role", "engine"),
+               .pool = json.value("pool", ""),
+               .address = json.value("address", ""),
+               .data_centre = json.value("data_centre", ""),
+               .models = json.value("models", std::vector<std::string>()),
+               .leaving = json.value("leaving", false)});
+        });
+    routes.Delete("/instances/(.+)", [this](const Request& request, Response&) {
+      store_.RemoveInstance(request.matches[1]);
+    });
+  }
+
+  void AddFaults() {
+    httplib::Server& routes = front_.routes();
+    routes.Post("/faults", [this](const Request& request, Response& response) {
+      const Json json = Json::parse(request.body, nullptr, false);
+      if (!json.is_object()) {
+        response.status = 400;
+        return;
+      }
+      store_.SetFaults(
+          {.down = json.value("down", false),
+           .lose_answers = json.value("lose_answers", 0),
+           .stale_reads = json.value("stale_reads", false),
+           .delay = absl::Milliseconds(json.value("delay_ms", 0))});
+    });
+    routes.Get("/calls", [this](const Request&, Response& response) {
+      response.set_content(
+          Json{{"reads", store_.reads()}, {"writes", store_.writes()}}.dump(),
+          "application/json");
+    });
+  }
+
+  MemoryObjectStore store_;
+  HttpFront front_;
+};
+
+int Run(int argc, char** argv) {
+  BlockStopSignals();
+  int exit_code = 0;
+  const auto settings = StartProgram(argc, argv, "stand_in_object_api",
+                                     "Stands in for the platform's object API.",
+                                     SettingsRule(), &exit_code);
+  if (!settings)
+    return exit_code;
+  Server server(settings->text("listen"));
+  const auto address = Capture([&] { return server.Start(); });
+  if (!address.ok) {
+    std::cerr << address.error.message << "\n";
+    return static_cast<int>(ExitCode::kUnavailable);
+  }
+  PrintListening({{"object_api", address.value}});
+  WaitForStopSignal();
+  return 0;
+}
+
+}  // namespace
+}  // namespace chicory
+
+int main(int argc, char** argv) {
+  return chicory::Run(argc, argv);
+}
--- /dev/null
+++ b/tests/logic/once_call_test.cc
@@ -0,0 +1,256 @@
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "modules/decisions/once_call.h"
+
+namespace chicory {
+namespace {
+
+/** A call as the model checker sees it: the shipped state machine, or dead. */
+struct Caller {
+  OnceCall call;
+  OnceAction next;
+  bool is_dead = false;
+  bool has_replied = false;
+  OnceReply reply = OnceReply::kNotRun;
+  int runs = 0;
+};
+
+/** A write that the store may still apply after its writer gave up on it. */
+struct LateWrite {
+  OnceRecord record;
+  uint64_t expected_version = 0;
+};
+
+struct World {
+  std::vector<Caller> callers;
+  std::optional<OnceRecord> record;
+  uint64_t version = 0;
+  uint64_t next_version = 1;
+  std::vector<LateWrite> late;
+  int faults_left = 0;
+  int runs = 0;
+
+  bool Apply(const OnceRecord& written, uint64_t expected) {
+    if (version != expected)
+      return false;
+    record = written;
+    version = next_version++;
+    return true;
+  }
+};
+
+const absl::Time kNow = absl::UnixEpoch();
+const absl::Time kDeadline = kNow + absl::Seconds(10);
+
+/** Explores every order of steps, kills, lost answers, late writes and service
+    outcomes of callers that use one key. */
+class Explorer {
+ public:
+  explicit Explorer(int faults) : faults_(faults) {}
+
+  void Explore(int callers) {
+    World world;
+    world.faults_left = faults_;
+    for (int i = 0; i < callers; ++i) {
+      OnceCall call({.state = OnceState::kStarted,
+                     .attempt = absl::StrCat("attempt", i),
+                     .body_hash = "same"},
+                    kDeadline);
+      OnceAction first = call.Begin();
+      world.callers.push_back({.call = call, .next = first});
+    }
+    Visit(world, 0);
+  }
+
+  int64_t states = 0;
+  std::set<std::string> violations;
+
+ private:
+  static constexpr int kMaxDepth = 14;
+
+  void Check(const World& world) {
+    if (world.runs > 1)
+      violations.insert("the call ran twice");
+    for (const Caller& caller : world.callers) {
+      if (!caller.has_replied)
+        continue;
+      const bool says_not_run = caller.reply == OnceReply::kNotRun ||
+                                caller.reply == OnceReply::kKeyReused;
+      if (says_not_run && caller.runs > 0)
+        violations.insert("a call that ran was said not to have run");
+      if (caller.reply == OnceReply::kReplay && world.runs == 0)
+        violations.insert("an answer was replayed although nothing ran");
+    }
+  }
+
+  void Visit(const World& world, int depth) {
+    ++states;
+    Check(world);
+    if (depth >= kMaxDepth)
+      return;
+    for (size_t i = 0; i < world.callers.size(); ++i)
+      StepCaller(world, i, depth);
+    for (size_t i = 0; i < world.late.size(); ++i) {
+      World next = world;
+      next.Apply(next.late[i].record, next.late[i].expected_version);
+      next.late.erase(next.late.begin() + static_cast<int64_t>(i));
+      Visit(next, depth + 1);
+    }
+  }
+
+  void StepCaller(const World& world, size_t index, int depth) {
+    const Caller& caller = world.callers[index];
+    if (caller.is_dead || caller.has_replied)
+      return;
+    if (world.faults_left > 0) {
+      // Killed, or frozen for ever: nothing of it happens any more.
+      World killed = world;
+      killed.callers[index].is_dead = true;
+      --killed.faults_left;
+      Visit(killed, depth + 1);
+    }
+    switch (caller.next.step) {
+      case OnceStep::kCreate:
+      case OnceStep::kUpdate:
+        return StepWrite(world, index, depth);
+      case OnceStep::kRead:
+      case OnceStep::kWaitThenRead:
+        return StepRead(world, index, depth);
+      case OnceStep::kSend:
+        return StepSend(world, index, depth);
+      case OnceStep::kReply: {
+        World next = world;
+        next.callers[index].has_replied = true;
+        next.callers[index].reply = caller.next.reply;
+        return Visit(next, depth + 1);
+      }
+    }
+  }
+
+  void StepWrite(const World& world, size_t index, int depth) {
+    const OnceAction action = world.callers[index].next;
+    World answered = world;
+    const bool applied = answered.Apply(action.record, action.expected_version);
+    Caller& caller = answered.callers[index];
+    caller.next =
+        applied ? caller.call.OnWritten(std::nullopt, answered.version, kNow)
+                : caller.call.OnWritten(ErrorCode::kConflict, 0, kNow);
+    Visit(answered, depth + 1);
+    if (world.faults_left == 0)
+      return;
+    // The write takes effect and its answer is lost.
+    World lost = world;
+    --lost.faults_left;
+    lost.Apply(action.record, action.expected_version);
+    lost.callers[index].next =
+        lost.callers[index].call.OnWritten(ErrorCode::kOutcomeUnknown, 0, kNow);
+    Visit(lost, depth + 1);
+    // The answer is lost and the write takes effect later, or never.
+    World late = world;
+    --late.faults_left;
+    late.late.push_back({action.record, action.expected_version});
+    late.callers[index].next =
+        late.callers[index].call.OnWritten(ErrorCode::kOutcomeUnknown, 0, kNow);
+    Visit(late, depth + 1);
+    // The store is away: certainly no effect.
+    World away = world;
+    --away.faults_left;
+    away.callers[index].next =
+        away.callers[index].call.OnWritten(ErrorCode::kUnavailable, 0, kNow);
+    Visit(away, depth + 1);
+  }
+
+  void StepRead(const World& world, size_t index, int depth) {
+    World next = world;
+    Caller& caller = next.callers[index];
+    if (caller.next.step == OnceStep::kWaitThenRead && depth % 2 == 1)
+      return;  // Waiting for ever adds no new states.
+    caller.next = next.record
+                      ? caller.call.OnRead(*next.record, next.version, kNow)
+                      : caller.call.OnReadFailed(ErrorCode::kNotFound, kNow);
+    Visit(next, depth + 1);
+    if (world.faults_left == 0)
+      return;
+    World away = world;
+    --away.faults_left;
+    away.callers[index].next =
+        away.callers[index].call.OnReadFailed(ErrorCode::kUnavailable, kNow);
+    Visit(away, depth + 1);
+  }
+
+  void StepSend(const World& world, size_t index, int depth) {
+    struct Outcome {
+      bool runs;
+      OnceSent sent;
+    };
+    for (const Outcome& outcome :
+         {Outcome{true, OnceSent::kAnswered}, Outcome{true, OnceSent::kUnknown},
+          Outcome{false, OnceSent::kUnknown},
+          Outcome{false, OnceSent::kNotRun}}) {
+      World next = world;
+      Caller& caller = next.callers[index];
+      next.runs += outcome.runs ? 1 : 0;
+      caller.runs += outcome.runs ? 1 : 0;
+      caller.next =
+          caller.call.OnSent(outcome.sent, {.status = 200, .body = "b"}, kNow);
+      Visit(next, depth + 1);
+    }
+  }
+
+  const int faults_;
+};
+
+TEST_CASE("no order of steps and faults runs a call twice") {
+  const int callers = GENERATE(1, 2);
+  Explorer explorer(/*faults=*/callers == 1 ? 3 : 2);
+  explorer.Explore(callers);
+  INFO("states " << explorer.states);
+  for (const std::string& violation : explorer.violations)
+    UNSCOPED_INFO(violation);
+  REQUIRE(explorer.states > 100);
+  REQUIRE(explorer.violations.empty());
+}
+
+TEST_CASE("another body under the same key does not run") {
+  OnceCall call({.attempt = "b", .body_hash = "other"}, kDeadline);
+  call.Begin();
+  REQUIRE(call.OnWritten(ErrorCode::kConflict, 0, kNow).step ==
+          OnceStep::kRead);
+  const OnceAction action = call.OnRead(
+      {.state = OnceState::kDone, .attempt = "a", .body_hash = "first"}, 1,
+      kNow);
+  REQUIRE(action.reply == OnceReply::kKeyReused);
+}
+
+TEST_CASE("a holder that wakes past its deadline sends nothing") {
+  OnceCall call({.attempt = "a", .body_hash = "h"}, kDeadline);
+  call.Begin();
+  const OnceAction action =
+      call.OnWritten(std::nullopt, 1, kDeadline + absl::Seconds(100));
+  REQUIRE(action.step == OnceStep::kUpdate);
+  REQUIRE(action.record.state == OnceState::kAbandoned);
+}
+
+TEST_CASE("a record survives its text form") {
+  const OnceRecord record{.state = OnceState::kDone,
+                          .attempt = "a~1~2",
+                          .body_hash = "h",
+                          .expires_unix_seconds = 7,
+                          .status = 201,
+                          .content_type = "text/plain",
+                          .body = "x\n\"y"};
+  REQUIRE(*OnceRecord::FromJson(record.ToJson()) == record);
+  REQUIRE(!OnceRecord::FromJson("{\"state\":\"odd\"}"));
+  REQUIRE(!OnceRecord::FromJson("not json"));
+}
+
+}  // namespace
+}  // namespace chicory
