--- /dev/null
+++ b/bench/replay_main.cc
@@ -0,0 +1,195 @@
+#include <algorithm>
+#include <cxxopts.hpp>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/time/time.h"
+#include "bench/baselines.h"
+#include "bench/report.h"
+#include "stand_ins/traffic.h"
+#include "stand_ins/virtual_fleet.h"
+
+namespace chicory {
+namespace {
+
+/** Sizes of a run: today's deployments, and the engine of the stand-in. */
+constexpr int kEntries = 15;
+constexpr int kEngines = 15;
+constexpr absl::Duration kPatience = absl::Seconds(200);
+constexpr absl::Duration kWarmUp = absl::Seconds(20);
+constexpr absl::Duration kLength = absl::Seconds(300);
+
+absl::Time Moment(absl::Duration length) {
+  return absl::UnixEpoch() + length;
+}
+
+/** Mean least engine time of a call of the users' mix, in seconds. */
+double MeanWork(bool with_long) {
+  TrafficMix mix{.rate = 100, .length = absl::Seconds(2000), .is_mixed = true};
+  double work = 0;
+  const auto calls = MakeTraffic(mix, 4711);
+  for (const VirtualCall& call : calls) {
+    if (!with_long && call.prompt_tokens > 4000)
+      continue;
+    work += absl::ToDoubleSeconds(LeastEngineTime(call, EngineModel::Options()));
+  }
+  return work / static_cast<double>(calls.size());
+}
+
+/** Calls a second at which the fleet's engines would all be busy. */
+double CapacityRate() {
+  return kEngines / MeanWork(/*with_long=*/true);
+}
+
+VirtualFleet::Options FleetOptions(const Contender& contender, uint64_t seed) {
+  VirtualFleet::Options options;
+  options.entries = kEntries;
+  options.engines = kEngines;
+  options.seed = seed;
+  options.has_gossip = false;
+  options.make_dispatcher = contender.make;
+  return options;
+}
+
+/** Time to first token and outcomes by class. */
+void PrintClasses(const std::string& name,
+                  const VirtualFleet& fleet,
+                  absl::Time from,
+                  absl::Time to) {
+  const auto& classes = fleet.options().length_classes;
+  for (size_t index = 0; index < classes.size(); ++index) {
+    std::vector<double> times;
+    int64_t all = 0;
+    int64_t completed = 0;
+    int64_t within = 0;
+    std::map<std::string, int> reasons;
+    for (const CallRecord& record : fleet.records()) {
+      if (record.length_class != index || record.call.at < from ||
+          record.call.at >= to) {
+        continue;
+      }
+      ++all;
+      if (record.end == CallRecord::End::kCompleted)
+        ++completed;
+      else
+        ++reasons[RefusalReasonName(record.refusal.reason)];
+      within += record.first_token <= classes[index].first_token_within;
+      if (record.first_token < absl::InfiniteDuration())
+        times.push_back(absl::ToDoubleMilliseconds(record.first_token));
+    }
+    std::string refused;
+    for (const auto& [reason, count] : reasons)
+      absl::StrAppend(&refused, " ", reason, "=", count);
+    std::cout << absl::StrFormat(
+        "%-14s %-8s calls=%6d completed=%6.2f%% within_bound=%6.2f%% "
+        "p50=%8.0fms p95=%8.0fms p99=%8.0fms%s\n",
+        name, classes[index].name, all, 100.0 * completed / std::max<int64_t>(1, all),
+        100.0 * within / std::max<int64_t>(1, all), Percentile(times, 50),
+        Percentile(times, 95), Percentile(times, 99), refused);
+  }
+}
+
+/** One run of mixed traffic at a share of the fleet's capacity. */
+std::unique_ptr<VirtualFleet> RunMixed(const Contender& contender,
+                                       double load,
+                                       bool with_long,
+                                       uint64_t seed) {
+  auto fleet =
+      std::make_unique<VirtualFleet>(FleetOptions(contender, seed));
+  TrafficMix mix{.rate = load * CapacityRate(),
+                 .length = kLength,
+                 .patience = kPatience,
+                 .is_mixed = true};
+  for (const VirtualCall& call : MakeTraffic(mix, seed)) {
+    if (with_long || call.estimated_tokens <= 4000)
+      fleet->AddCall(call);
+  }
+  fleet->RunUntil(Moment(kLength + kPatience + absl::Seconds(10)));
+  return fleet;
+}
+
+double ShortP99(const VirtualFleet& fleet) {
+  std::vector<double> times;
+  for (const CallRecord& record : fleet.records()) {
+    if (record.length_class == 0 && record.call.at >= Moment(kWarmUp))
+      times.push_back(absl::ToDoubleMilliseconds(
+          std::min(record.first_token, absl::Seconds(1000))));
+  }
+  return Percentile(times, 99);
+}
+
+/** Share of the offered work that was completed. */
+double Goodput(const VirtualFleet& fleet, absl::Time from, absl::Time to) {
+  double work = 0;
+  for (const CallRecord& record : fleet.records()) {
+    const absl::Time ended = record.call.at + record.ended;
+    if (record.end == CallRecord::End::kCompleted && ended >= from && ended < to)
+      work += absl::ToDoubleSeconds(
+          LeastEngineTime(record.call, fleet.options().engine));
+  }
+  return work / (fleet.options().engines * absl::ToDoubleSeconds(to - from));
+}
+
+void CompareMixed(double load, const std::vector<uint64_t>& seeds) {
+  for (uint64_t seed : seeds) {
+    std::cout << absl::StrFormat("== mixed load at %.0f%% of capacity, seed %d\n",
+                                 load * 100, seed);
+    const auto alone = RunMixed(Shipped(), load, /*with_long=*/false, seed);
+    std::cout << absl::StrFormat("short p99 with the long ones taken out: %.0f ms\n",
+                                 ShortP99(*alone));
+    for (const Contender& contender : {Shipped(), RoundRobin(), LeastLoaded()}) {
+      const auto fleet = RunMixed(contender, load, /*with_long=*/true, seed);
+      PrintClasses(contender.name, *fleet, Moment(kWarmUp), Moment(kLength));
+      const double offered = [&] {
+        double work = 0;
+        for (const CallRecord& record : fleet->records())
+          work += absl::ToDoubleSeconds(
+              LeastEngineTime(record.call, fleet->options().engine));
+        return work;
+      }();
+      const double done =
+          Goodput(*fleet, Moment(absl::ZeroDuration()),
+                  Moment(kLength + kPatience)) *
+          fleet->options().engines * absl::ToDoubleSeconds(kLength + kPatience);
+      std::cout << absl::StrFormat(
+          "%-14s short p99 ratio=%.2f goodput=%.1f%% of the offered work "
+          "attempts/call=%.3f\n",
+          contender.name, ShortP99(*fleet) / ShortP99(*alone),
+          100 * done / offered,
+          static_cast<double>(fleet->attempts()) / fleet->records().size());
+    }
+  }
+}
+
+int Run(int argc, char** argv) {
+  cxxopts::Options options("chicory_replay",
+                           "Replays traffic in virtual time and compares ways "
+                           "to decide.");
+  std::vector<uint64_t> seeds{1, 2, 3};
+  double load = 0.85;
+  std::string experiment = "mixed";
+  options.add_options()("help", "Print this help")(
+      "experiment", "mixed", cxxopts::value(experiment))(
+      "load", "Share of capacity", cxxopts::value(load))(
+      "seeds", "Seeds", cxxopts::value(seeds));
+  const auto parsed = options.parse(argc, argv);
+  if (parsed.count("help") != 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  std::cout << absl::StrFormat("capacity: %.1f calls a second\n", CapacityRate());
+  CompareMixed(load, seeds);
+  return 0;
+}
+
+}  // namespace
+}  // namespace chicory
+
+int main(int argc, char** argv) {
+  return chicory::Run(argc, argv);
+}
--- a/modules/decisions/dispatcher.cc
+++ b/modules/decisions/dispatcher.cc
@@ -14,6 +14,9 @@
 /** Failures in a row after which an upstream gets no work for a while. */
 constexpr int kFailuresToBreak = 1;
 
+/** Unanswered questions for its load in a row that make an upstream silent. */
+constexpr int kPollsToSilence = 3;
+
 /** First and longest pause before a broken upstream is tried again. */
 constexpr absl::Duration kBreakBase = absl::Milliseconds(500);
 constexpr absl::Duration kBreakMax = absl::Seconds(30);
@@ -85,6 +88,7 @@
     if (listener_ != nullptr)
       listener_->OnUpstreamStateSeen(row->name, UpstreamState::kLeaving);
   }
+  row->failed_polls = 0;
   upstreams_.ApplyReport(upstream, report);
   for (const std::string& model : row->models)
     changed_queues_.insert(absl::StrCat(row->pool, "\n", model));
@@ -96,11 +100,15 @@
     OnLoadReport(row->id, report);
 }
 
-void Dispatcher::OnUpstreamSilent(const std::string& name,
+bool Dispatcher::OnLoadPollFailed(const std::string& name,
                                   absl::Time now,
                                   absl::BitGenRef random) {
-  if (const UpstreamRow* row = upstreams_.FindByName(name))
-    OnUpstreamFailure(row->id, now, random);
+  UpstreamRow* row = upstreams_.FindByName(name);
+  if (row == nullptr || ++row->failed_polls < kPollsToSilence)
+    return false;
+  row->failed_polls = 0;
+  OnUpstreamFailure(row->id, now, random);
+  return true;
 }
 
 void Dispatcher::OnCacheEvent(UpstreamId upstream,
@@ -158,14 +166,27 @@
              TimerKind::kQueueLimit, spec.id);
   }
   Enqueue(&row);
-  RequestQueue& queue = QueueOf(spec);
-  const absl::Duration wait = queue.EstimatedWait(row.queue_level);
-  const bool too_long = options_.refuse_early && wait > spec.first_token_within;
-  if (!too_long && queue.size() <= options_.max_queued)
-    return;
-  // The one furthest back by fair share goes, which need not be the newcomer.
-  const RequestId last = queue.level(row.queue_level).rbegin()->second;
-  Refuse(&requests_.at(last), RefusalReason::kOverloaded, wait);
+  arrived_.push_back(spec.id);
+}
+
+void Dispatcher::RefuseExcess() {
+  for (RequestId id : std::exchange(arrived_, {})) {
+    auto found = requests_.find(id);
+    if (found == requests_.end() ||
+        found->second.phase != RequestPhase::kQueued) {
+      continue;
+    }
+    const RequestRow& row = found->second;
+    RequestQueue& queue = QueueOf(row.spec);
+    const absl::Duration wait = queue.EstimatedWait(row.queue_level);
+    const bool too_long =
+        options_.refuse_early && wait > row.spec.first_token_within;
+    if (!too_long && queue.size() <= options_.max_queued)
+      continue;
+    // The one furthest back by fair share goes; it need not be the newcomer.
+    const RequestId last = queue.level(row.queue_level).rbegin()->second;
+    Refuse(&requests_.at(last), RefusalReason::kOverloaded, wait);
+  }
 }
 
 void Dispatcher::OnFirstToken(RequestId request, uint64_t attempt) {
@@ -443,7 +464,7 @@
   if (choice.upstreams.empty())
     return false;
   queue->Remove(*row);
-  queue->OnPlaced(*row, now);
+  queue->OnPlaced(*row);
   Start(row, choice, now);
   return true;
 }
@@ -487,6 +508,7 @@
     RequestQueue* queue = found->second.get();
     for (int level = 0; level < kPriorityLevels && queue->size() > 0; ++level)
       PlaceLevel(queue, level, now, random);
+    queue->OnRoundEnded(now);
   }
 }
 
@@ -495,6 +517,7 @@
                       std::vector<Command>* commands) {
   RunTimers(now);
   RunPlacement(now, random);
+  RefuseExcess();
   commands->insert(commands->end(), std::make_move_iterator(pending_.begin()),
                    std::make_move_iterator(pending_.end()));
   pending_.clear();
--- a/modules/decisions/dispatcher.h
+++ b/modules/decisions/dispatcher.h
@@ -29,8 +29,8 @@
     Events go in through the `On` functions; `Tick` runs the systems over the
     tables and hands out commands. Time and chance come in as arguments, so the
     same code runs in processes, replays and tests. The order of the systems:
-    timers (deadlines, queue limits, backoff), then placement of each changed
-    queue. A tick costs what changed since the last. Not thread-safe.
+    timers (deadlines, queue limits, backoff), placement of each changed queue,
+    refusal of what would wait too long. A tick costs what changed since the last. Not thread-safe.
 
     @code
     Dispatcher dispatcher(std::move(options));
@@ -90,8 +90,10 @@
   /** The same, for an upstream known by name. */
   void OnLoadReportFrom(const std::string& name, const LoadReport& report);
 
-  /** An upstream answers nothing any more; it gets no work for a while. */
-  void OnUpstreamSilent(const std::string& name,
+  /** A question for an upstream's load was not answered. True when it counts
+      as silent from now on: it gets no work for a while, and attempts that run
+      on it are to be broken off. */
+  bool OnLoadPollFailed(const std::string& name,
                         absl::Time now,
                         absl::BitGenRef random);
 
@@ -165,6 +167,8 @@
   void ChargeDeath(RequestRow* row, absl::Time now);
   void RunTimers(absl::Time now);
   void RunPlacement(absl::Time now, absl::BitGenRef random);
+  /** Turns away newcomers that found no place and would wait too long. */
+  void RefuseExcess();
   /** Places what it can of one level; false when something had to wait. */
   bool PlaceLevel(RequestQueue* queue,
                   int level,
@@ -191,6 +195,8 @@
   absl::flat_hash_map<std::string, std::unique_ptr<RequestQueue>> queues_;
   absl::flat_hash_set<std::string> changed_queues_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  /** Requests that came since the last tick. */
+  std::vector<RequestId> arrived_;
   std::vector<Command> pending_;
   uint64_t next_attempt_ = 1;
   absl::Time next_queue_scan_ = absl::InfinitePast();
--- a/modules/decisions/gossip_node.cc
+++ b/modules/decisions/gossip_node.cc
@@ -172,7 +172,7 @@
   }
   for (const std::string& name : forgotten)
     members_.erase(name);
-  absl::erase_if(facts_, [&](const auto& entry) {
+  std::erase_if(facts_, [&](const auto& entry) {
     return now - entry.second.heard >= kForgetAfter;
   });
   if (probe_order_.empty()) {
--- a/modules/decisions/gossip_node.h
+++ b/modules/decisions/gossip_node.h
@@ -2,11 +2,11 @@
 #define MODULES_DECISIONS_GOSSIP_NODE_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
 #include "absl/random/bit_gen_ref.h"
 #include "absl/time/time.h"
 
@@ -171,7 +171,7 @@
   const MemberRow* Find(const std::string& name) const;
 
   /** All other instances, dead ones included for a while. */
-  const absl::flat_hash_map<std::string, MemberRow>& members() const {
+  const std::map<std::string, MemberRow>& members() const {
     return members_;
   }
 
@@ -217,8 +217,9 @@
   uint64_t version_ = 0;
   uint64_t revision_ = 0;
   bool is_leaving_ = false;
-  absl::flat_hash_map<std::string, MemberRow> members_;
-  absl::flat_hash_map<std::string, Fact> facts_;
+  // Ordered, so that the same events give the same messages in every run.
+  std::map<std::string, MemberRow> members_;
+  std::map<std::string, Fact> facts_;
   std::vector<Riding> riding_;
   std::vector<std::string> probe_order_;
 };
--- a/modules/decisions/request_queue.cc
+++ b/modules/decisions/request_queue.cc
@@ -49,12 +49,20 @@
   return true;
 }
 
-void RequestQueue::OnPlaced(const RequestRow& row, absl::Time now) {
+void RequestQueue::OnPlaced(const RequestRow& row) {
   LevelState& state = states_[row.queue_level];
   state.virtual_time = std::max(state.virtual_time, row.queue_tag);
   drained_in_window_ += static_cast<double>(row.spec.prompt_tokens);
-  if (window_start_ == absl::InfinitePast())
-    window_start_ = now;
+}
+
+void RequestQueue::OnRoundEnded(absl::Time now) {
+  if (size_ == 0 || window_start_ == absl::InfinitePast()) {
+    window_start_ = size_ == 0 ? absl::InfinitePast() : now;
+    drained_in_window_ = 0;
+    if (size_ == 0)
+      drain_rate_ = 0;
+    return;
+  }
   const absl::Duration span = now - window_start_;
   if (span < kDrainWindow)
     return;
--- a/modules/decisions/request_queue.h
+++ b/modules/decisions/request_queue.h
@@ -32,7 +32,12 @@
   bool Remove(const RequestRow& row);
 
   /** Takes note that a request leaves the queue to run. */
-  void OnPlaced(const RequestRow& row, absl::Time now);
+  void OnPlaced(const RequestRow& row);
+
+  /** Takes note of what is left after a round of placement. The drain rate is
+      measured only while something waits: otherwise it would show how much was
+      asked for, not how much the upstreams can take. */
+  void OnRoundEnded(absl::Time now);
 
   /** The waiting requests of one level, first to go first. */
   const Level& level(int index) const { return levels_[index]; }
@@ -60,6 +65,7 @@
   /** Placed prompt tokens a second, smoothed. */
   double drain_rate_ = 0;
   double drained_in_window_ = 0;
+  /** Start of the window; the infinite past while nothing waits. */
   absl::Time window_start_ = absl::InfinitePast();
 };
 
--- a/modules/decisions/upstream_table.h
+++ b/modules/decisions/upstream_table.h
@@ -70,6 +70,8 @@
   /** This instance's attempts under suspicion of crashing upstreams. */
   int suspects = 0;
   int consecutive_failures = 0;
+  /** Unanswered questions for its load, in a row. */
+  int failed_polls = 0;
   /** While broken: when one request may try it again. */
   absl::Time retry_at = absl::InfinitePast();
 
--- a/modules/serving/caller_front.cc
+++ b/modules/serving/caller_front.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/str_cat.h"
 #include "modules/core/hashing.h"
 #include "modules/core/log.h"
+#include "modules/decisions/stall_limits.h"
 #include "modules/serving/chat_request.h"
 #include "nlohmann/json.hpp"
 
@@ -23,14 +24,6 @@
 
 constexpr size_t kMaxKeyBytes = 256;
 
-/** How long an engine may be silent before the first token, at least, and
-    between two tokens. */
-constexpr absl::Duration kLeastFirstStall = absl::Seconds(2);
-constexpr absl::Duration kLaterStall = absl::Seconds(3);
-
-/** Bounds of its length class that an engine may be late by. */
-constexpr double kFirstStallBounds = 4;
-
 /** How often a group's members are asked whether they are ready. */
 constexpr absl::Duration kHoldPoll = absl::Milliseconds(20);
 
@@ -213,7 +206,7 @@
   AnswerAssembler& assembler = generation->assembler;
   ChatAnswer& answer = generation->answer;
   assembler.BeginAttempt(order.attempt);
-  const absl::Duration left = generation->spec.deadline - absl::Now();
+  const StallLimits limits = StallLimits::Of(generation->spec, absl::Now());
   const StreamCall call{
       .address = order.upstreams.back().second,
       .attempt = order.attempt,
@@ -223,11 +216,8 @@
       .resume_from = assembler.delivered(),
       .group_size = static_cast<int64_t>(order.upstreams.size()),
       .stamp = parts_.time_line->stamp(),
-      .first_stall = std::min(
-          left,
-          std::max(kLeastFirstStall,
-                   kFirstStallBounds * generation->spec.first_token_within)),
-      .later_stall = std::min(left, kLaterStall)};
+      .first_stall = limits.first,
+      .later_stall = limits.later};
   bool has_token = false;
   bool is_complete = false;
   auto take = [&](StreamEvent event) {
--- a/modules/serving/http_upstream_client.cc
+++ b/modules/serving/http_upstream_client.cc
@@ -226,7 +226,10 @@
     return {.outcome = AttemptOutcome::kFailed, .detail = "broken off"};
   if (result)
     return {.outcome = AttemptOutcome::kDied, .detail = "cut short"};
-  end.outcome = OutcomeOf(result.error(), absl::Now() - last_heard, stall);
+  // Broken off by this process: nothing is known against the upstream.
+  end.outcome = interrupt->is_raised()
+                    ? AttemptOutcome::kStalled
+                    : OutcomeOf(result.error(), absl::Now() - last_heard, stall);
   end.detail = httplib::to_string(result.error());
   return end;
 }
--- a/modules/serving/request_broker.cc
+++ b/modules/serving/request_broker.cc
@@ -223,15 +223,17 @@
   dispatcher_.OnDelivered(order.request, tokens);
 }
 
-void RequestBroker::OnUpstreamSilent(const std::string& name) {
+bool RequestBroker::OnLoadPollFailed(const std::string& name) {
   absl::MutexLock lock(&mutex_);
-  dispatcher_.OnUpstreamSilent(name, absl::Now(), random_);
+  if (!dispatcher_.OnLoadPollFailed(name, absl::Now(), random_))
+    return false;
   for (const auto& [id, mailbox] : mailboxes_) {
     if (std::count(mailbox->upstreams.begin(), mailbox->upstreams.end(),
                    name) != 0) {
       mailbox->interrupt.Raise();
     }
   }
+  return true;
 }
 
 bool RequestBroker::IsRunning(uint64_t sequence) const {
--- a/modules/serving/request_broker.h
+++ b/modules/serving/request_broker.h
@@ -68,7 +68,7 @@
                 UpstreamClient* client,
                 Counters* counters,
                 TimeLine* time_line);
-  ~RequestBroker();
+  ~RequestBroker() override;
 
   void set_sinks(DeathSink deaths, StateSink states);
 
@@ -92,9 +92,10 @@
   /** Runs `function` on the dispatcher and carries out what follows. */
   void With(const std::function<void(Dispatcher&, absl::Time)>& function);
 
-  /** An upstream answers nothing any more: it gets no work for a while, and
-      this instance's attempts on it are broken off to go on elsewhere. */
-  void OnUpstreamSilent(const std::string& name);
+  /** A question for an upstream's load was not answered. True when it counts
+      as silent; this instance's attempts on it are then broken off to go on
+      elsewhere. */
+  bool OnLoadPollFailed(const std::string& name);
 
   /** Whether an attempt of this process runs. */
   bool IsRunning(uint64_t sequence) const;
--- a/modules/serving/upstream_watcher.cc
+++ b/modules/serving/upstream_watcher.cc
@@ -16,8 +16,7 @@
 /** Readings of the list that an upstream may be missing from. */
 constexpr int kMissingReadings = 3;
 
-/** Unanswered polls in a row after which an engine counts as silent. */
-constexpr int kSilentPolls = 3;
+/** Pause before a silent engine is asked again. */
 constexpr absl::Duration kSilentPause = absl::Seconds(2);
 
 }  // namespace
@@ -146,20 +145,18 @@
 void UpstreamWatcher::PollLoad(Engine* engine) {
   const auto load = Capture([&] { return client_->Load(engine->address); });
   if (load.ok) {
-    engine->silent_polls = 0;
     broker_->With([&](Dispatcher& dispatcher, absl::Time) {
       dispatcher.OnLoadReportFrom(engine->name, load.value);
     });
     return;
   }
   counters_->Add("chicory_load_poll_failures_total");
-  if (++engine->silent_polls < kSilentPolls)
+  if (!broker_->OnLoadPollFailed(engine->name))
     return;
   engine->next_poll = absl::Now() + kSilentPause;
   time_line_->Record(absl::Now(), EventKind::kUpstreamState, "",
                      {{"upstream", engine->name}, {"state", "silent"}});
   LogEvent(Severity::kWarning, "upstream_silent", {{"upstream", engine->name}});
-  broker_->OnUpstreamSilent(engine->name);
 }
 
 void UpstreamWatcher::RunSweeps() {
--- a/modules/serving/upstream_watcher.h
+++ b/modules/serving/upstream_watcher.h
@@ -61,7 +61,6 @@
   struct Engine {
     std::string name;
     std::string address;
-    int silent_polls = 0;
     absl::Time next_poll = absl::InfinitePast();
   };
 
--- /dev/null
+++ b/stand_ins/virtual_fleet.cc
@@ -0,0 +1,912 @@
+#include "stand_ins/virtual_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/random/distributions.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "modules/core/attempt_id.h"
+#include "modules/core/hashing.h"
+#include "modules/decisions/least_busy_placement.h"
+#include "modules/decisions/length_aware_placement.h"
+
+namespace chicory {
+
+namespace {
+
+constexpr char kPool[] = "engines";
+constexpr char kModel[] = "model";
+constexpr absl::Duration kStallCheck = absl::Milliseconds(100);
+constexpr absl::Duration kCancelPeriod = absl::Milliseconds(100);
+constexpr absl::Duration kSweepPeriod = absl::Seconds(2);
+constexpr absl::Duration kConnectTimeout = absl::Seconds(1);
+
+/** Calls name the request they belong to as `call/sending`. */
+constexpr uint64_t kSendingsPerCall = 1000;
+
+}  // namespace
+
+struct VirtualFleet::Engine {
+  std::string name;
+  std::unique_ptr<EngineModel> model;
+  uint64_t epoch = 0;
+  bool is_alive = true;
+  bool is_leaving = false;
+  bool is_stepping = false;
+  absl::Time frozen_until = absl::InfinitePast();
+  std::vector<std::function<void()>> inbox;
+  LoadReport published;
+};
+
+/** An attempt under way at an entry. */
+struct VirtualFleet::Running {
+  RequestId request;
+  std::vector<UpstreamId> upstreams;
+  size_t record = 0;
+  int sending = 0;
+  int level = 0;
+  int64_t resume_from = 0;
+  bool has_token = false;
+  size_t holds_granted = 0;
+  size_t holds_ready = 0;
+  bool leader_started = false;
+  StallLimits limits;
+  absl::Time last_heard;
+};
+
+struct VirtualFleet::Entry : public Dispatcher::Listener,
+                             public GossipNode::Listener {
+  Entry(const std::string& name, uint64_t incarnation, Dispatcher::Options options)
+      : name(name),
+        incarnation(incarnation),
+        dispatcher(std::move(options)),
+        gossip({.instance = name,
+                .address = name,
+                .data_centre = "dc",
+                .incarnation = incarnation}),
+        orphans(name, incarnation) {
+    dispatcher.set_listener(this);
+    gossip.set_listener(this);
+  }
+
+  void OnDeathsChanged(uint64_t fingerprint, uint32_t deaths) override {
+    gossip.Spread({.kind = RumourKind::kDeaths,
+                   .subject = absl::StrCat(fingerprint),
+                   .origin = name,
+                   .version = 1,
+                   .value = deaths},
+                  *now);
+  }
+  void OnUpstreamStateSeen(const std::string& upstream,
+                           UpstreamState state) override {
+    gossip.Spread({.kind = RumourKind::kUpstream,
+                   .subject = upstream,
+                   .version = 1,
+                   .value = static_cast<int64_t>(state)},
+                  *now);
+  }
+  void OnMember(const MemberRow&) override {}
+  void OnNewerConfiguration(const std::string&, uint64_t) override {}
+  void OnRumour(const Rumour& rumour) override {
+    if (rumour.kind == RumourKind::kUpstream) {
+      dispatcher.OnUpstreamState(rumour.subject,
+                                 static_cast<UpstreamState>(rumour.value));
+      return;
+    }
+    uint64_t fingerprint = 0;
+    if (absl::SimpleAtoi(rumour.subject, &fingerprint)) {
+      dispatcher.OnDeathsHeard(fingerprint, rumour.origin,
+                               static_cast<uint32_t>(rumour.value), *now);
+    }
+  }
+
+  const absl::Time* now = nullptr;
+
+  std::string name;
+  uint64_t incarnation;
+  bool is_alive = true;
+  absl::Time frozen_until = absl::InfinitePast();
+  std::vector<std::function<void()>> inbox;
+  std::mt19937_64 random;
+  Dispatcher dispatcher;
+  GossipNode gossip;
+  OrphanSystem orphans;
+  CancelDebts debts;
+  std::map<uint64_t, Running> running;
+  /** The record and sending of each request. */
+  absl::flat_hash_map<RequestId, std::pair<size_t, int>> requests;
+  std::map<std::string, UpstreamId> upstreams;
+  absl::Time next_tick = absl::InfiniteFuture();
+};
+
+VirtualFleet::VirtualFleet(Options options)
+    : options_(std::move(options)), random_(options_.seed) {
+  if (!options_.make_dispatcher) {
+    options_.make_dispatcher = [] {
+      Dispatcher::Options made;
+      made.model_placement = std::make_unique<LengthAwarePlacement>();
+      made.service_placement = std::make_unique<LeastBusyPlacement>();
+      return made;
+    };
+  }
+  if (options_.length_classes.empty()) {
+    options_.length_classes = {
+        {"short", 4000, absl::Milliseconds(480)},
+        {"medium", 32000, absl::Seconds(3)},
+        {"long", 400000, absl::Seconds(60)},
+        {"archive", 1200000, absl::Seconds(180)}};
+  }
+  for (int i = 0; i < options_.engines; ++i) {
+    auto engine = std::make_unique<Engine>();
+    engine->name = absl::StrCat("engine", 100 + i);
+    engines_.push_back(std::move(engine));
+    RestartEngine(i + 1);
+  }
+  entries_.resize(options_.entries);
+  for (int i = 0; i < options_.entries; ++i)
+    StartEntry(i);
+}
+
+VirtualFleet::~VirtualFleet() = default;
+
+void VirtualFleet::At(absl::Time at, std::function<void()> action) {
+  events_.push({std::max(at, now_), next_order_++, std::move(action)});
+}
+
+void VirtualFleet::RunUntil(absl::Time until) {
+  while (!events_.empty() && events_.top().at <= until) {
+    Event event = std::move(const_cast<Event&>(events_.top()));
+    events_.pop();
+    now_ = event.at;
+    event.action();
+  }
+  now_ = until;
+}
+
+// Callers.
+
+void VirtualFleet::AddCall(const VirtualCall& call) {
+  const size_t record = records_.size();
+  CallRecord added{.call = call};
+  const auto& classes = options_.length_classes;
+  while (added.length_class + 1 < classes.size() &&
+         call.estimated_tokens > classes[added.length_class].up_to_tokens) {
+    ++added.length_class;
+  }
+  records_.push_back(added);
+  At(call.at, [this, record] { SendCall(record, absl::ZeroDuration()); });
+}
+
+void VirtualFleet::SendCall(size_t index, absl::Duration pause) {
+  if (pause > absl::ZeroDuration()) {
+    At(now_ + pause, [=, this] { SendCall(index, absl::ZeroDuration()); });
+    return;
+  }
+  CallRecord& record = records_[index];
+  const int sending = ++record.sendings;
+  record.awaited = sending;
+  record.delivered = 0;
+  std::vector<Entry*> live;
+  for (const auto& entry : entries_) {
+    if (entry != nullptr && entry->is_alive)
+      live.push_back(entry.get());
+  }
+  if (live.empty()) {
+    OnSendingFailed(index, CallRecord::End::kBroken,
+                    {.reason = RefusalReason::kNoUpstream});
+    return;
+  }
+  Entry* entry = live[absl::Uniform<size_t>(random_, 0, live.size())];
+  const RequestId id{index * kSendingsPerCall + static_cast<uint64_t>(sending)};
+  At(now_ + options_.message_delay, [=, this] {
+    ToEntry(entry, [=, this] {
+      const VirtualCall& call = records_[index].call;
+      RequestSpec spec;
+      spec.id = id;
+      spec.account = call.account;
+      spec.weight = call.weight;
+      spec.route = "route";
+      spec.pool = kPool;
+      spec.model = kModel;
+      spec.rank = call.rank;
+      spec.length_class = records_[index].length_class;
+      spec.first_token_within =
+          options_.length_classes[spec.length_class].first_token_within;
+      spec.prompt_tokens = call.estimated_tokens;
+      spec.answer_tokens = call.max_tokens;
+      spec.fingerprint = call.fingerprint;
+      spec.prefix_blocks = call.prefix_blocks;
+      spec.arrived = now_;
+      spec.deadline = now_ + call.patience;
+      entry->requests[id] = {index, sending};
+      entry->dispatcher.OnArrival(spec, now_);
+      TickEntry(entry);
+    });
+  });
+  // The caller's own clock; a little later than the deadline that it sent.
+  const absl::Duration margin = absl::Milliseconds(20);
+  At(now_ + record.call.patience + margin, [=, this] {
+    CallRecord& late = records_[index];
+    if (late.awaited != sending)
+      return;
+    if (options_.cancels_on_hang_up) {
+      ToEntry(entry, [=, this] {
+        entry->dispatcher.OnCallerGone(id, now_);
+        TickEntry(entry);
+      });
+    }
+    OnSendingFailed(index, CallRecord::End::kTimedOut,
+                    {.reason = RefusalReason::kDeadlineExceeded,
+                     .run_state = RunState::kOutcomeUnknown});
+  });
+}
+
+void VirtualFleet::OnSendingFailed(size_t index,
+                                   CallRecord::End end,
+                                   const Refusal& refusal) {
+  CallRecord& record = records_[index];
+  if (record.end == CallRecord::End::kCompleted)
+    return;
+  record.refusal = refusal;
+  // What is late of this sending does not count any more.
+  record.awaited = 0;
+  if (record.sendings > options_.resends) {
+    record.end = end;
+    record.ended = now_ - record.call.at;
+    return;
+  }
+  absl::Duration pause =
+      options_.resend_pause * absl::Uniform(random_, 0.5, 1.5);
+  if (options_.follows_retry_after)
+    pause = std::max(pause, refusal.retry_after * absl::Uniform(random_, 1.0, 1.5));
+  SendCall(index, std::max(pause, absl::Milliseconds(1)));
+}
+
+// Entries.
+
+void VirtualFleet::StartEntry(int index) {
+  const std::string name = absl::StrCat("entry", 100 + index);
+  Dispatcher::Options made = options_.make_dispatcher();
+  made.instance = name;
+  auto entry = std::make_unique<Entry>(
+      name, static_cast<uint64_t>(absl::ToUnixMillis(now_)) + 1,
+      std::move(made));
+  entry->random.seed(options_.seed * 7919 + static_cast<uint64_t>(index) +
+                     entry->incarnation);
+  entry->now = &now_;
+  Entry* added = entry.get();
+  if (entries_[index] != nullptr)
+    dead_entries_.push_back(std::move(entries_[index]));
+  entries_[index] = std::move(entry);
+  for (const auto& engine : engines_) {
+    UpstreamRow row;
+    row.name = engine->name;
+    row.address = engine->name;
+    row.pool = kPool;
+    row.models = {kModel};
+    added->upstreams[engine->name] = added->dispatcher.OnUpstreamSeen(row);
+    if (engine->is_alive) {
+      added->dispatcher.OnLoadReport(added->upstreams[engine->name],
+                                     PublishedLoad(*engine));
+    }
+  }
+  for (int other = 0; other < options_.entries; ++other) {
+    added->gossip.AddSeed(absl::StrCat("entry", 100 + other),
+                          absl::StrCat("entry", 100 + other), "dc", now_);
+  }
+  Repeat(added, options_.load_period, &VirtualFleet::PollLoads);
+  Repeat(added, kStallCheck, &VirtualFleet::CheckStalls);
+  Repeat(added, kCancelPeriod, &VirtualFleet::SendCancels);
+  if (options_.has_gossip) {
+    Repeat(added, GossipNode::kPeriod, &VirtualFleet::Gossip);
+    Repeat(added, kSweepPeriod, &VirtualFleet::Sweep);
+  }
+}
+
+void VirtualFleet::Repeat(Entry* entry,
+                          absl::Duration period,
+                          void (VirtualFleet::*task)(Entry*)) {
+  // A phase of its own for each entry and task.
+  const absl::Duration phase = period * absl::Uniform(random_, 0.0, 1.0);
+  At(now_ + phase, [=, this] {
+    if (!entry->is_alive)
+      return;
+    ToEntry(entry, [=, this] { (this->*task)(entry); });
+    At(now_ + period - phase, [=, this] {
+      if (entry->is_alive)
+        Repeat(entry, period, task);
+    });
+  });
+}
+
+void VirtualFleet::ToEntry(Entry* entry, std::function<void()> action) {
+  if (!entry->is_alive)
+    return;
+  if (now_ < entry->frozen_until) {
+    entry->inbox.push_back(std::move(action));
+    return;
+  }
+  action();
+}
+
+void VirtualFleet::TickEntry(Entry* entry) {
+  std::vector<Command> commands;
+  entry->dispatcher.Tick(now_, entry->random, &commands);
+  for (const Command& command : commands)
+    Carry(entry, command);
+  const absl::Time next = entry->dispatcher.NextTimer();
+  if (next >= entry->next_tick && entry->next_tick > now_)
+    return;
+  if (next == absl::InfiniteFuture())
+    return;
+  entry->next_tick = std::max(next, now_ + absl::Milliseconds(1));
+  At(entry->next_tick, [=, this] {
+    ToEntry(entry, [=, this] { TickEntry(entry); });
+  });
+}
+
+void VirtualFleet::Carry(Entry* entry, const Command& command) {
+  if (command.kind == CommandKind::kCancel) {
+    entry->running.erase(command.attempt);
+    const std::string text =
+        AttemptId{entry->name, entry->incarnation, command.attempt}.ToString();
+    for (UpstreamId upstream : command.upstreams)
+      entry->debts.Add(EngineOf(entry, upstream)->name, text, now_);
+    SendCancels(entry);
+    return;
+  }
+  auto found = entry->requests.find(command.request);
+  if (found == entry->requests.end())
+    return;
+  const auto [index, sending] = found->second;
+  if (command.kind == CommandKind::kRefuse) {
+    entry->requests.erase(found);
+    const Refusal refusal = command.refusal;
+    At(now_ + options_.message_delay, [=, this] {
+      if (records_[index].awaited != sending)
+        return;
+      OnSendingFailed(index, CallRecord::End::kRefused, refusal);
+    });
+    return;
+  }
+  ++attempts_;
+  ++records_[index].attempts;
+  Running& running = entry->running[command.attempt];
+  const RequestSpec& spec =
+      entry->dispatcher.requests().at(command.request).spec;
+  running = {.request = command.request,
+             .upstreams = command.upstreams,
+             .record = index,
+             .sending = sending,
+             .level = command.level,
+             .resume_from = command.resume_from,
+             .limits = StallLimits::Of(spec, now_),
+             .last_heard = now_};
+  if (command.upstreams.size() > 1)
+    HoldNext(entry, command.attempt);
+  else
+    StartLeader(entry, command.attempt);
+}
+
+void VirtualFleet::HoldNext(Entry* entry, uint64_t sequence) {
+  Running& running = entry->running.at(sequence);
+  const auto size = static_cast<int64_t>(running.upstreams.size());
+  if (running.holds_granted + 1 == running.upstreams.size()) {
+    if (running.holds_ready == running.holds_granted)
+      StartLeader(entry, sequence);
+    return;
+  }
+  const VirtualCall& call = records_[running.record].call;
+  EngineJob job;
+  job.prompt_tokens = (call.prompt_tokens + call.max_tokens) / size;
+  job.level = running.level;
+  job.is_hold = true;
+  SubmitTo(entry, sequence, running.upstreams[running.holds_granted], job,
+           false);
+}
+
+void VirtualFleet::StartLeader(Entry* entry, uint64_t sequence) {
+  Running& running = entry->running.at(sequence);
+  running.leader_started = true;
+  const VirtualCall& call = records_[running.record].call;
+  const auto size = static_cast<int64_t>(running.upstreams.size());
+  EngineJob job;
+  job.prompt_tokens = call.prompt_tokens / size;
+  job.answer_tokens = std::min(call.answer_tokens, call.max_tokens);
+  job.max_tokens = call.max_tokens;
+  job.resume_from = running.resume_from;
+  job.level = running.level;
+  job.prefix_blocks = call.prefix_blocks;
+  SubmitTo(entry, sequence, running.upstreams.back(), job, call.crashes);
+}
+
+void VirtualFleet::SubmitTo(Entry* entry,
+                            uint64_t sequence,
+                            UpstreamId upstream,
+                            EngineJob job,
+                            bool crashes) {
+  job.attempt =
+      AttemptId{entry->name, entry->incarnation, sequence}.ToString();
+  Engine* engine = EngineOf(entry, upstream);
+  const size_t record = entry->running.at(sequence).record;
+  if (engine->is_leaving && engine->is_alive) {
+    ++starts_on_leaving_;
+    last_start_on_leaving_ = now_;
+  }
+  auto end = [=, this](AttemptOutcome outcome, bool leaving) {
+    At(now_ + options_.message_delay, [=, this] {
+      ToEntry(entry, [=, this] {
+        EndAttempt(entry, sequence, outcome, upstream, leaving);
+      });
+    });
+  };
+  At(now_ + options_.message_delay, [=, this] {
+    if (!engine->is_alive)
+      return end(AttemptOutcome::kUnreachable, false);
+    ToEngine(engine, [=, this] {
+      if (engine->is_leaving)
+        return end(AttemptOutcome::kRefused, true);
+      if (!engine->model->Submit(job))
+        return end(AttemptOutcome::kRefused, false);
+      records_[record].has_run = true;
+      if (crashes) {
+        ++crashes_;
+        DropEngine(engine);
+        // Whoever runs engines starts it again.
+        const int number = static_cast<int>(
+            std::find_if(engines_.begin(), engines_.end(),
+                         [&](const auto& one) { return one.get() == engine; }) -
+            engines_.begin());
+        At(now_ + absl::Seconds(5), [=, this] { RestartEngine(number + 1); });
+        return;
+      }
+      Wake(engine);
+    });
+  });
+}
+
+void VirtualFleet::EndAttempt(Entry* entry,
+                              uint64_t sequence,
+                              AttemptOutcome outcome,
+                              UpstreamId fault,
+                              bool leaving) {
+  auto found = entry->running.find(sequence);
+  if (found == entry->running.end())
+    return;
+  const RequestId request = found->second.request;
+  entry->running.erase(found);
+  entry->dispatcher.OnAttemptEnded(
+      request, sequence,
+      {.outcome = outcome, .upstream = fault, .leaving = leaving}, now_,
+      entry->random);
+  TickEntry(entry);
+}
+
+void VirtualFleet::CheckStalls(Entry* entry) {
+  std::vector<std::pair<uint64_t, UpstreamId>> stalled;
+  for (const auto& [sequence, running] : entry->running) {
+    const bool is_group = running.upstreams.size() > 1;
+    const absl::Duration limit = running.has_token ? running.limits.later
+                                 : is_group ? absl::InfiniteDuration()
+                                            : running.limits.first;
+    if (now_ - running.last_heard > limit)
+      stalled.emplace_back(sequence, running.upstreams.back());
+  }
+  for (const auto& [sequence, upstream] : stalled)
+    EndAttempt(entry, sequence, AttemptOutcome::kStalled, upstream, false);
+}
+
+LoadReport VirtualFleet::PublishedLoad(const Engine& engine) const {
+  return engine.published;
+}
+
+void VirtualFleet::PollLoads(Entry* entry) {
+  std::vector<std::string> names;
+  for (const auto& engine : engines_)
+    names.push_back(engine->name);
+  if (options_.polled_engines > 0)
+    names = RendezvousTop(entry->name, names, options_.polled_engines);
+  for (const std::string& name : names) {
+    const UpstreamId upstream = entry->upstreams.at(name);
+    Engine* engine = EngineOf(entry, upstream);
+    if (engine->is_alive && now_ >= engine->frozen_until) {
+      entry->dispatcher.OnLoadReport(upstream, PublishedLoad(*engine));
+      continue;
+    }
+    if (!entry->dispatcher.OnLoadPollFailed(name, now_, entry->random))
+      continue;
+    std::vector<uint64_t> broken;
+    for (const auto& [sequence, running] : entry->running) {
+      if (std::count(running.upstreams.begin(), running.upstreams.end(),
+                     upstream) != 0) {
+        broken.push_back(sequence);
+      }
+    }
+    for (uint64_t sequence : broken)
+      EndAttempt(entry, sequence, AttemptOutcome::kStalled, upstream, false);
+  }
+  TickEntry(entry);
+}
+
+void VirtualFleet::SendCancels(Entry* entry) {
+  for (const CancelDebts::Debt& debt : entry->debts.Due(now_)) {
+    for (const auto& one : engines_) {
+      Engine* engine = one.get();
+      if (engine->name != debt.upstream)
+        continue;
+      At(now_ + options_.message_delay, [=, this] {
+        if (!engine->is_alive)
+          return;
+        ToEngine(engine, [=, this] {
+          uint64_t sequence = 0;
+          Entry* owner = OwnerOf(debt.attempt, &sequence);
+          if (owner != nullptr && owner != entry && owner->is_alive &&
+              owner->running.count(sequence) != 0 &&
+              now_ >= owner->frozen_until) {
+            ++wrong_cancels_;
+          }
+          engine->model->Cancel(debt.attempt);
+          Wake(engine);
+          At(now_ + options_.message_delay, [=, this] {
+            ToEntry(entry,
+                    [=] { entry->debts.Settle(debt.upstream, debt.attempt); });
+          });
+        });
+      });
+    }
+  }
+}
+
+void VirtualFleet::Gossip(Entry* entry) {
+  for (const ExchangeOrder& order : entry->gossip.Tick(now_, entry->random)) {
+    Entry* peer = nullptr;
+    for (const auto& other : entries_) {
+      if (other->name == order.name)
+        peer = other.get();
+    }
+    auto is_answered = std::make_shared<bool>(false);
+    At(now_ + options_.message_delay, [=, this] {
+      if (peer == nullptr || !peer->is_alive)
+        return;
+      ToEntry(peer, [=, this] {
+        const GossipMessage answer =
+            peer->gossip.OnMessage(order.message, now_);
+        At(now_ + options_.message_delay, [=, this] {
+          ToEntry(entry, [=, this] {
+            *is_answered = true;
+            entry->gossip.OnAnswer(answer, now_);
+          });
+        });
+      });
+    });
+    At(now_ + GossipNode::kExchangeTimeout, [=, this] {
+      ToEntry(entry, [=, this] {
+        if (*is_answered)
+          return;
+        entry->gossip.OnSilence(order.name, now_, entry->random);
+        // Nobody else reaches a dead or frozen entry either.
+        const bool is_reachable = peer != nullptr && peer->is_alive &&
+                                  now_ >= peer->frozen_until;
+        if (!is_reachable)
+          entry->gossip.OnConfirmedSilence(order.name, now_);
+      });
+    });
+  }
+}
+
+void VirtualFleet::Sweep(Entry* entry) {
+  const std::vector<std::string> live = entry->gossip.LiveNames();
+  for (const auto& engine : engines_) {
+    if (!engine->is_alive || now_ < engine->frozen_until)
+      continue;
+    if (RendezvousTop("sweep/" + engine->name, live, 1).front() != entry->name)
+      continue;
+    const auto orphans = entry->orphans.Sweep(
+        engine->name, engine->model->Attempts(),
+        [&](const AttemptId& attempt) {
+          const MemberRow* row = entry->gossip.Find(attempt.instance);
+          if (row == nullptr || row->version == 0)
+            return OwnerState::kUnheard;
+          if (IncarnationOf(row->version) > attempt.incarnation)
+            return OwnerState::kGone;
+          return row->state == MemberState::kDead ? OwnerState::kSilent
+                                                  : OwnerState::kAlive;
+        },
+        [&](uint64_t sequence) { return entry->running.count(sequence) != 0; },
+        now_);
+    for (const AttemptId& orphan : orphans)
+      entry->debts.Add(engine->name, orphan.ToString(), now_);
+  }
+}
+
+// Engines.
+
+VirtualFleet::Engine* VirtualFleet::EngineOf(Entry* entry,
+                                             UpstreamId upstream) {
+  const UpstreamRow* row = entry->dispatcher.upstreams().Find(upstream);
+  for (const auto& engine : engines_) {
+    if (engine->name == row->name)
+      return engine.get();
+  }
+  return nullptr;
+}
+
+VirtualFleet::Entry* VirtualFleet::OwnerOf(const std::string& attempt,
+                                           uint64_t* sequence) {
+  const auto id = AttemptId::Parse(attempt);
+  if (!id)
+    return nullptr;
+  *sequence = id->sequence;
+  for (const auto& entry : entries_) {
+    if (entry->name == id->instance && entry->incarnation == id->incarnation)
+      return entry.get();
+  }
+  return nullptr;
+}
+
+void VirtualFleet::ToEngine(Engine* engine, std::function<void()> action) {
+  if (now_ < engine->frozen_until) {
+    engine->inbox.push_back(std::move(action));
+    return;
+  }
+  action();
+}
+
+void VirtualFleet::Wake(Engine* engine) {
+  if (!engine->is_stepping && engine->is_alive)
+    Step(engine);
+}
+
+void VirtualFleet::Step(Engine* engine) {
+  engine->is_stepping = false;
+  if (now_ < engine->frozen_until)
+    return;
+  std::vector<EngineEvent> events;
+  const absl::Duration length = engine->model->Step(&events);
+  if (length <= absl::ZeroDuration() && events.empty())
+    return;
+  engine->is_stepping = true;
+  const uint64_t epoch = engine->epoch;
+  At(now_ + length, [=, this, events = std::move(events)] {
+    if (engine->epoch != epoch)
+      return;
+    ToEngine(engine, [=, this] {
+      if (engine->epoch != epoch)
+        return;
+      for (const EngineEvent& event : events)
+        OnEngineEvent(engine, event);
+      Step(engine);
+    });
+  });
+}
+
+void VirtualFleet::OnEngineEvent(Engine* engine, const EngineEvent& event) {
+  uint64_t sequence = 0;
+  Entry* entry = OwnerOf(event.attempt, &sequence);
+  if (entry == nullptr || !entry->is_alive) {
+    // The connection is gone; the engine keeps the memory for a resume.
+    engine->model->Park(event.attempt);
+    return;
+  }
+  const LoadReport load = [&] {
+    LoadReport report = engine->model->Load();
+    report.measured_at = now_;
+    report.leaving = engine->is_leaving;
+    return report;
+  }();
+  const std::string name = engine->name;
+  auto deliver = [=, this] {
+    auto found = entry->running.find(sequence);
+    if (found == entry->running.end())
+      return;
+    Running& running = found->second;
+    running.last_heard = now_;
+    CallRecord& record = records_[running.record];
+    const bool is_first = !running.has_token;
+    switch (event.kind) {
+      case EngineEventKind::kGranted:
+        ++running.holds_granted;
+        return HoldNext(entry, sequence);
+      case EngineEventKind::kPrefilled:
+        ++running.holds_ready;
+        if (!running.leader_started)
+          HoldNext(entry, sequence);
+        return;
+      case EngineEventKind::kToken:
+        if (record.awaited == running.sending &&
+            event.index == record.delivered) {
+          ++record.delivered;
+        }
+        if (is_first) {
+          running.has_token = true;
+          if (record.first_token == absl::InfiniteDuration() &&
+              record.awaited == running.sending) {
+            record.first_token =
+                now_ + options_.message_delay - record.call.at;
+          }
+          entry->dispatcher.OnFirstToken(running.request, sequence);
+          if (options_.load_on_answers)
+            entry->dispatcher.OnLoadReport(entry->upstreams.at(name), load);
+          TickEntry(entry);
+        }
+        found = entry->running.find(sequence);
+        if (found != entry->running.end()) {
+          entry->dispatcher.OnDelivered(found->second.request,
+                                        record.delivered);
+        }
+        return;
+      case EngineEventKind::kFinished:
+        if (options_.load_on_answers)
+          entry->dispatcher.OnLoadReport(entry->upstreams.at(name), load);
+        entry->requests.erase(running.request);
+        if (record.awaited == running.sending) {
+          record.awaited = 0;
+          record.end = CallRecord::End::kCompleted;
+          record.ended = now_ + options_.message_delay - record.call.at;
+        }
+        return EndAttempt(entry, sequence, AttemptOutcome::kCompleted,
+                          entry->upstreams.at(name), false);
+    }
+  };
+  // Further tokens are not worth an event of their own each.
+  const bool is_token = event.kind == EngineEventKind::kToken;
+  auto running = entry->running.find(sequence);
+  if (is_token && running != entry->running.end() &&
+      running->second.has_token) {
+    ToEntry(entry, deliver);
+    return;
+  }
+  At(now_ + options_.message_delay, [=, this] { ToEntry(entry, deliver); });
+}
+
+void VirtualFleet::DropEngine(Engine* engine) {
+  if (!engine->is_alive)
+    return;
+  engine->is_alive = false;
+  ++engine->epoch;
+  engine->is_stepping = false;
+  engine->inbox.clear();
+  engine->frozen_until = absl::InfinitePast();
+  past_busy_ += engine->model->busy();
+  // Every entry sees its connections break.
+  for (const auto& one : entries_) {
+    Entry* entry = one.get();
+    std::vector<uint64_t> broken;
+    for (const auto& [sequence, running] : entry->running) {
+      for (UpstreamId upstream : running.upstreams) {
+        if (EngineOf(entry, upstream) == engine)
+          broken.push_back(sequence);
+      }
+    }
+    const UpstreamId fault = entry->upstreams.at(engine->name);
+    for (uint64_t sequence : broken) {
+      At(now_ + options_.message_delay, [=, this] {
+        ToEntry(entry, [=, this] {
+          EndAttempt(entry, sequence, AttemptOutcome::kDied, fault, false);
+        });
+      });
+    }
+  }
+}
+
+void VirtualFleet::KillEngine(int engine) {
+  DropEngine(engines_.at(engine - 1).get());
+}
+
+void VirtualFleet::RestartEngine(int number) {
+  Engine* engine = engines_.at(number - 1).get();
+  if (engine->model != nullptr && engine->is_alive && !engine->is_leaving)
+    return;
+  if (engine->model != nullptr && engine->is_alive)
+    past_busy_ += engine->model->busy();
+  EngineModel::Options options = options_.engine;
+  options.incarnation = static_cast<uint64_t>(absl::ToUnixMillis(now_)) + 1;
+  engine->model = std::make_unique<EngineModel>(options);
+  engine->is_alive = true;
+  engine->is_leaving = false;
+  ++engine->epoch;
+  const uint64_t epoch = engine->epoch;
+  auto publish = std::make_shared<std::function<void()>>();
+  // Loads are published as they were a little while ago.
+  *publish = [=, this, weak = std::weak_ptr(publish)] {
+    if (engine->epoch != epoch)
+      return;
+    LoadReport report = engine->model->Load();
+    report.measured_at = now_;
+    report.leaving = engine->is_leaving;
+    At(now_ + options_.load_lag, [=] {
+      if (engine->epoch == epoch)
+        engine->published = report;
+    });
+    if (auto self = weak.lock())
+      At(now_ + options_.load_lag, [self] { (*self)(); });
+  };
+  engine->published = engine->model->Load();
+  engine->published.measured_at = now_;
+  (*publish)();
+}
+
+void VirtualFleet::FreezeEngine(int number, absl::Duration length) {
+  Engine* engine = engines_.at(number - 1).get();
+  engine->frozen_until = now_ + length;
+  At(engine->frozen_until, [=, this] {
+    std::vector<std::function<void()>> inbox;
+    inbox.swap(engine->inbox);
+    for (const auto& action : inbox)
+      action();
+    Wake(engine);
+  });
+}
+
+void VirtualFleet::LeaveEngine(int number) {
+  Engine* engine = engines_.at(number - 1).get();
+  engine->is_leaving = true;
+  At(now_ + options_.list_lag, [=, this] {
+    for (const auto& entry : entries_) {
+      entry->dispatcher.OnUpstreamState(engine->name, UpstreamState::kLeaving);
+    }
+  });
+}
+
+void VirtualFleet::KillEntry(int number) {
+  Entry* entry = entries_.at(number - 1).get();
+  entry->is_alive = false;
+  entry->inbox.clear();
+  for (const auto& [request, where] : entry->requests) {
+    const auto [index, sending] = where;
+    At(now_ + options_.message_delay, [=, this] {
+      if (records_[index].awaited == sending)
+        OnSendingFailed(index, CallRecord::End::kBroken,
+                        {.reason = RefusalReason::kNoUpstream,
+                         .run_state = RunState::kOutcomeUnknown});
+    });
+  }
+  // Engines see the connections break and keep the memory.
+  for (const auto& [sequence, running] : entry->running) {
+    const std::string text =
+        AttemptId{entry->name, entry->incarnation, sequence}.ToString();
+    for (UpstreamId upstream : running.upstreams) {
+      Engine* engine = EngineOf(entry, upstream);
+      if (engine->is_alive)
+        ToEngine(engine, [=] { engine->model->Park(text); });
+    }
+  }
+}
+
+void VirtualFleet::RestartEntry(int number) {
+  StartEntry(number - 1);
+}
+
+void VirtualFleet::FreezeEntry(int number, absl::Duration length) {
+  Entry* entry = entries_.at(number - 1).get();
+  entry->frozen_until = now_ + length;
+  At(entry->frozen_until, [=, this] {
+    std::vector<std::function<void()>> inbox;
+    inbox.swap(entry->inbox);
+    for (const auto& action : inbox)
+      ToEntry(entry, action);
+    TickEntry(entry);
+  });
+}
+
+int64_t VirtualFleet::held_memory() const {
+  int64_t held = 0;
+  for (const auto& engine : engines_) {
+    if (engine->is_alive)
+      held += engine->model->options().memory_tokens -
+              engine->model->free_memory_tokens();
+  }
+  return held;
+}
+
+absl::Duration VirtualFleet::busy() const {
+  absl::Duration busy = past_busy_;
+  for (const auto& engine : engines_) {
+    if (engine->is_alive)
+      busy += engine->model->busy();
+  }
+  return busy;
+}
+
+}  // namespace chicory
