Long prompts no longer starve short ones of memory or each other

Cause: at 85% load 9 to 22% of short calls were refused. A load report counted memory that queued group parts asked for as used, so entries saw no room for a short call that the engine would have let pass; and a group had to find three engines three quarters free at once, so archives waited 93 s at the median. Ruled out: too few choices per placement (3 to 5 changed nothing). Change: waiting memory is reported by level; a group takes the smallest number of parts that fit now and claims parts in order only after a quarter of its bound; the longest classes share a level; the drain rate needs a real backlog.

--- a/modules/decisions/length_aware_placement.cc
+++ b/modules/decisions/length_aware_placement.cc
@@ -43,7 +43,7 @@
                                ? static_cast<int64_t>(options_.short_headroom *
                                                       row.report.memory_tokens)
                                : 0;
-  if (has_report && row.FreeMemory() < need + headroom)
+  if (has_report && row.FreeMemory(level) < need + headroom)
     return false;
   const int64_t ahead = row.PrefillAhead(level);
   if (is_long && (row.long_prefills >= options_.max_long_prefills ||
@@ -85,7 +85,7 @@
   const int64_t usable_memory = static_cast<int64_t>(
       largest_memory * (is_long ? 1 - options_.short_headroom : 1));
   if (largest_memory > 0 && MemoryNeedOf(spec) > usable_memory)
-    return ChooseGroup(question, eligible, usable_memory);
+    return ChooseGroup(question, eligible, usable_memory, 1);
 
   const PrefixIndex::Match match =
       question.prefixes.Longest(spec.prefix_blocks);
@@ -102,8 +102,13 @@
     if (candidate.first_token_in < best.first_token_in)
       best = candidate;
   }
-  if (best.row == nullptr)
-    return choice;
+  if (best.row == nullptr) {
+    const bool is_large = MemoryNeedOf(spec) >
+                          options_.split_above * static_cast<double>(usable_memory);
+    return is_long && is_large && largest_memory > 0
+               ? ChooseGroup(question, eligible, usable_memory, 2)
+               : choice;
+  }
   choice.upstreams = {best.row->id};
   choice.first_token_in = best.first_token_in;
   choice.cached_tokens = best.cached_tokens;
@@ -113,30 +118,51 @@
 PlacementChoice LengthAwarePlacement::ChooseGroup(
     const PlacementQuestion& question,
     const std::vector<UpstreamId>& eligible,
-    int64_t memory_per_upstream) const {
+    int64_t memory_per_upstream,
+    size_t least_size) const {
   PlacementChoice choice;
   const RequestSpec& spec = question.request.spec;
-  const size_t size =
-      static_cast<size_t>(std::ceil(static_cast<double>(MemoryNeedOf(spec)) /
-                                    std::max<int64_t>(1, memory_per_upstream)));
-  if (size > static_cast<size_t>(options_.max_group) ||
-      size > eligible.size()) {
-    choice.impossible = size > static_cast<size_t>(options_.max_group);
+  const int level = PriorityLevelOf(spec);
+  const int64_t need = MemoryNeedOf(spec);
+  const auto most_size = static_cast<size_t>(options_.max_group);
+  const size_t size_by_memory = std::max<size_t>(
+      least_size, (need + memory_per_upstream - 1) / memory_per_upstream);
+  choice.impossible = size_by_memory > most_size;
+  if (choice.impossible || size_by_memory > eligible.size())
     return choice;
-  }
   std::vector<const UpstreamRow*> rows;
   for (UpstreamId id :
-       Sample(eligible, size + options_.long_choices, question.random)) {
+       Sample(eligible, most_size + options_.long_choices, question.random)) {
     const UpstreamRow* row = question.upstreams.Find(id);
-    if (row->long_prefills == 0)
+    if (!question.request.suspect || row->suspects == 0)
       rows.push_back(row);
   }
-  if (rows.size() < size)
-    return choice;
-  std::partial_sort(rows.begin(), rows.begin() + size, rows.end(),
-                    [](const UpstreamRow* a, const UpstreamRow* b) {
-                      return a->FreeMemory() > b->FreeMemory();
-                    });
+  std::sort(rows.begin(), rows.end(),
+            [&](const UpstreamRow* a, const UpstreamRow* b) {
+              return a->FreeMemory(level) > b->FreeMemory(level);
+            });
+  const size_t largest_size = std::min(most_size, rows.size());
+  size_t size = size_by_memory;
+  // The smallest group whose parts fit into what is free now.
+  while (size <= largest_size) {
+    const UpstreamRow* tightest = rows[size - 1];
+    const auto headroom = static_cast<int64_t>(
+        options_.short_headroom * tightest->report.memory_tokens);
+    const int64_t part = need / static_cast<int64_t>(size) + 1;
+    if (tightest->FreeMemory(level) - headroom >= part)
+      break;
+    ++size;
+  }
+  if (size > largest_size) {
+    // Nothing fits. After a while the request claims its parts one by one and
+    // waits for each at its upstream, where later work cannot overtake it.
+    const absl::Duration waited = question.now - spec.arrived;
+    if (waited < options_.claim_after * spec.first_token_within ||
+        size_by_memory > largest_size) {
+      return choice;
+    }
+    size = std::min(largest_size, 2 * size_by_memory);
+  }
   rows.resize(size);
   std::sort(rows.begin(), rows.end(),
             [](const UpstreamRow* a, const UpstreamRow* b) {
@@ -146,7 +172,7 @@
   int64_t ahead = 0;
   for (const UpstreamRow* row : rows) {
     choice.upstreams.push_back(row->id);
-    ahead = std::max(ahead, row->PrefillAhead(PriorityLevelOf(spec)));
+    ahead = std::max(ahead, row->PrefillAhead(level));
     if (row->report.prefill_tokens_per_second > 0) {
       slowest_rate =
           std::min(slowest_rate, row->report.prefill_tokens_per_second);
--- a/modules/decisions/length_aware_placement.h
+++ b/modules/decisions/length_aware_placement.h
@@ -31,6 +31,12 @@
     double assumed_prefill_rate = 40000;
     /** Most upstreams in a group. */
     int max_group = 8;
+    /** Share of an upstream's usable memory above which a prompt that fits
+        nowhere now is split over a group. */
+    double split_above = 0.4;
+    /** Share of its bound that a prompt waits for a group that fits before it
+        claims parts that are still in use. */
+    double claim_after = 0.25;
   };
 
   /** Uses the default options. */
@@ -54,7 +60,8 @@
 
   PlacementChoice ChooseGroup(const PlacementQuestion& question,
                               const std::vector<UpstreamId>& eligible,
-                              int64_t memory_per_upstream) const;
+                              int64_t memory_per_upstream,
+                              size_t least_size) const;
 
   Options options_;
 };
--- a/modules/decisions/request_queue.cc
+++ b/modules/decisions/request_queue.cc
@@ -8,10 +8,13 @@
 namespace {
 
 /** Span over which the drain rate is measured. */
-constexpr absl::Duration kDrainWindow = absl::Milliseconds(500);
+constexpr absl::Duration kDrainWindow = absl::Seconds(3);
 
 /** Weight of the newest window in the smoothed rate. */
-constexpr double kDrainSmoothing = 0.3;
+constexpr double kDrainSmoothing = 0.5;
+
+/** Requests that must wait before the drain rate says anything. */
+constexpr size_t kLeastBacklog = 8;
 
 /** Account tags kept per level before old ones are dropped. */
 constexpr size_t kMaxAccountTags = 8192;
@@ -82,7 +85,7 @@
 }
 
 absl::Duration RequestQueue::EstimatedWait(int level) const {
-  if (drain_rate_ <= 0)
+  if (drain_rate_ <= 0 || size_ < kLeastBacklog)
     return absl::ZeroDuration();
   return absl::Seconds(static_cast<double>(TokensAhead(level)) / drain_rate_);
 }
--- a/modules/decisions/request_table.cc
+++ b/modules/decisions/request_table.cc
@@ -9,6 +9,9 @@
 /** Levels by which one rank outweighs length classes. */
 constexpr int kLevelsPerRank = 2;
 
+/** Length classes from here on have one level. */
+constexpr int kLastLengthLevel = 2;
+
 }  // namespace
 
 const char* RunStateName(RunState state) {
@@ -26,8 +29,11 @@
 }
 
 int PriorityLevelOf(const RequestSpec& spec) {
-  const int level =
-      static_cast<int>(spec.length_class) + kLevelsPerRank * spec.rank;
+  // The longest classes share a level: within it upstreams take work in the
+  // order it came, so that what needs most memory is not overtaken for ever.
+  const int by_length =
+      std::min(static_cast<int>(spec.length_class), kLastLengthLevel);
+  const int level = by_length + kLevelsPerRank * spec.rank;
   return std::clamp(level, 0, kPriorityLevels - 1);
 }
 
--- a/modules/decisions/upstream_table.cc
+++ b/modules/decisions/upstream_table.cc
@@ -36,10 +36,12 @@
   return ahead;
 }
 
-int64_t UpstreamRow::FreeMemory() const {
-  return std::min(
-      report.memory_tokens,
-      report.free_memory_tokens - own_memory_tokens + freed_memory_tokens);
+int64_t UpstreamRow::FreeMemory(int level) const {
+  int64_t free =
+      report.free_memory_tokens - own_memory_tokens + freed_memory_tokens;
+  for (int i = 0; i <= level; ++i)
+    free -= report.waiting_memory_tokens[i];
+  return std::min(report.memory_tokens, free);
 }
 
 UpstreamId UpstreamTable::Upsert(const UpstreamRow& seen) {
--- a/modules/decisions/upstream_table.h
+++ b/modules/decisions/upstream_table.h
@@ -21,6 +21,8 @@
   absl::Time measured_at = absl::InfinitePast();
   int64_t memory_tokens = 0;
   int64_t free_memory_tokens = 0;
+  /** Memory that waiting work asks for, by priority level. */
+  std::array<int64_t, kPriorityLevels> waiting_memory_tokens{};
   /** Prefill tokens waiting or under way, by priority level. */
   std::array<int64_t, kPriorityLevels> queued_prefill_tokens{};
   double prefill_tokens_per_second = 0;
@@ -78,8 +80,10 @@
   /** Prefill tokens ahead of a newcomer at `level`. */
   int64_t PrefillAhead(int level) const;
 
-  /** Free memory by the report and by what was placed since, in tokens. */
-  int64_t FreeMemory() const;
+  /** Memory that a newcomer at `level` would find free, by the report and by
+      what was placed since, in tokens. Work that waits at a lower level does
+      not stand in its way. */
+  int64_t FreeMemory(int level) const;
 };
 
 /** The upstreams of one instance, with the index that placement needs: the
--- a/modules/serving/http_upstream_client.cc
+++ b/modules/serving/http_upstream_client.cc
@@ -3,6 +3,7 @@
 #include <httplib.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
@@ -33,6 +34,14 @@
                                    : AttemptOutcome::kDied;
 }
 
+void ReadLevels(const Json& json,
+                const char* key,
+                std::array<int64_t, kPriorityLevels>* levels) {
+  const auto values = json.value(key, std::vector<int64_t>());
+  for (size_t i = 0; i < values.size() && i < levels->size(); ++i)
+    (*levels)[i] = values[i];
+}
+
 std::optional<LoadReport> LoadOf(const Json& json) {
   if (!json.is_object())
     return std::nullopt;
@@ -45,10 +54,8 @@
   report.prefill_tokens_per_second =
       json.value("prefill_tokens_per_second", 0.0);
   report.leaving = json.value("leaving", false);
-  const auto queued =
-      json.value("queued_prefill_tokens", std::vector<int64_t>());
-  for (size_t i = 0; i < queued.size() && i < kPriorityLevels; ++i)
-    report.queued_prefill_tokens[i] = queued[i];
+  ReadLevels(json, "queued_prefill_tokens", &report.queued_prefill_tokens);
+  ReadLevels(json, "waiting_memory_tokens", &report.waiting_memory_tokens);
   return report;
 }
 
--- a/modules/serving/operators_front.cc
+++ b/modules/serving/operators_front.cc
@@ -225,7 +225,7 @@
            {"state", UpstreamStateName(row.state)},
            {"attempts", row.placements.size()},
            {"memory_tokens", row.report.memory_tokens},
-           {"free_memory_tokens", row.FreeMemory()},
+           {"free_memory_tokens", row.FreeMemory(kPriorityLevels - 1)},
            {"report_age_ms",
             row.report.incarnation == 0
                 ? -1
--- a/stand_ins/engine_main.cc
+++ b/stand_ins/engine_main.cc
@@ -50,6 +50,7 @@
           {"age_ms", absl::ToInt64Milliseconds(age)},
           {"memory_tokens", load.memory_tokens},
           {"free_memory_tokens", load.free_memory_tokens},
+          {"waiting_memory_tokens", load.waiting_memory_tokens},
           {"queued_prefill_tokens", load.queued_prefill_tokens},
           {"prefill_tokens_per_second", load.prefill_tokens_per_second},
           {"leaving", is_leaving}};
--- a/stand_ins/engine_model.cc
+++ b/stand_ins/engine_model.cc
@@ -161,7 +161,7 @@
   for (const auto& [key, job] : waiting_) {
     report.queued_prefill_tokens[key.first] +=
         job.spec.prompt_tokens + job.spec.resume_from;
-    report.free_memory_tokens -= job.memory;
+    report.waiting_memory_tokens[key.first] += job.memory;
   }
   for (const auto& [key, job] : running_)
     report.queued_prefill_tokens[key.first] += job.prefill_left;
