Short requests avoid upstreams whose memory is about to be taken

Change: an upstream with little free memory, or with longer work waiting for memory, counts as half a second later; one with a longer prefill under way as half a step later.

--- a/bench/baselines.cc
+++ b/bench/baselines.cc
@@ -23,8 +23,8 @@
   PlacementChoice choice;
   const UpstreamRow* row = question.upstreams.Find(eligible[first]);
   const double usable = kGroupShare * row->report.memory_tokens;
-  const auto size = static_cast<size_t>(std::max(
-      1.0, std::ceil(MemoryNeedOf(question.request.spec) / usable)));
+  const auto size = static_cast<size_t>(
+      std::max(1.0, std::ceil(MemoryNeedOf(question.request.spec) / usable)));
   if (size > eligible.size()) {
     choice.impossible = true;
     return choice;
--- a/bench/replay_main.cc
+++ b/bench/replay_main.cc
@@ -36,7 +36,8 @@
   for (const VirtualCall& call : calls) {
     if (!with_long && call.prompt_tokens > 4000)
       continue;
-    work += absl::ToDoubleSeconds(LeastEngineTime(call, EngineModel::Options()));
+    work +=
+        absl::ToDoubleSeconds(LeastEngineTime(call, EngineModel::Options()));
   }
   return work / static_cast<double>(calls.size());
 }
@@ -88,7 +89,8 @@
     std::cout << absl::StrFormat(
         "%-14s %-8s calls=%6d completed=%6.2f%% within_bound=%6.2f%% "
         "p50=%8.0fms p95=%8.0fms p99=%8.0fms%s\n",
-        name, classes[index].name, all, 100.0 * completed / std::max<int64_t>(1, all),
+        name, classes[index].name, all,
+        100.0 * completed / std::max<int64_t>(1, all),
         100.0 * within / std::max<int64_t>(1, all), Percentile(times, 50),
         Percentile(times, 95), Percentile(times, 99), refused);
   }
@@ -99,8 +101,7 @@
                                        double load,
                                        bool with_long,
                                        uint64_t seed) {
-  auto fleet =
-      std::make_unique<VirtualFleet>(FleetOptions(contender, seed));
+  auto fleet = std::make_unique<VirtualFleet>(FleetOptions(contender, seed));
   TrafficMix mix{.rate = load * CapacityRate(),
                  .length = kLength,
                  .patience = kPatience,
@@ -128,7 +129,8 @@
   double work = 0;
   for (const CallRecord& record : fleet.records()) {
     const absl::Time ended = record.call.at + record.ended;
-    if (record.end == CallRecord::End::kCompleted && ended >= from && ended < to)
+    if (record.end == CallRecord::End::kCompleted && ended >= from &&
+        ended < to)
       work += absl::ToDoubleSeconds(
           LeastEngineTime(record.call, fleet.options().engine));
   }
@@ -137,12 +139,13 @@
 
 void CompareMixed(double load, const std::vector<uint64_t>& seeds) {
   for (uint64_t seed : seeds) {
-    std::cout << absl::StrFormat("== mixed load at %.0f%% of capacity, seed %d\n",
-                                 load * 100, seed);
+    std::cout << absl::StrFormat(
+        "== mixed load at %.0f%% of capacity, seed %d\n", load * 100, seed);
     const auto alone = RunMixed(Shipped(), load, /*with_long=*/false, seed);
-    std::cout << absl::StrFormat("short p99 with the long ones taken out: %.0f ms\n",
-                                 ShortP99(*alone));
-    for (const Contender& contender : {Shipped(), RoundRobin(), LeastLoaded()}) {
+    std::cout << absl::StrFormat(
+        "short p99 with the long ones taken out: %.0f ms\n", ShortP99(*alone));
+    for (const Contender& contender :
+         {Shipped(), RoundRobin(), LeastLoaded()}) {
       const auto fleet = RunMixed(contender, load, /*with_long=*/true, seed);
       PrintClasses(contender.name, *fleet, Moment(kWarmUp), Moment(kLength));
       const double offered = [&] {
@@ -152,10 +155,10 @@
               LeastEngineTime(record.call, fleet->options().engine));
         return work;
       }();
-      const double done =
-          Goodput(*fleet, Moment(absl::ZeroDuration()),
-                  Moment(kLength + kPatience)) *
-          fleet->options().engines * absl::ToDoubleSeconds(kLength + kPatience);
+      const double done = Goodput(*fleet, Moment(absl::ZeroDuration()),
+                                  Moment(kLength + kPatience)) *
+                          fleet->options().engines *
+                          absl::ToDoubleSeconds(kLength + kPatience);
       std::cout << absl::StrFormat(
           "%-14s short p99 ratio=%.2f goodput=%.1f%% of the offered work "
           "attempts/call=%.3f\n",
@@ -173,10 +176,10 @@
   std::vector<uint64_t> seeds;
   double load = 0.85;
   std::string experiment = "mixed";
-  options.add_options()("help", "Print this help")(
-      "experiment", "mixed", cxxopts::value(experiment))(
-      "load", "Share of capacity", cxxopts::value(load))(
-      "seeds", "Seeds", cxxopts::value(seeds));
+  options.add_options()("help", "Print this help")("experiment", "mixed",
+                                                   cxxopts::value(experiment))(
+      "load", "Share of capacity", cxxopts::value(load))("seeds", "Seeds",
+                                                         cxxopts::value(seeds));
   const auto parsed = options.parse(argc, argv);
   if (parsed.count("help") != 0) {
     std::cout << options.help();
@@ -184,7 +187,8 @@
   }
   if (seeds.empty())
     seeds = {1, 2, 3};
-  std::cout << absl::StrFormat("capacity: %.1f calls a second\n", CapacityRate());
+  std::cout << absl::StrFormat("capacity: %.1f calls a second\n",
+                               CapacityRate());
   CompareMixed(load, seeds);
   return 0;
 }
--- a/modules/decisions/dispatcher.h
+++ b/modules/decisions/dispatcher.h
@@ -30,7 +30,8 @@
     tables and hands out commands. Time and chance come in as arguments, so the
     same code runs in processes, replays and tests. The order of the systems:
     timers (deadlines, queue limits, backoff), placement of each changed queue,
-    refusal of what would wait too long. A tick costs what changed since the last. Not thread-safe.
+    refusal of what would wait too long. A tick costs what changed since the
+   last. Not thread-safe.
 
     @code
     Dispatcher dispatcher(std::move(options));
--- a/modules/decisions/gossip_node.h
+++ b/modules/decisions/gossip_node.h
@@ -171,9 +171,7 @@
   const MemberRow* Find(const std::string& name) const;
 
   /** All other instances, dead ones included for a while. */
-  const std::map<std::string, MemberRow>& members() const {
-    return members_;
-  }
+  const std::map<std::string, MemberRow>& members() const { return members_; }
 
   /** Names of live instances with this one, sorted. */
   std::vector<std::string> LiveNames() const;
--- a/modules/decisions/length_aware_placement.cc
+++ b/modules/decisions/length_aware_placement.cc
@@ -29,6 +29,25 @@
 
 }  // namespace
 
+absl::Duration LengthAwarePlacement::RiskOf(const UpstreamRow& row,
+                                            int level,
+                                            int64_t need) const {
+  int64_t waiting_below = 0;
+  int64_t prefill_below = 0;
+  for (int i = level + 1; i < kPriorityLevels; ++i) {
+    waiting_below += row.report.waiting_memory_tokens[i];
+    prefill_below += row.report.queued_prefill_tokens[i];
+  }
+  const auto margin =
+      static_cast<int64_t>(options_.tight_margin * row.report.memory_tokens);
+  absl::Duration risk = absl::ZeroDuration();
+  if (waiting_below > 0 || row.FreeMemory(level) - need < margin)
+    risk += options_.tight_risk;
+  if (prefill_below > 0)
+    risk += options_.step_risk;
+  return risk;
+}
+
 bool LengthAwarePlacement::Evaluate(const PlacementQuestion& question,
                                     const UpstreamRow& row,
                                     Candidate* candidate) const {
@@ -62,6 +81,8 @@
   candidate->row = &row;
   candidate->cached_tokens = cached;
   candidate->first_token_in = absl::Seconds((ahead + to_prefill) / rate);
+  if (has_report && !is_long)
+    candidate->first_token_in += RiskOf(row, level, need);
   return true;
 }
 
@@ -103,8 +124,9 @@
       best = candidate;
   }
   if (best.row == nullptr) {
-    const bool is_large = MemoryNeedOf(spec) >
-                          options_.split_above * static_cast<double>(usable_memory);
+    const bool is_large =
+        MemoryNeedOf(spec) >
+        options_.split_above * static_cast<double>(usable_memory);
     return is_long && is_large && largest_memory > 0
                ? ChooseGroup(question, eligible, usable_memory, 2)
                : choice;
@@ -146,8 +168,8 @@
   // The smallest group whose parts fit into what is free now.
   while (size <= largest_size) {
     const UpstreamRow* tightest = rows[size - 1];
-    const auto headroom = static_cast<int64_t>(
-        options_.short_headroom * tightest->report.memory_tokens);
+    const auto headroom = static_cast<int64_t>(options_.short_headroom *
+                                               tightest->report.memory_tokens);
     const int64_t part = need / static_cast<int64_t>(size) + 1;
     if (tightest->FreeMemory(level) - headroom >= part)
       break;
--- a/modules/decisions/length_aware_placement.h
+++ b/modules/decisions/length_aware_placement.h
@@ -29,6 +29,12 @@
     double short_headroom = 0.15;
     /** Prefill rate assumed until an upstream reports one, in tokens/s. */
     double assumed_prefill_rate = 40000;
+    /** Share of memory below which free memory is tight for a short request. */
+    double tight_margin = 0.1;
+    /** What tight memory counts for in an estimate. */
+    absl::Duration tight_risk = absl::Milliseconds(500);
+    /** What a longer prefill under way counts for in an estimate. */
+    absl::Duration step_risk = absl::Milliseconds(15);
     /** Most upstreams in a group. */
     int max_group = 8;
     /** Share of an upstream's usable memory above which a prompt that fits
@@ -58,6 +64,11 @@
                 const UpstreamRow& row,
                 Candidate* candidate) const;
 
+  /** Time that a short request may lose on an upstream to what it cannot see:
+      memory that longer work takes before the next report, and the step that
+      is under way. */
+  absl::Duration RiskOf(const UpstreamRow& row, int level, int64_t need) const;
+
   PlacementChoice ChooseGroup(const PlacementQuestion& question,
                               const std::vector<UpstreamId>& eligible,
                               int64_t memory_per_upstream,
--- a/modules/decisions/stall_limits.h
+++ b/modules/decisions/stall_limits.h
@@ -26,9 +26,9 @@
       the request has left. */
   static StallLimits Of(const RequestSpec& spec, absl::Time now) {
     const absl::Duration left = spec.deadline - now;
-    return {.first = std::min(left, std::max(kLeastFirst,
-                                             kFirstBounds *
-                                                 spec.first_token_within)),
+    return {.first = std::min(
+                left,
+                std::max(kLeastFirst, kFirstBounds * spec.first_token_within)),
             .later = std::min(left, kLater)};
   }
 };
--- a/modules/serving/http_upstream_client.cc
+++ b/modules/serving/http_upstream_client.cc
@@ -234,9 +234,10 @@
   if (result)
     return {.outcome = AttemptOutcome::kDied, .detail = "cut short"};
   // Broken off by this process: nothing is known against the upstream.
-  end.outcome = interrupt->is_raised()
-                    ? AttemptOutcome::kStalled
-                    : OutcomeOf(result.error(), absl::Now() - last_heard, stall);
+  end.outcome =
+      interrupt->is_raised()
+          ? AttemptOutcome::kStalled
+          : OutcomeOf(result.error(), absl::Now() - last_heard, stall);
   end.detail = httplib::to_string(result.error());
   return end;
 }
--- a/stand_ins/scenario.cc
+++ b/stand_ins/scenario.cc
@@ -235,10 +235,11 @@
     return;
   }
   std::sort(times.begin(), times.end());
-  const size_t index = std::min(
-      times.size() - 1, static_cast<size_t>(share * times.size()));
+  const size_t index =
+      std::min(times.size() - 1, static_cast<size_t>(share * times.size()));
   if (times[index] > bound)
-    judged->problem = absl::StrCat("it was ", absl::FormatDuration(times[index]));
+    judged->problem =
+        absl::StrCat("it was ", absl::FormatDuration(times[index]));
 }
 
 const std::vector<Sentence<Judged>>& Expectations() {
@@ -246,14 +247,13 @@
   static const std::vector<Sentence<Judged>> kSentences = {
       {R"(expect every call to end within its time)",
        [](const Words&, Judged* judged) {
-         ForbidCalls(judged, "were late or never ended",
-                     [&](const CallRecord& record) {
-                       const int sendings = std::max(1, record.sendings);
-                       return record.end == End::kPending ||
-                              (sendings == 1 &&
-                               record.ended >
-                                   record.call.patience + kEndMargin);
-                     });
+         ForbidCalls(
+             judged, "were late or never ended", [&](const CallRecord& record) {
+               const int sendings = std::max(1, record.sendings);
+               return record.end == End::kPending ||
+                      (sendings == 1 &&
+                       record.ended > record.call.patience + kEndMargin);
+             });
        }},
       {R"(expect every call to complete)",
        [](const Words&, Judged* judged) {
@@ -305,7 +305,8 @@
       {R"(expect at most (\d+) engines lost to crashing calls)",
        [](const Words& words, Judged* judged) {
          if (judged->fleet.crashes() > Whole(words[1]))
-           judged->problem = absl::StrCat(judged->fleet.crashes(), " were lost");
+           judged->problem =
+               absl::StrCat(judged->fleet.crashes(), " were lost");
        }},
       {R"(expect no new work for a leaving engine after (\S+))",
        [](const Words& words, Judged* judged) {
@@ -383,8 +384,8 @@
         absl::StrCat(place(line), "not understood: ", line.text));
   }
   if (expectations.empty())
-    result.failures.push_back(absl::StrCat(std::string(name),
-                                           ": no line expects anything"));
+    result.failures.push_back(
+        absl::StrCat(std::string(name), ": no line expects anything"));
   if (!result.failures.empty())
     return result;
   for (uint64_t seed = script.first_seed; seed <= script.last_seed; ++seed) {
@@ -412,9 +413,8 @@
       sentence->act(words, &judged);
       ++result.checks;
       if (!judged.problem.empty()) {
-        result.failures.push_back(absl::StrCat(place(line), "seed ", seed, ": ",
-                                               line.text, ": ",
-                                               judged.problem));
+        result.failures.push_back(absl::StrCat(
+            place(line), "seed ", seed, ": ", line.text, ": ", judged.problem));
       }
     }
   }
--- a/stand_ins/traffic.cc
+++ b/stand_ins/traffic.cc
@@ -54,11 +54,10 @@
     VirtualCall call;
     call.at = at;
     call.account = mix.account;
-    call.prompt_tokens =
-        mix.is_mixed
-            ? MixedLength(mix.longest, random)
-            : absl::Uniform(absl::IntervalClosed, random, mix.least_tokens,
-                            mix.most_tokens);
+    call.prompt_tokens = mix.is_mixed
+                             ? MixedLength(mix.longest, random)
+                             : absl::Uniform(absl::IntervalClosed, random,
+                                             mix.least_tokens, mix.most_tokens);
     const double error =
         absl::Uniform(random, -mix.estimate_error, mix.estimate_error);
     call.estimated_tokens = std::max<int64_t>(
@@ -69,8 +68,7 @@
     call.patience = mix.patience;
     call.fingerprint = absl::Uniform<uint64_t>(random);
     if (absl::Bernoulli(random, mix.shared_prefix)) {
-      const auto prefix =
-          absl::Uniform<uint64_t>(random, 0, kCommonPrefixes);
+      const auto prefix = absl::Uniform<uint64_t>(random, 0, kCommonPrefixes);
       for (int block = 0; block < kPrefixBlocks; ++block)
         call.prefix_blocks.push_back(prefix * 1000 + block + 1);
     }
--- a/stand_ins/virtual_fleet.cc
+++ b/stand_ins/virtual_fleet.cc
@@ -57,7 +57,9 @@
 
 struct VirtualFleet::Entry : public Dispatcher::Listener,
                              public GossipNode::Listener {
-  Entry(const std::string& name, uint64_t incarnation, Dispatcher::Options options)
+  Entry(const std::string& name,
+        uint64_t incarnation,
+        Dispatcher::Options options)
       : name(name),
         incarnation(incarnation),
         dispatcher(std::move(options)),
@@ -131,11 +133,10 @@
     };
   }
   if (options_.length_classes.empty()) {
-    options_.length_classes = {
-        {"short", 4000, absl::Milliseconds(480)},
-        {"medium", 32000, absl::Seconds(3)},
-        {"long", 400000, absl::Seconds(60)},
-        {"archive", 1200000, absl::Seconds(180)}};
+    options_.length_classes = {{"short", 4000, absl::Milliseconds(480)},
+                               {"medium", 32000, absl::Seconds(3)},
+                               {"long", 400000, absl::Seconds(60)},
+                               {"archive", 1200000, absl::Seconds(180)}};
   }
   for (int i = 0; i < options_.engines; ++i) {
     auto engine = std::make_unique<Engine>();
@@ -259,7 +260,8 @@
   absl::Duration pause =
       options_.resend_pause * absl::Uniform(random_, 0.5, 1.5);
   if (options_.follows_retry_after)
-    pause = std::max(pause, refusal.retry_after * absl::Uniform(random_, 1.0, 1.5));
+    pause =
+        std::max(pause, refusal.retry_after * absl::Uniform(random_, 1.0, 1.5));
   SendCall(index, std::max(pause, absl::Milliseconds(1)));
 }
 
@@ -341,9 +343,8 @@
   if (next == absl::InfiniteFuture())
     return;
   entry->next_tick = std::max(next, now_ + absl::Milliseconds(1));
-  At(entry->next_tick, [=, this] {
-    ToEntry(entry, [=, this] { TickEntry(entry); });
-  });
+  At(entry->next_tick,
+     [=, this] { ToEntry(entry, [=, this] { TickEntry(entry); }); });
 }
 
 void VirtualFleet::Carry(Entry* entry, const Command& command) {
@@ -372,6 +373,7 @@
   }
   ++attempts_;
   ++records_[index].attempts;
+  records_[index].placed = now_ - records_[index].call.at;
   Running& running = entry->running[command.attempt];
   const RequestSpec& spec =
       entry->dispatcher.requests().at(command.request).spec;
@@ -426,8 +428,7 @@
                             UpstreamId upstream,
                             EngineJob job,
                             bool crashes) {
-  job.attempt =
-      AttemptId{entry->name, entry->incarnation, sequence}.ToString();
+  job.attempt = AttemptId{entry->name, entry->incarnation, sequence}.ToString();
   Engine* engine = EngineOf(entry, upstream);
   const size_t record = entry->running.at(sequence).record;
   if (engine->is_leaving && engine->is_alive) {
@@ -488,8 +489,8 @@
   for (const auto& [sequence, running] : entry->running) {
     const bool is_group = running.upstreams.size() > 1;
     const absl::Duration limit = running.has_token ? running.limits.later
-                                 : is_group ? absl::InfiniteDuration()
-                                            : running.limits.first;
+                                 : is_group        ? absl::InfiniteDuration()
+                                                   : running.limits.first;
     if (now_ - running.last_heard > limit)
       stalled.emplace_back(sequence, running.upstreams.back());
   }
@@ -586,8 +587,8 @@
           return;
         entry->gossip.OnSilence(order.name, now_, entry->random);
         // Nobody else reaches a dead or frozen entry either.
-        const bool is_reachable = peer != nullptr && peer->is_alive &&
-                                  now_ >= peer->frozen_until;
+        const bool is_reachable =
+            peer != nullptr && peer->is_alive && now_ >= peer->frozen_until;
         if (!is_reachable)
           entry->gossip.OnConfirmedSilence(order.name, now_);
       });
@@ -724,8 +725,7 @@
           running.has_token = true;
           if (record.first_token == absl::InfiniteDuration() &&
               record.awaited == running.sending) {
-            record.first_token =
-                now_ + options_.message_delay - record.call.at;
+            record.first_token = now_ + options_.message_delay - record.call.at;
           }
           entry->dispatcher.OnFirstToken(running.request, sequence);
           if (options_.load_on_answers)
--- a/stand_ins/virtual_fleet.h
+++ b/stand_ins/virtual_fleet.h
@@ -55,6 +55,8 @@
   /** The sending that the caller waits for; 0 while it waits for none. */
   int awaited = 0;
   int attempts = 0;
+  /** From the first sending to the start of the last attempt. */
+  absl::Duration placed = absl::InfiniteDuration();
   /** True once an engine took it. */
   bool has_run = false;
   /** Tokens that reached the caller in order in the last sending. */
@@ -151,15 +153,19 @@
 
   // Callers.
   void SendCall(size_t record, absl::Duration pause);
-  void OnSendingFailed(size_t record, CallRecord::End end,
+  void OnSendingFailed(size_t record,
+                       CallRecord::End end,
                        const Refusal& refusal);
   // Entries.
   void StartEntry(int index);
   void ToEntry(Entry* entry, std::function<void()> action);
   void TickEntry(Entry* entry);
   void Carry(Entry* entry, const Command& command);
-  void EndAttempt(Entry* entry, uint64_t sequence, AttemptOutcome outcome,
-                  UpstreamId fault, bool leaving);
+  void EndAttempt(Entry* entry,
+                  uint64_t sequence,
+                  AttemptOutcome outcome,
+                  UpstreamId fault,
+                  bool leaving);
   void StartLeader(Entry* entry, uint64_t sequence);
   void HoldNext(Entry* entry, uint64_t sequence);
   void CheckStalls(Entry* entry);
@@ -168,10 +174,15 @@
   void Gossip(Entry* entry);
   void Sweep(Entry* entry);
   /** Runs `task` now and every `period` while this incarnation lives. */
-  void Repeat(Entry* entry, absl::Duration period, void (VirtualFleet::*task)(Entry*));
+  void Repeat(Entry* entry,
+              absl::Duration period,
+              void (VirtualFleet::*task)(Entry*));
   // Engines.
-  void SubmitTo(Entry* entry, uint64_t sequence, UpstreamId upstream,
-                EngineJob job, bool crashes);
+  void SubmitTo(Entry* entry,
+                uint64_t sequence,
+                UpstreamId upstream,
+                EngineJob job,
+                bool crashes);
   void ToEngine(Engine* engine, std::function<void()> action);
   void Wake(Engine* engine);
   void Step(Engine* engine);
--- a/tests/logic/scenario_test.cc
+++ b/tests/logic/scenario_test.cc
@@ -28,18 +28,30 @@
   REQUIRE(result.checks > 0);
 }
 
-TEST_CASE("scenario calm") { RequirePassing("calm.scenario"); }
-TEST_CASE("scenario engine-dies") { RequirePassing("engine-dies.scenario"); }
+TEST_CASE("scenario calm") {
+  RequirePassing("calm.scenario");
+}
+TEST_CASE("scenario engine-dies") {
+  RequirePassing("engine-dies.scenario");
+}
 TEST_CASE("scenario engine-freezes") {
   RequirePassing("engine-freezes.scenario");
 }
-TEST_CASE("scenario entry-dies") { RequirePassing("entry-dies.scenario"); }
+TEST_CASE("scenario entry-dies") {
+  RequirePassing("entry-dies.scenario");
+}
 TEST_CASE("scenario entry-freezes") {
   RequirePassing("entry-freezes.scenario");
 }
-TEST_CASE("scenario engine-leaves") { RequirePassing("engine-leaves.scenario"); }
-TEST_CASE("scenario crashing-call") { RequirePassing("crashing-call.scenario"); }
-TEST_CASE("scenario archive-read") { RequirePassing("archive-read.scenario"); }
+TEST_CASE("scenario engine-leaves") {
+  RequirePassing("engine-leaves.scenario");
+}
+TEST_CASE("scenario crashing-call") {
+  RequirePassing("crashing-call.scenario");
+}
+TEST_CASE("scenario archive-read") {
+  RequirePassing("archive-read.scenario");
+}
 TEST_CASE("scenario together-and-twice") {
   RequirePassing("together-and-twice.scenario");
 }
@@ -51,11 +63,11 @@
 }
 
 TEST_CASE("an expectation that fails names its line and seed") {
-  const ScenarioResult result = RunScenario(
-      "x.scenario",
-      "fleet of 1 entries and 1 engines\n"
-      "call of 1000 tokens at 1s\nrun until 30s\n"
-      "expect 50% of short first tokens within 1ms\n");
+  const ScenarioResult result =
+      RunScenario("x.scenario",
+                  "fleet of 1 entries and 1 engines\n"
+                  "call of 1000 tokens at 1s\nrun until 30s\n"
+                  "expect 50% of short first tokens within 1ms\n");
   REQUIRE(result.failures.size() == 1);
   REQUIRE(result.failures.front().rfind("x.scenario:4: seed 1: ", 0) == 0);
 }
