Gossip of 340 instances: spread, cost, deaths and refutation, in virtual time

Ruled out: longer rides alone (still 10 missing), shorter suspicion (9 dead). Change: what the platform lists is no news; only versioned facts are spread; two members at large ride on each message; suspicion lasts 2 s a doubling; listed dead are tried every 5 s; 8 rumours a message, addresses only when alive.

--- a/modules/decisions/dispatcher.cc
+++ b/modules/decisions/dispatcher.cc
@@ -433,7 +433,7 @@
          .prefill_tokens =
              (row->spec.prompt_tokens - choice.cached_tokens) / parts,
          .memory_tokens = MemoryNeedOf(row->spec) / parts,
-         .is_long = row->spec.length_class > 0 && !row->spec.model.empty(),
+         .is_long = row->spec.prompt_tokens > kLongPromptTokens,
          .is_suspect = row->suspect,
          .request = row->spec.id});
   }
--- a/modules/decisions/gossip_node.cc
+++ b/modules/decisions/gossip_node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <utility>
 
 #include "absl/random/distributions.h"
 #include "absl/strings/str_cat.h"
@@ -19,13 +20,19 @@
 /** Bits of a member's version that count refutations. */
 constexpr int kRefutationBits = 10;
 
+/** Times as long that a member which was never heard of stays a suspect. */
+constexpr int kPatienceWithUnheard = 4;
+
 Rumour RumourOf(const MemberRow& row) {
-  return {.kind = RumourKind::kMember,
-          .subject = row.name,
-          .version = row.version,
-          .value = static_cast<int64_t>(row.state),
-          .address = row.address,
-          .data_centre = row.data_centre};
+  Rumour rumour{.kind = RumourKind::kMember,
+                .subject = row.name,
+                .version = row.version,
+                .value = static_cast<int64_t>(row.state)};
+  if (row.state == MemberState::kAlive) {
+    rumour.address = row.address;
+    rumour.data_centre = row.data_centre;
+  }
+  return rumour;
 }
 
 bool IsOver(MemberState state) {
@@ -55,17 +62,48 @@
          std::bit_width(static_cast<unsigned>(members_.size() + 1));
 }
 
+absl::Duration GossipNode::Suspicion() const {
+  return kSuspicionPerDoubling *
+         std::bit_width(static_cast<unsigned>(members_.size() + 1));
+}
+
+ExchangeOrder GossipNode::OrderFor(const MemberRow& row) {
+  return {.name = row.name,
+          .address = row.address,
+          .message = MakeMessageFor(row.name)};
+}
+
+const MemberRow* GossipNode::PickListedDead(absl::Time now,
+                                            absl::BitGenRef random) const {
+  std::vector<const MemberRow*> dead;
+  for (const auto& [name, row] : members_) {
+    if (row.state == MemberState::kDead &&
+        now - row.listed_at <= kDeadProbePeriod) {
+      dead.push_back(&row);
+    }
+  }
+  if (dead.empty())
+    return nullptr;
+  return dead[absl::Uniform<size_t>(random, 0, dead.size())];
+}
+
 void GossipNode::AddSeed(const std::string& name,
                          const std::string& address,
                          const std::string& data_centre,
                          absl::Time now) {
-  if (name == self_.instance || members_.contains(name))
+  if (name == self_.instance)
     return;
+  auto known = members_.find(name);
+  if (known != members_.end()) {
+    known->second.listed_at = now;
+    return;
+  }
   MemberRow& row = members_[name];
   row = {.name = name,
          .address = address,
          .data_centre = data_centre,
-         .since = now};
+         .since = now,
+         .listed_at = now};
   if (listener_ != nullptr)
     listener_->OnMember(row);
 }
@@ -104,7 +142,9 @@
                                 absl::Time now) {
   row->state = state;
   row->since = now;
-  SpreadMember(*row, now);
+  // Without a version the word could be neither weighed nor refuted.
+  if (row->version != 0)
+    SpreadMember(*row, now);
   if (listener_ != nullptr)
     listener_->OnMember(*row);
 }
@@ -142,6 +182,17 @@
   }
   std::erase_if(riding_,
                 [](const Riding& riding) { return riding.rides_left <= 0; });
+  // A few of the members at large, so that every version gets about and what
+  // a rumour failed to tell is told in the end.
+  for (size_t i = 0; i < kSampledMembers && !members_.empty(); ++i) {
+    const MemberRow& row = NextSampled();
+    if (row.version != 0 && row.state == MemberState::kAlive) {
+      Rumour sampled = RumourOf(row);
+      sampled.address.clear();
+      sampled.data_centre.clear();
+      message.rumours.push_back(std::move(sampled));
+    }
+  }
   // What rode least goes first next time.
   std::stable_sort(riding_.begin(), riding_.end(),
                    [](const Riding& a, const Riding& b) {
@@ -150,6 +201,14 @@
   return message;
 }
 
+const MemberRow& GossipNode::NextSampled() {
+  auto next = members_.upper_bound(last_sampled_);
+  if (next == members_.end())
+    next = members_.begin();
+  last_sampled_ = next->first;
+  return next->second;
+}
+
 GossipMessage GossipNode::FullState() const {
   GossipMessage message = Header();
   for (const auto& [name, row] : members_)
@@ -163,9 +222,13 @@
 
 std::vector<ExchangeOrder> GossipNode::Tick(absl::Time now,
                                             absl::BitGenRef random) {
+  std::vector<ExchangeOrder> orders;
   std::vector<std::string> forgotten;
   for (auto& [name, row] : members_) {
-    if (row.state == MemberState::kSuspect && now - row.since >= kSuspicion)
+    // One that never spoke cannot refute: it is asked for longer.
+    const absl::Duration patience =
+        row.version == 0 ? kPatienceWithUnheard * Suspicion() : Suspicion();
+    if (row.state == MemberState::kSuspect && now - row.since >= patience)
       SetMemberState(&row, MemberState::kDead, now);
     if (IsOver(row.state) && now - row.since >= kForgetAfter)
       forgotten.push_back(name);
@@ -192,11 +255,15 @@
     const MemberRow& row = found->second;
     if (IsOver(row.state))
       continue;
-    return {{.name = name,
-             .address = row.address,
-             .message = MakeMessageFor(name)}};
+    orders.push_back(OrderFor(row));
+    break;
   }
-  return {};
+  if (now < next_dead_probe_)
+    return orders;
+  next_dead_probe_ = now + kDeadProbePeriod;
+  if (const MemberRow* dead = PickListedDead(now, random))
+    orders.push_back(OrderFor(*dead));
+  return orders;
 }
 
 GossipMessage GossipNode::OnMessage(const GossipMessage& message,
@@ -219,8 +286,16 @@
                 .address = message.address,
                 .data_centre = message.data_centre},
                now);
+  // A newcomer is told everything; the others know it already.
+  const bool is_full_state =
+      message.rumours.size() > kMaxRumours + kSampledMembers;
+  std::vector<Riding> riding_before;
+  if (is_full_state)
+    riding_before = riding_;
   for (const Rumour& rumour : message.rumours)
     AbsorbRumour(rumour, now);
+  if (is_full_state)
+    riding_ = std::move(riding_before);
   if (message.configuration_revision > revision_ && listener_ != nullptr) {
     listener_->OnNewerConfiguration(message.address,
                                     message.configuration_revision);
@@ -260,7 +335,7 @@
   }
   auto found = members_.find(rumour.subject);
   if (found == members_.end()) {
-    if (IsOver(state))
+    if (state != MemberState::kAlive)
       return;
     MemberRow& row = members_[rumour.subject];
     row = {.name = rumour.subject,
@@ -273,10 +348,16 @@
   MemberRow& row = found->second;
   if (std::pair(rumour.version, state) <= std::pair(row.version, row.state))
     return;
-  const bool is_same_state = row.state == state && row.version != 0;
+  const bool is_known_seed = row.version == 0 && state == row.state;
+  const bool is_same_state = row.state == state;
   row.version = rumour.version;
-  row.address = rumour.address;
-  row.data_centre = rumour.data_centre;
+  if (!rumour.address.empty()) {
+    row.address = rumour.address;
+    row.data_centre = rumour.data_centre;
+  }
+  // Everyone has the platform's list: that what it names is there is no news.
+  if (is_known_seed)
+    return;
   if (is_same_state) {
     SpreadMember(row, now);
     return;
--- a/modules/decisions/gossip_node.h
+++ b/modules/decisions/gossip_node.h
@@ -38,7 +38,7 @@
   uint64_t version = 0;
   /** Breaks ties within a version: the higher wins. */
   int64_t value = 0;
-  /** Address and data centre; for members. */
+  /** Address and data centre; for members that are alive. */
   std::string address;
   std::string data_centre;
 };
@@ -66,6 +66,8 @@
   uint64_t version = 0;
   MemberState state = MemberState::kAlive;
   absl::Time since;
+  /** When the platform's list last named it. */
+  absl::Time listed_at = absl::InfinitePast();
 };
 
 /** The version of a member's facts: grows with each start of its process, and
@@ -89,7 +91,7 @@
     starts one, so the cost does not depend on the number of instances. A
     rumour rides on a number of messages that grows with the logarithm of that
     number. A probe without answer is repeated through two others; if they get
-    no answer either, the member is suspected, and dead kSuspicion later unless
+    no answer either, the member is suspected, and dead later unless
     it speaks up with a higher version. Not thread-safe. */
 class GossipNode {
  public:
@@ -97,12 +99,18 @@
   static constexpr absl::Duration kPeriod = absl::Seconds(1);
   /** How long an exchange may take before it counts as unanswered. */
   static constexpr absl::Duration kExchangeTimeout = absl::Milliseconds(700);
-  /** How long a suspect has to speak up. */
-  static constexpr absl::Duration kSuspicion = absl::Seconds(5);
+  /** How long a suspect has to speak up, for each doubling of the members:
+      word of the suspicion must reach it, and its answer the others. */
+  static constexpr absl::Duration kSuspicionPerDoubling = absl::Seconds(2);
+  /** How often one more exchange is tried with a member that is held for dead
+      and still stands in the platform's list. */
+  static constexpr absl::Duration kDeadProbePeriod = absl::Seconds(5);
   /** Instances through which an unanswered probe is repeated. */
   static constexpr size_t kIndirectProbes = 2;
   /** Rumours on one message. */
-  static constexpr size_t kMaxRumours = 16;
+  static constexpr size_t kMaxRumours = 8;
+  /** Members told besides on each message, in turn. */
+  static constexpr size_t kSampledMembers = 2;
 
   struct Options {
     std::string instance;
@@ -132,8 +140,8 @@
   /** The revision in force here, told on every message. */
   void set_configuration_revision(uint64_t revision) { revision_ = revision; }
 
-  /** Adds an instance that the platform's list or the settings name. Knows
-      nothing of its state beyond that. */
+  /** An instance stands in the platform's list or the settings. Adds it if it
+      is unknown; says nothing of its state. */
   void AddSeed(const std::string& name,
                const std::string& address,
                const std::string& data_centre,
@@ -206,9 +214,14 @@
   void Queue(Rumour rumour, absl::Time now);
   /** A message for `to`, with what is held against it so that it can refute. */
   GossipMessage MakeMessageFor(const std::string& to);
+  const MemberRow& NextSampled();
   void QueueSelf(MemberState state, absl::Time now);
   GossipMessage Header() const;
   int Rides() const;
+  absl::Duration Suspicion() const;
+  /** A member that is held for dead although the platform lists it. */
+  const MemberRow* PickListedDead(absl::Time now, absl::BitGenRef random) const;
+  ExchangeOrder OrderFor(const MemberRow& row);
 
   Options self_;
   Listener* listener_ = nullptr;
@@ -219,7 +232,9 @@
   std::map<std::string, MemberRow> members_;
   std::map<std::string, Fact> facts_;
   std::vector<Riding> riding_;
+  std::string last_sampled_;
   std::vector<std::string> probe_order_;
+  absl::Time next_dead_probe_ = absl::InfinitePast();
 };
 
 }  // namespace chicory
--- a/modules/decisions/length_aware_placement.cc
+++ b/modules/decisions/length_aware_placement.cc
@@ -53,7 +53,7 @@
                                     Candidate* candidate) const {
   const RequestRow& request = question.request;
   const int level = PriorityLevelOf(request.spec);
-  const bool is_long = request.spec.length_class > 0;
+  const bool is_long = request.spec.prompt_tokens > kLongPromptTokens;
   const int64_t need = MemoryNeedOf(request.spec);
   if (request.suspect && row.suspects > 0)
     return false;
@@ -94,7 +94,7 @@
   PlacementChoice choice;
   if (eligible.empty())
     return choice;
-  const bool is_long = spec.length_class > 0;
+  const bool is_long = spec.prompt_tokens > kLongPromptTokens;
   const int choices = is_long ? options_.long_choices : options_.choices;
   std::vector<UpstreamId> sample = Sample(eligible, choices, question.random);
 
--- a/modules/decisions/length_aware_placement.h
+++ b/modules/decisions/length_aware_placement.h
@@ -16,9 +16,9 @@
 class LengthAwarePlacement : public PlacementPolicy {
  public:
   struct Options {
-    /** Upstreams looked at by chance for a request of the shortest class. */
+    /** Upstreams looked at by chance for a request that is not long. */
     int choices = 3;
-    /** Upstreams looked at for the other classes. */
+    /** Upstreams looked at for a long one. */
     int long_choices = 6;
     /** Long prefills of this instance under way on one upstream. */
     int max_long_prefills = 1;
--- a/modules/decisions/request_table.h
+++ b/modules/decisions/request_table.h
@@ -64,6 +64,10 @@
   absl::Time deadline;
 };
 
+/** Prompts over this many tokens are long: they are bounded on an upstream and
+    leave memory to the others. */
+inline constexpr int64_t kLongPromptTokens = 32000;
+
 /** Tokens that one prefix block covers. */
 inline constexpr int64_t kPrefixBlockTokens = 512;
 
--- a/stand_ins/scenario.cc
+++ b/stand_ins/scenario.cc
@@ -213,11 +213,13 @@
   }
   if (bad == 0)
     return;
-  judged->problem =
-      absl::StrCat(bad, " of ", judged->fleet.records().size(), " calls ", what,
-                   "; the first came at ",
-                   absl::FormatDuration(judged->fleet.records()[first].call.at -
-                                        absl::UnixEpoch()));
+  judged->problem = absl::StrCat(
+      bad, " of ", judged->fleet.records().size(), " calls ", what,
+      "; the first came at ",
+      absl::FormatDuration(judged->fleet.records()[first].call.at -
+                           absl::UnixEpoch()),
+      " with ", judged->fleet.records()[first].call.prompt_tokens, " tokens: ",
+      RefusalReasonName(judged->fleet.records()[first].refusal.reason));
 }
 
 void ExpectFirstTokens(const Words& words, Judged* judged) {
