Proofs on real processes: at most once, whole answers, no memory lost

Cause, each found by a test: (1) when a peer was killed the other entries aborted: the RPC library throws at once when a connection that broke is asked for its main capability, and again when it is destroyed; (2) a restarted process did not give back work of its own earlier incarnation when the same sequence ran again; (3) two of 24 streams were cut when an engine froze: a young retry budget (2) was smaller than the streams one upstream's death breaks. Ruled out: destroying the connection later only (still aborted), catching the send only (the throw came from the capability look-up; seen with a debugger). A frozen holder that wakes past its deadline may record outcome unknown; the check says so (a trace showed the call's 10 s were over).

--- a/modules/decisions/orphan_system.cc
+++ b/modules/decisions/orphan_system.cc
@@ -5,6 +5,14 @@
 
 namespace chicory {
 
+bool OrphanSystem::IsInDoubt(const AttemptId& attempt,
+                             const OwnerLookup& owner_state,
+                             const OwnLookup& is_running) const {
+  if (attempt.instance != instance_)
+    return owner_state(attempt) != OwnerState::kAlive;
+  return attempt.incarnation != incarnation_ || !is_running(attempt.sequence);
+}
+
 bool OrphanSystem::IsOrphan(const AttemptId& attempt,
                             absl::Duration doubted_for,
                             const OwnerLookup& owner_state,
@@ -40,10 +48,7 @@
     // What this project did not start it must not end.
     if (!attempt.has_value())
       continue;
-    const bool in_doubt = attempt->instance == instance_
-                              ? !is_running(attempt->sequence)
-                              : owner_state(*attempt) != OwnerState::kAlive;
-    if (!in_doubt)
+    if (!IsInDoubt(*attempt, owner_state, is_running))
       continue;
     auto known = doubted.find(text);
     const absl::Time since = known == doubted.end() ? now : known->second;
--- a/modules/decisions/orphan_system.h
+++ b/modules/decisions/orphan_system.h
@@ -57,6 +57,9 @@
                                absl::Time now);
 
  private:
+  bool IsInDoubt(const AttemptId& attempt,
+                 const OwnerLookup& owner_state,
+                 const OwnLookup& is_running) const;
   bool IsOrphan(const AttemptId& attempt,
                 absl::Duration doubted_for,
                 const OwnerLookup& owner_state,
--- a/modules/decisions/retry_budget.h
+++ b/modules/decisions/retry_budget.h
@@ -33,8 +33,9 @@
  private:
   /** Retries that a quiet account or route may save up. */
   static constexpr double kMaxSaved = 10;
-  /** Retries that a new account or route starts with. */
-  static constexpr double kInitial = 2;
+  /** Retries that a new account or route starts with: enough for the streams
+      that one upstream's death breaks at once. */
+  static constexpr double kInitial = kMaxSaved;
 
   double& Slot(const std::string& key);
 
--- a/modules/peers/peer_node.cc
+++ b/modules/peers/peer_node.cc
@@ -102,7 +102,15 @@
                   std::vector<std::string> missing);
   void TellDemands();
   wire::Peer::Client ClientOf(const std::string& address);
-  void Forget(const std::string& address) { clients_.erase(address); }
+  /** Drops a connection that failed. It is destroyed by the next step: this may
+      be called from one of its own callbacks, which must not destroy it. */
+  void Forget(const std::string& address) {
+    auto found = connections_.find(address);
+    if (found == connections_.end())
+      return;
+    forgotten_.push_back(kj::mv(found->second));
+    connections_.erase(found);
+  }
   std::string ProofOf(const std::string& sender) const {
     return PeerProof(options_.shared_key, sender);
   }
@@ -115,10 +123,36 @@
     message.stamp = host_->Stamp();
     return message;
   }
+  /** Destroying a connection that broke may throw in this library. */
+  void DestroyForgotten() {
+    for (auto& client : forgotten_) {
+      kj::runCatchingExceptions([&] { auto dropped = kj::mv(client); });
+    }
+    forgotten_.clear();
+  }
+  /** Sends a request. A connection that is known to be gone makes the library
+      throw at once; here every failure comes by the promise. */
+  template <class Results, class Request>
+  kj::Promise<capnp::Response<Results>> Send(Request* request,
+                                             kj::Duration timeout) {
+    return timer_->timeoutAfter(
+        timeout, kj::evalNow([&]() -> kj::Promise<capnp::Response<Results>> {
+          return request->send();
+        }));
+  }
   void AddTask(kj::Promise<void> task) {
     tasks_->add(task.catch_([](kj::Exception&&) {}));
   }
 
+  /** A connection to a peer. The peer is asked for once: asking again on a
+      connection that broke makes the library throw. */
+  struct Connection {
+    explicit Connection(const std::string& address)
+        : client(address), peer(client.getMain<wire::Peer>()) {}
+    capnp::EzRpcClient client;
+    wire::Peer::Client peer;
+  };
+
   /** Drops failures; each task handles its own. */
   class QuietTasks : public kj::TaskSet::ErrorHandler {
    public:
@@ -142,7 +176,8 @@
   kj::Timer* timer_ = nullptr;
   QuietTasks quiet_;
   kj::Own<kj::TaskSet> tasks_;
-  std::map<std::string, kj::Own<capnp::EzRpcClient>> clients_;
+  std::map<std::string, kj::Own<Connection>> connections_;
+  std::vector<kj::Own<Connection>> forgotten_;
   std::string fetch_from_;
   bool is_fetching_ = false;
   absl::Time next_exchange_ = absl::InfinitePast();
@@ -176,7 +211,9 @@
                "not a peer");
     auto request = loop_->ClientOf(address).configurationIndexRequest();
     request.setProof(loop_->ProofOf("index"));
-    return loop_->timer_->timeoutAfter(kExchangeTimeout, request.send())
+    return loop_
+        ->Send<wire::Peer::ConfigurationIndexResults>(&request,
+                                                      kExchangeTimeout)
         .then([context](
                   auto&&) mutable { context.getResults().setAnswered(true); },
               [this, context, address](kj::Exception&&) mutable {
@@ -231,12 +268,11 @@
 };
 
 wire::Peer::Client PeerNode::Loop::ClientOf(const std::string& address) {
-  auto found = clients_.find(address);
-  if (found == clients_.end()) {
-    found =
-        clients_.emplace(address, kj::heap<capnp::EzRpcClient>(address)).first;
+  auto found = connections_.find(address);
+  if (found == connections_.end()) {
+    found = connections_.emplace(address, kj::heap<Connection>(address)).first;
   }
-  return found->second->getMain<wire::Peer>();
+  return found->second->peer;
 }
 
 void PeerNode::Loop::Run() {
@@ -263,7 +299,10 @@
       timer_->afterDelay(kStep).wait(scope);
     }
     tasks_ = nullptr;
-    clients_.clear();
+    for (auto& entry : connections_)
+      forgotten_.push_back(kj::mv(entry.second));
+    connections_.clear();
+    DestroyForgotten();
   } catch (const kj::Exception&) {
     // The address cannot be bound; Start says so.
     if (!started_.HasBeenNotified())
@@ -272,6 +311,7 @@
 }
 
 void PeerNode::Loop::Step() {
+  DestroyForgotten();
   const absl::Time now = absl::Now();
   if (now >= next_exchange_) {
     // Jitter keeps instances that started together from staying in step.
@@ -295,7 +335,7 @@
   WriteGossip(Stamped(order.message), builder);
   builder.setProof(ProofOf(order.message.sender));
   AddTask(
-      timer_->timeoutAfter(kExchangeTimeout, request.send())
+      Send<wire::Peer::ExchangeResults>(&request, kExchangeTimeout)
           .then(
               [this](auto&& response) {
                 const GossipMessage answer = ReadGossip(response.getAnswer());
@@ -335,7 +375,7 @@
     auto request = ClientOf(address).probeRequest();
     request.setAddress(target);
     request.setProof(ProofOf(target));
-    probes.add(timer_->timeoutAfter(2 * kExchangeTimeout, request.send())
+    probes.add(Send<wire::Peer::ProbeResults>(&request, 2 * kExchangeTimeout)
                    .then([](auto&& response) { return response.getAnswered(); },
                          [this, address](kj::Exception&&) {
                            Forget(address);
@@ -358,7 +398,7 @@
   is_fetching_ = true;
   auto request = ClientOf(address).configurationIndexRequest();
   request.setProof(ProofOf("index"));
-  AddTask(timer_->timeoutAfter(kFetchTimeout, request.send())
+  AddTask(Send<wire::Peer::ConfigurationIndexResults>(&request, kFetchTimeout)
               .then(
                   [this, address](auto&& response) {
                     std::string json = response.getJson();
@@ -398,7 +438,7 @@
   auto request = ClientOf(address).configurationBlobRequest();
   request.setName(name);
   request.setProof(ProofOf("blob"));
-  AddTask(timer_->timeoutAfter(kFetchTimeout, request.send())
+  AddTask(Send<wire::Peer::ConfigurationBlobResults>(&request, kFetchTimeout)
               .then(
                   [this, address, name, index_json = std::move(index_json),
                    blobs = std::move(blobs),
@@ -433,7 +473,7 @@
       builder[i].setRequestsPerSecond(demands[i].offered.requests_per_second);
       builder[i].setTokensPerSecond(demands[i].offered.tokens_per_second);
     }
-    AddTask(timer_->timeoutAfter(kExchangeTimeout, request.send())
+    AddTask(Send<wire::Peer::DemandResults>(&request, kExchangeTimeout)
                 .then(
                     [this](auto&& response) {
                       std::vector<AccountGrant> grants;
