No metastable collapse: what would wait too long at an engine waits here

Cause: at twice the capacity with callers that resend five times, goodput was 61% of capacity and stayed at 37% after the load fell: entries pushed work until engine memory was full, some 90 requests or 12 s of queue, past the callers' 10 s of patience, so prefill was done for requests that were given up. Ruled out: the retry budget (0.35 attempts a sending) and refusal by drain rate. Change: an upstream whose queue is over half the class's bound takes no more; the request waits at the entry, where it can be refused as not run.

--- /dev/null
+++ b/bench/decision_costs_main.cc
@@ -0,0 +1,188 @@
+#include <sys/resource.h>
+
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <new>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "absl/random/distributions.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "modules/decisions/account_limits.h"
+#include "modules/decisions/dispatcher.h"
+#include "modules/decisions/gossip_node.h"
+#include "modules/decisions/least_busy_placement.h"
+#include "modules/decisions/length_aware_placement.h"
+
+namespace {
+
+/** Calls of the allocator, counted. */
+uint64_t allocations = 0;
+
+}  // namespace
+
+void* operator new(size_t size) {
+  ++allocations;
+  if (void* memory = std::malloc(size))
+    return memory;
+  throw std::bad_alloc();
+}
+void operator delete(void* memory) noexcept {
+  std::free(memory);
+}
+void operator delete(void* memory, size_t) noexcept {
+  std::free(memory);
+}
+
+namespace chicory {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+double Seconds(Clock::duration length) {
+  return std::chrono::duration<double>(length).count();
+}
+
+int64_t ResidentKilobytes() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return usage.ru_maxrss;
+}
+
+RequestSpec SpecOf(uint64_t id, absl::Time now) {
+  RequestSpec spec;
+  spec.id = RequestId{id};
+  spec.account = absl::StrCat("account", id % 5700);
+  spec.route = "route";
+  spec.pool = "pool";
+  spec.model = "model";
+  spec.prompt_tokens = 1000;
+  spec.answer_tokens = 100;
+  spec.fingerprint = id;
+  spec.arrived = now;
+  spec.deadline = now + absl::Hours(1);
+  return spec;
+}
+
+/** Cost of one request's decisions, arrival to end, with `in_flight` others. */
+void MeasurePlacement(int upstreams, int in_flight) {
+  Dispatcher::Options options;
+  options.instance = "entry";
+  options.model_placement = std::make_unique<LengthAwarePlacement>();
+  options.service_placement = std::make_unique<LeastBusyPlacement>();
+  Dispatcher dispatcher(std::move(options));
+  std::mt19937_64 random(1);
+  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  std::vector<UpstreamId> ids;
+  for (int i = 0; i < upstreams; ++i) {
+    ids.push_back(dispatcher.OnUpstreamSeen({.name = absl::StrCat("engine", i),
+                                             .pool = "pool",
+                                             .models = {"model"}}));
+    dispatcher.OnLoadReport(ids.back(), {.incarnation = 1,
+                                         .measured_at = now,
+                                         .memory_tokens = int64_t{1} << 40,
+                                         .free_memory_tokens = int64_t{1} << 40,
+                                         .prefill_tokens_per_second = 40000});
+  }
+  std::vector<Command> commands;
+  uint64_t next = 1;
+  for (int i = 0; i < in_flight; ++i) {
+    dispatcher.OnArrival(SpecOf(next++, now), now);
+    dispatcher.Tick(now, random, &commands);
+  }
+  constexpr int kRequests = 20000;
+  const uint64_t allocated = allocations;
+  const auto begin = Clock::now();
+  for (int i = 0; i < kRequests; ++i) {
+    now += absl::Microseconds(100);
+    commands.clear();
+    const RequestSpec spec = SpecOf(next++, now);
+    dispatcher.OnArrival(spec, now);
+    dispatcher.Tick(now, random, &commands);
+    const Command& start = commands.back();
+    dispatcher.OnFirstToken(spec.id, start.attempt);
+    dispatcher.OnAttemptEnded(spec.id, start.attempt, {}, now, random);
+  }
+  const double nanoseconds = Seconds(Clock::now() - begin) / kRequests * 1e9;
+  std::cout << absl::StrFormat(
+      "placement upstreams=%d in_flight=%d nanoseconds=%.0f allocations=%.1f "
+      "resident_kb=%d\n",
+      upstreams, in_flight, nanoseconds,
+      static_cast<double>(allocations - allocated) / kRequests,
+      ResidentKilobytes());
+}
+
+/** Cost of one period of gossip at one node of `members`. */
+void MeasureGossip(int members) {
+  const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  std::mt19937_64 random(1);
+  GossipNode node({.instance = "self", .address = "a", .incarnation = 1});
+  GossipNode peer({.instance = "n0", .address = "b", .incarnation = 1});
+  for (int i = 0; i < members; ++i) {
+    node.AddSeed(absl::StrCat("n", i), absl::StrCat("10.0.0.1:", i), "dc", now);
+    peer.AddSeed(absl::StrCat("n", i), absl::StrCat("10.0.0.1:", i), "dc", now);
+  }
+  constexpr int kPeriods = 2000;
+  const auto begin = Clock::now();
+  for (int i = 0; i < kPeriods; ++i) {
+    const absl::Time at = now + i * GossipNode::kPeriod;
+    for (const ExchangeOrder& order : node.Tick(at, random))
+      node.OnAnswer(peer.OnMessage(order.message, at), at);
+  }
+  std::cout << absl::StrFormat("gossip members=%d microseconds_a_period=%.1f\n",
+                               members,
+                               Seconds(Clock::now() - begin) / kPeriods * 1e6);
+}
+
+/** Cost of one admission and of one period at one instance. */
+void MeasureLimits(int instances, int accounts) {
+  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  AccountLimits limits("entry0");
+  std::vector<std::string> members;
+  for (int i = 0; i < instances; ++i)
+    members.push_back(absl::StrCat("entry", i));
+  limits.SetMembers(members);
+  absl::Duration wait;
+  constexpr int kAdmissions = 200000;
+  auto begin = Clock::now();
+  for (int i = 0; i < kAdmissions; ++i) {
+    limits.Admit(absl::StrCat("account", i % accounts), {1e6, 1e9}, 100, now,
+                 &wait);
+  }
+  const double admit = Seconds(Clock::now() - begin) / kAdmissions * 1e9;
+  begin = Clock::now();
+  constexpr int kPeriods = 20;
+  for (int i = 0; i < kPeriods; ++i) {
+    now += AccountLimits::kPeriod;
+    limits.TakeDemands(now);
+  }
+  std::cout << absl::StrFormat(
+      "limits instances=%d accounts=%d admit_nanoseconds=%.0f "
+      "period_microseconds=%.0f\n",
+      instances, accounts, admit,
+      Seconds(Clock::now() - begin) / kPeriods * 1e6);
+}
+
+int Run() {
+  for (int upstreams : {20, 200, 2000}) {
+    for (int in_flight : {200, 2000, 60000})
+      MeasurePlacement(upstreams, in_flight);
+  }
+  for (int members : {15, 100, 340})
+    MeasureGossip(members);
+  for (int accounts : {10, 100, 1000})
+    MeasureLimits(340, accounts);
+  return 0;
+}
+
+}  // namespace
+}  // namespace chicory
+
+int main() {
+  return chicory::Run();
+}
--- a/bench/replay_main.cc
+++ b/bench/replay_main.cc
@@ -169,17 +169,145 @@
   }
 }
 
+/** A slow hour: twice the capacity for a while, callers that send again on
+    every failure, then a load that the fleet can carry. */
+struct Storm {
+  absl::Duration calm = absl::Seconds(60);
+  absl::Duration storm = absl::Seconds(600);
+  absl::Duration after = absl::Seconds(240);
+  double calm_load = 0.7;
+  double storm_load = 2.0;
+  absl::Duration patience = absl::Seconds(10);
+  int resends = 5;
+  absl::Duration window = absl::Seconds(10);
+};
+
+/** What came of a storm. */
+struct StormResult {
+  std::string name;
+  /** Goodput as a share of capacity, by window. */
+  std::vector<double> goodput;
+  double in_storm = 0;
+  double attempts_per_sending = 0;
+  /** From the end of the storm until goodput stays at nine tenths of what is
+      offered. */
+  double recovery_seconds = 0;
+};
+
+std::vector<VirtualCall> StormCalls(const Storm& storm, uint64_t seed) {
+  TrafficMix mix{
+      .least_tokens = 1000, .most_tokens = 8000, .patience = storm.patience};
+  mix.rate = 100;
+  mix.length = absl::Seconds(200);
+  double work = 0;
+  const auto sample = MakeTraffic(mix, 4711);
+  for (const VirtualCall& call : sample)
+    work +=
+        absl::ToDoubleSeconds(LeastEngineTime(call, EngineModel::Options()));
+  const double capacity = kEngines / (work / sample.size());
+  std::vector<VirtualCall> calls;
+  absl::Time at = Moment(absl::ZeroDuration());
+  const std::pair<absl::Duration, double> kPhases[] = {
+      {storm.calm, storm.calm_load},
+      {storm.storm, storm.storm_load},
+      {storm.after, storm.calm_load}};
+  for (const auto& [length, load] : kPhases) {
+    mix.rate = load * capacity;
+    mix.start = at;
+    mix.length = length;
+    for (const VirtualCall& call : MakeTraffic(mix, seed++))
+      calls.push_back(call);
+    at += length;
+  }
+  return calls;
+}
+
+StormResult RunStorm(const Storm& storm,
+                     const Contender& contender,
+                     bool cancels,
+                     uint64_t seed) {
+  VirtualFleet::Options options = FleetOptions(contender, seed);
+  options.resends = storm.resends;
+  options.follows_retry_after = false;
+  options.cancels_on_hang_up = cancels;
+  VirtualFleet fleet(std::move(options));
+  for (const VirtualCall& call : StormCalls(storm, seed))
+    fleet.AddCall(call);
+  const absl::Duration length = storm.calm + storm.storm + storm.after;
+  fleet.RunUntil(Moment(length));
+  StormResult result{.name = contender.name};
+  for (absl::Duration at = absl::ZeroDuration(); at < length;
+       at += storm.window) {
+    result.goodput.push_back(
+        Goodput(fleet, Moment(at), Moment(at + storm.window)));
+  }
+  result.in_storm = Goodput(fleet, Moment(storm.calm + absl::Seconds(30)),
+                            Moment(storm.calm + storm.storm));
+  int64_t sendings = 0;
+  for (const CallRecord& record : fleet.records())
+    sendings += record.sendings;
+  result.attempts_per_sending =
+      static_cast<double>(fleet.attempts()) / std::max<int64_t>(1, sendings);
+  const auto end =
+      static_cast<size_t>((storm.calm + storm.storm) / storm.window);
+  size_t last_bad = end;
+  for (size_t i = end; i + 1 < result.goodput.size(); ++i) {
+    if (result.goodput[i] < 0.9 * storm.calm_load)
+      last_bad = i + 1;
+  }
+  result.recovery_seconds =
+      absl::ToDoubleSeconds((last_bad - end) * storm.window);
+  return result;
+}
+
+void CompareStorms(const std::vector<uint64_t>& seeds,
+                   const std::string& svg_folder,
+                   bool with_baselines) {
+  const Storm storm;
+  for (uint64_t seed : seeds) {
+    std::vector<Series> series;
+    std::vector<StormResult> results{
+        RunStorm(storm, Shipped(), /*cancels=*/true, seed)};
+    if (with_baselines) {
+      results.push_back(RunStorm(storm, LeastLoaded(), /*cancels=*/true, seed));
+      results.push_back(
+          RunStorm(storm, NaiveRetries(), /*cancels=*/false, seed));
+    }
+    for (const StormResult& result : results) {
+      std::cout << absl::StrFormat(
+          "storm seed=%d %-14s goodput_in_storm=%.1f%% of capacity "
+          "attempts_per_sending=%.3f recovery=%.0fs last_window=%.1f%%\n",
+          seed, result.name, 100 * result.in_storm, result.attempts_per_sending,
+          result.recovery_seconds,
+          100 * result.goodput[result.goodput.size() - 2]);
+      series.push_back({result.name, result.goodput});
+    }
+    if (svg_folder.empty())
+      continue;
+    WriteSvg(absl::StrCat(svg_folder, "/storm-", seed, ".svg"),
+             {.title = "Goodput through a storm",
+              .x_title = "windows of 10 s",
+              .y_title = "share of capacity",
+              .y_most = 1.2},
+             series);
+  }
+}
+
 int Run(int argc, char** argv) {
   cxxopts::Options options("chicory_replay",
                            "Replays traffic in virtual time and compares ways "
                            "to decide.");
   std::vector<uint64_t> seeds;
+  std::string svg;
+  bool shipped_only = false;
   double load = 0.85;
   std::string experiment = "mixed";
-  options.add_options()("help", "Print this help")("experiment", "mixed",
-                                                   cxxopts::value(experiment))(
-      "load", "Share of capacity", cxxopts::value(load))("seeds", "Seeds",
-                                                         cxxopts::value(seeds));
+  options.add_options()("help", "Print this help")(
+      "experiment", "mixed or storm", cxxopts::value(experiment))(
+      "load", "Share of capacity", cxxopts::value(load))(
+      "seeds", "Seeds", cxxopts::value(seeds))("svg", "Folder for plots",
+                                               cxxopts::value(svg))(
+      "shipped-only", "Leave the baselines out", cxxopts::value(shipped_only));
   const auto parsed = options.parse(argc, argv);
   if (parsed.count("help") != 0) {
     std::cout << options.help();
@@ -189,7 +317,14 @@
     seeds = {1, 2, 3};
   std::cout << absl::StrFormat("capacity: %.1f calls a second\n",
                                CapacityRate());
-  CompareMixed(load, seeds);
+  if (experiment == "mixed") {
+    CompareMixed(load, seeds);
+  } else if (experiment == "storm") {
+    CompareStorms(seeds, svg, !shipped_only);
+  } else {
+    std::cerr << "chicory_replay: unknown experiment `" << experiment << "`\n";
+    return 2;
+  }
   return 0;
 }
 
--- a/modules/decisions/length_aware_placement.cc
+++ b/modules/decisions/length_aware_placement.cc
@@ -78,6 +78,11 @@
                           ? row.report.prefill_tokens_per_second
                           : options_.assumed_prefill_rate;
   const int64_t to_prefill = request.spec.prompt_tokens - cached;
+  // What would wait longer there than its class allows waits here instead,
+  // where it can still be refused as not run.
+  const absl::Duration queued = absl::Seconds(ahead / rate);
+  if (queued > options_.queue_share * request.spec.first_token_within)
+    return false;
   candidate->row = &row;
   candidate->cached_tokens = cached;
   candidate->first_token_in = absl::Seconds((ahead + to_prefill) / rate);
--- a/modules/decisions/length_aware_placement.h
+++ b/modules/decisions/length_aware_placement.h
@@ -25,6 +25,8 @@
     /** Prefill at or above the request's level that an upstream may have
         queued before a long prompt waits here instead, in tokens. */
     int64_t max_queued_long_tokens = 100000;
+    /** Share of its bound that a request may be queued for at an upstream. */
+    double queue_share = 0.5;
     /** Share of an upstream's memory that long prompts leave free. */
     double short_headroom = 0.15;
     /** Prefill rate assumed until an upstream reports one, in tokens/s. */
--- a/modules/serving/http_front.cc
+++ b/modules/serving/http_front.cc
@@ -115,6 +115,10 @@
   void Abort() { is_aborted_ = true; }
   bool is_aborted() const { return is_aborted_; }
 
+  /** Whether the connection is closed after the present request. */
+  void set_is_last(bool is_last) { is_last_ = is_last; }
+  bool is_last() const { return is_last_; }
+
  private:
   bool Fill() {
     const absl::Duration left = read_deadline_ - absl::Now();
@@ -151,6 +155,7 @@
   absl::Time read_deadline_;
   bool is_taken_over_ = false;
   bool is_aborted_ = false;
+  bool is_last_ = false;
 };
 
 thread_local SocketStream* current_stream = nullptr;
@@ -241,7 +246,10 @@
     return absl::StrCat(parts[0], ":", port);
   }
 
+  void Drain() { is_draining_ = true; }
+
   void StopServing() {
+    is_draining_ = true;
     is_stopping_ = true;
     stop();
     if (thread_.joinable())
@@ -255,9 +263,11 @@
     bool is_good = true;
     while (is_good && WaitForRequest(stream)) {
       stream.BeginRequest();
+      const bool is_last = is_draining_;
+      stream.set_is_last(is_last);
       bool is_closed = false;
-      is_good = process_request(stream, is_stopping_, is_closed, nullptr);
-      if (is_closed || stream.is_aborted())
+      is_good = process_request(stream, is_last, is_closed, nullptr);
+      if (is_closed || is_last || stream.is_aborted())
         break;
     }
     current_stream = nullptr;
@@ -278,6 +288,7 @@
   }
 
   const HttpFront::Options options_;
+  std::atomic<bool> is_draining_{false};
   std::atomic<bool> is_stopping_{false};
   std::thread thread_;
 };
@@ -297,6 +308,10 @@
   return impl_->Start();
 }
 
+void HttpFront::Drain() {
+  impl_->Drain();
+}
+
 void HttpFront::Stop() {
   impl_->StopServing();
 }
@@ -325,7 +340,8 @@
   const bool is_sent = current_stream->Send(absl::StrCat(
       "HTTP/1.1 200 OK\r\nContent-Type: ",
       absl::string_view(content_type.data(), content_type.size()),
-      "\r\nCache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n\r\n"));
+      "\r\nCache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n",
+      current_stream->is_last() ? "Connection: close\r\n" : "", "\r\n"));
   current_stream->TakeOver();
   return is_sent;
 }
--- a/modules/serving/http_front.h
+++ b/modules/serving/http_front.h
@@ -47,6 +47,10 @@
   /** Binds, starts to serve and returns the bound `ip:port`. */
   Result<std::string> Start();
 
+  /** From now on each connection is closed after its next answer, and the
+      answer says so: callers come back through the balancer. */
+  void Drain();
+
   /** Stops taking connections and waits for the requests under way. */
   void Stop();
 
--- a/programs/entry/entry.cc
+++ b/programs/entry/entry.cc
@@ -13,9 +13,10 @@
 /** Watchers of the object API in each data centre. */
 constexpr size_t kWatchersPerDataCentre = 2;
 
-/** How long a planned stop refuses new work before it stops listening, so that
-    the balancer sees the instance is not ready. */
-constexpr absl::Duration kBalancerGrace = absl::Milliseconds(500);
+/** How long a planned stop still takes work while it says that it is not ready
+    and closes each connection after its next answer, so that the balancer and
+    the callers go elsewhere. */
+constexpr absl::Duration kBalancerGrace = absl::Seconds(2);
 
 /** How long a planned stop lets the peers hear of it. */
 constexpr absl::Duration kLeaveGrace = absl::Milliseconds(1500);
@@ -200,6 +201,7 @@
   LogEvent(Severity::kInfo, "stopping", {{"instance", instance_}});
   time_line_.Record(absl::Now(), EventKind::kProcessStopping, "", {});
   is_stopping_ = true;
+  callers_.Drain();
   absl::SleepFor(kBalancerGrace);
   caller_front_.StopTaking();
   while (broker_.in_flight() > 0)
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -29,7 +29,7 @@
   for i in $(seq "$engines"); do start_engine "$i" "$@"; done
   start desk stand_in_service
   register desk service desk "$(address desk service)" '[]'
-  "$BIN/chicory_publish" publish --files examples/tour --store "$STORE" >/dev/null
+  "$BIN/chicory_publish" publish --files "${FILES:-examples/tour}" --store "$STORE" >/dev/null
   for i in $(seq "$entries"); do start_entry "$i"; done
   for i in $(seq "$entries"); do
     wait_for 30 knows_upstreams "$i" $((engines + 1)) || problem "entry$i does not know its upstreams"
