--- /dev/null
+++ b/tests/process/examples.sh
@@ -0,0 +1,22 @@
+# Every example passes the check, and the page of keys is what the programs say.
+. "$(dirname "$0")/lib.sh"
+fleet_begin
+for example in examples/*/; do
+  "$BIN/chicory_publish" check --files "$example" || problem "$example has findings"
+done
+tools/configuration-page >"$FLEET/page"
+diff -u docs/CONFIGURATION.md "$FLEET/page" || problem "docs/CONFIGURATION.md has drifted: run tools/configuration-page"
+for program in chicory_entry chicory_publish chicory_timeline chicory_load stand_in_engine; do
+  "$BIN/$program" --help >/dev/null || problem "$program --help"
+  expect "$program" "$("$BIN/$program" --version)" "^$program [0-9.]+$"
+done
+# Modules include only what their face allows.
+allowed() { case $1 in core) echo core ;; config) echo core config ;; decisions) echo core config decisions ;; platform) echo core config platform ;; peers) echo core config decisions peers ;; serving) echo core config decisions platform peers serving ;; esac; }
+for module in core config decisions platform peers serving; do
+  for other in $(grep -rhoE '#include "modules/[a-z]+' modules/$module | sed 's/.*modules.//' | sort -u); do
+    grep -qw "$other" <<<"$(allowed $module)" || problem "$module includes $other"
+  done
+done
+grep -rlE '#include <(thread|httplib|sys/|netinet|unistd)|absl/(time/clock|synchronization|random/random)\.h' modules/decisions &&
+  problem "decisions include clocks, threads, sockets or random devices"
+finish
