--- a/bench/decision_costs_main.cc
+++ b/bench/decision_costs_main.cc
@@ -139,7 +139,8 @@
       node.OnAnswer(answer, at);
     }
   }
-  std::cout << absl::StrFormat("gossip members=%d microseconds_a_period=%.1f bytes_a_period=%d\n",
+  std::cout << absl::StrFormat(
+      "gossip members=%d microseconds_a_period=%.1f bytes_a_period=%d\n",
       members, Seconds(Clock::now() - begin) / kPeriods * 1e6,
       bytes / kPeriods);
 }
--- a/bench/replay_main.cc
+++ b/bench/replay_main.cc
@@ -47,12 +47,16 @@
   return kEngines / MeanWork(/*with_long=*/true);
 }
 
+/** Engines whose load an entry asks for; 0 for all. */
+int polled_engines = 0;
+
 VirtualFleet::Options FleetOptions(const Contender& contender, uint64_t seed) {
   VirtualFleet::Options options;
   options.entries = kEntries;
   options.engines = kEngines;
   options.seed = seed;
   options.has_gossip = false;
+  options.polled_engines = polled_engines;
   options.make_dispatcher = contender.make;
   return options;
 }
@@ -137,15 +141,21 @@
   return work / (fleet.options().engines * absl::ToDoubleSeconds(to - from));
 }
 
-void CompareMixed(double load, const std::vector<uint64_t>& seeds) {
+void CompareMixed(double load,
+                  const std::vector<uint64_t>& seeds,
+                  bool with_baselines) {
   for (uint64_t seed : seeds) {
     std::cout << absl::StrFormat(
         "== mixed load at %.0f%% of capacity, seed %d\n", load * 100, seed);
     const auto alone = RunMixed(Shipped(), load, /*with_long=*/false, seed);
     std::cout << absl::StrFormat(
         "short p99 with the long ones taken out: %.0f ms\n", ShortP99(*alone));
-    for (const Contender& contender :
-         {Shipped(), RoundRobin(), LeastLoaded()}) {
+    std::vector<Contender> contenders{Shipped()};
+    if (with_baselines) {
+      contenders.push_back(RoundRobin());
+      contenders.push_back(LeastLoaded());
+    }
+    for (const Contender& contender : contenders) {
       const auto fleet = RunMixed(contender, load, /*with_long=*/true, seed);
       PrintClasses(contender.name, *fleet, Moment(kWarmUp), Moment(kLength));
       const double offered = [&] {
@@ -307,7 +317,9 @@
       "load", "Share of capacity", cxxopts::value(load))(
       "seeds", "Seeds", cxxopts::value(seeds))("svg", "Folder for plots",
                                                cxxopts::value(svg))(
-      "shipped-only", "Leave the baselines out", cxxopts::value(shipped_only));
+      "polled", "Engines whose load an entry asks for; 0 for all",
+      cxxopts::value(polled_engines))("shipped-only", "Leave the baselines out",
+                                      cxxopts::value(shipped_only));
   const auto parsed = options.parse(argc, argv);
   if (parsed.count("help") != 0) {
     std::cout << options.help();
@@ -318,7 +330,7 @@
   std::cout << absl::StrFormat("capacity: %.1f calls a second\n",
                                CapacityRate());
   if (experiment == "mixed") {
-    CompareMixed(load, seeds);
+    CompareMixed(load, seeds, !shipped_only);
   } else if (experiment == "storm") {
     CompareStorms(seeds, svg, !shipped_only);
   } else {
--- a/modules/decisions/dispatcher.cc
+++ b/modules/decisions/dispatcher.cc
@@ -78,7 +78,7 @@
   const bool restarted = row->report.incarnation != 0 &&
                          report.incarnation > row->report.incarnation;
   if (restarted) {
-    prefixes_.Forget(upstream);
+    prefixes_.OnRestart(upstream);
     if (row->state != UpstreamState::kLive && !report.leaving)
       upstreams_.SetState(upstream, UpstreamState::kLive);
   }
--- a/modules/decisions/prefix_index.cc
+++ b/modules/decisions/prefix_index.cc
@@ -71,6 +71,11 @@
   ++generations_[upstream];
 }
 
+void PrefixIndex::OnRestart(UpstreamId upstream) {
+  Forget(upstream);
+  last_sequence_.erase(upstream);
+}
+
 size_t PrefixIndex::Matched(UpstreamId upstream,
                             const std::vector<uint64_t>& blocks) const {
   size_t matched = 0;
--- a/modules/decisions/prefix_index.h
+++ b/modules/decisions/prefix_index.h
@@ -36,9 +36,13 @@
                uint64_t block,
                bool stored);
 
-  /** Forgets what `upstream` holds, as after its restart. */
+  /** Forgets what `upstream` holds. */
   void Forget(UpstreamId upstream);
 
+  /** A new process of `upstream` runs: it holds nothing and counts its events
+      from the start. */
+  void OnRestart(UpstreamId upstream);
+
   /** The upstream with the longest run of leading blocks; none is 0 blocks. */
   Match Longest(const std::vector<uint64_t>& blocks) const;
 
--- a/modules/decisions/upstream_table.cc
+++ b/modules/decisions/upstream_table.cc
@@ -84,6 +84,11 @@
   return found == by_name_.end() ? nullptr : Find(found->second);
 }
 
+const UpstreamRow* UpstreamTable::FindByName(const std::string& name) const {
+  auto found = by_name_.find(name);
+  return found == by_name_.end() ? nullptr : Find(found->second);
+}
+
 void UpstreamTable::SetState(UpstreamId id, UpstreamState state) {
   UpstreamRow* row = Find(id);
   if (row == nullptr || row->state == state)
--- a/modules/decisions/upstream_table.h
+++ b/modules/decisions/upstream_table.h
@@ -99,6 +99,7 @@
 
   /** The row of a name, or null. */
   UpstreamRow* FindByName(const std::string& name);
+  const UpstreamRow* FindByName(const std::string& name) const;
 
   /** Changes the state and the index with it. */
   void SetState(UpstreamId id, UpstreamState state);
--- a/modules/serving/caller_front.cc
+++ b/modules/serving/caller_front.cc
@@ -319,7 +319,7 @@
       configuration.length_classes[spec.length_class].first_token_within;
   spec.fingerprint =
       StableHash(chat.value.prompt, StableHash(spec.account + spec.model));
-  spec.prefix_blocks = PrefixBlocksOf(chat.value.prompt, spec.prompt_tokens);
+  spec.prefix_blocks = PrefixBlocksOf(chat.value.prompt);
   spec.arrived = now;
   spec.deadline = DeadlineOf(request, *route, now);
 
--- a/modules/serving/chat_request.cc
+++ b/modules/serving/chat_request.cc
@@ -1,10 +1,7 @@
 #include "modules/serving/chat_request.h"
 
-#include <algorithm>
-
 #include "absl/strings/str_cat.h"
 #include "modules/core/hashing.h"
-#include "modules/decisions/request_table.h"
 #include "nlohmann/json.hpp"
 
 namespace chicory {
@@ -148,17 +145,13 @@
   return events + "data: [DONE]\n\n";
 }
 
-std::vector<uint64_t> PrefixBlocksOf(std::string_view prompt, int64_t tokens) {
+std::vector<uint64_t> PrefixBlocksOf(std::string_view prompt) {
   std::vector<uint64_t> blocks;
-  const double bytes_per_token =
-      static_cast<double>(prompt.size()) / static_cast<double>(tokens);
-  const size_t block_bytes = std::max<size_t>(
-      1, static_cast<size_t>(bytes_per_token * kPrefixBlockTokens));
   uint64_t hash = 0;
-  for (size_t begin = 0;
-       begin + block_bytes <= prompt.size() && blocks.size() < kMaxPrefixBlocks;
-       begin += block_bytes) {
-    hash = StableHash(prompt.substr(begin, block_bytes), hash);
+  for (size_t begin = 0; begin + kPrefixBlockBytes <= prompt.size() &&
+                         blocks.size() < kMaxPrefixBlocks;
+       begin += kPrefixBlockBytes) {
+    hash = StableHash(prompt.substr(begin, kPrefixBlockBytes), hash);
     blocks.push_back(hash);
   }
   return blocks;
--- a/modules/serving/chat_request.h
+++ b/modules/serving/chat_request.h
@@ -46,9 +46,12 @@
   std::string ToFinalEvents(bool with_usage) const;
 };
 
-/** Hashes of a prompt's prefixes in blocks, for placement. `tokens` is the
-    estimate of its length. */
-std::vector<uint64_t> PrefixBlocksOf(std::string_view prompt, int64_t tokens);
+/** Hashes of a prompt's prefixes in blocks of kPrefixBlockBytes, as engines
+   name them in their cache events. */
+std::vector<uint64_t> PrefixBlocksOf(std::string_view prompt);
+
+/** Bytes of one prefix block; about kPrefixBlockTokens. */
+inline constexpr size_t kPrefixBlockBytes = 2048;
 
 }  // namespace chicory
 
--- a/modules/serving/http_upstream_client.cc
+++ b/modules/serving/http_upstream_client.cc
@@ -363,6 +363,28 @@
   return Fail(ErrorCode::kUnavailable, "malformed load report");
 }
 
+Result<std::vector<UpstreamClient::CacheChange>>
+HttpUpstreamClient::CacheChanges(const std::string& address,
+                                 uint64_t sequence) {
+  auto client = connections_->Take(address);
+  BOOST_LEAF_AUTO(
+      json, ControlCall(client.get(), [&](auto* http) {
+        return http->Get(absl::StrCat("/v1/cache_events?after=", sequence));
+      }));
+  connections_->Return(address, std::move(client));
+  std::vector<CacheChange> changes;
+  try {
+    for (const auto& change : json) {
+      changes.push_back({.sequence = change.at(0).get<uint64_t>(),
+                         .block = change.at(1).get<uint64_t>(),
+                         .is_stored = change.at(2).get<bool>()});
+    }
+  } catch (const Json::exception& exception) {
+    return Fail(ErrorCode::kUnavailable, exception.what());
+  }
+  return changes;
+}
+
 Result<std::vector<std::string>> HttpUpstreamClient::Attempts(
     const std::string& address) {
   auto client = connections_->Take(address);
--- a/modules/serving/http_upstream_client.h
+++ b/modules/serving/http_upstream_client.h
@@ -31,6 +31,8 @@
   Result<void> Cancel(const std::string& address,
                       const std::string& attempt) override;
   Result<LoadReport> Load(const std::string& address) override;
+  Result<std::vector<CacheChange>> CacheChanges(const std::string& address,
+                                                uint64_t sequence) override;
   Result<std::vector<std::string>> Attempts(
       const std::string& address) override;
 
--- a/modules/serving/upstream_client.h
+++ b/modules/serving/upstream_client.h
@@ -109,6 +109,18 @@
   /** The load report. */
   virtual Result<LoadReport> Load(const std::string& address) = 0;
 
+  /** One change of an engine's prefix cache. */
+  struct CacheChange {
+    uint64_t sequence = 0;
+    uint64_t block = 0;
+    bool is_stored = true;
+  };
+
+  /** Changes of the prefix cache after `sequence`, oldest first. */
+  virtual Result<std::vector<CacheChange>> CacheChanges(
+      const std::string& address,
+      uint64_t sequence) = 0;
+
   /** Every attempt that holds memory. */
   virtual Result<std::vector<std::string>> Attempts(
       const std::string& address) = 0;
--- a/modules/serving/upstream_watcher.cc
+++ b/modules/serving/upstream_watcher.cc
@@ -148,6 +148,10 @@
     broker_->With([&](Dispatcher& dispatcher, absl::Time) {
       dispatcher.OnLoadReportFrom(engine->name, load.value);
     });
+    if (load.value.incarnation != engine->incarnation)
+      engine->cache_sequence = 0;
+    engine->incarnation = load.value.incarnation;
+    ReadCacheEvents(engine);
     return;
   }
   counters_->Add("chicory_load_poll_failures_total");
@@ -159,6 +163,24 @@
   LogEvent(Severity::kWarning, "upstream_silent", {{"upstream", engine->name}});
 }
 
+void UpstreamWatcher::ReadCacheEvents(Engine* engine) {
+  const auto changes = Capture([&] {
+    return client_->CacheChanges(engine->address, engine->cache_sequence);
+  });
+  if (!changes.ok || changes.value.empty())
+    return;
+  engine->cache_sequence = changes.value.back().sequence;
+  broker_->With([&](Dispatcher& dispatcher, absl::Time) {
+    const UpstreamRow* row = dispatcher.upstreams().FindByName(engine->name);
+    if (row == nullptr)
+      return;
+    for (const UpstreamClient::CacheChange& change : changes.value) {
+      dispatcher.OnCacheEvent(row->id, change.sequence, change.block,
+                              change.is_stored);
+    }
+  });
+}
+
 void UpstreamWatcher::RunSweeps() {
   while (!is_stopping_) {
     const std::vector<std::string> instances = links_.live_instances();
--- a/modules/serving/upstream_watcher.h
+++ b/modules/serving/upstream_watcher.h
@@ -62,6 +62,9 @@
     std::string name;
     std::string address;
     absl::Time next_poll = absl::InfinitePast();
+    uint64_t incarnation = 0;
+    /** The last cache event of this incarnation that was seen. */
+    uint64_t cache_sequence = 0;
   };
 
   void RunList();
@@ -69,6 +72,7 @@
   void RunSweeps();
   void ReadList();
   void PollLoad(Engine* engine);
+  void ReadCacheEvents(Engine* engine);
   void Sweep(const Engine& engine);
   std::vector<Engine> Engines() const;
   void Pause(absl::Duration wait) const;
--- a/stand_ins/engine_main.cc
+++ b/stand_ins/engine_main.cc
@@ -157,7 +157,7 @@
     job.answer_tokens = std::min(job.max_tokens, AnswerLength(prompt));
     job.resume_from = json.value("resume_from", int64_t{0});
     job.level = std::clamp(json.value("level", 0), 0, kPriorityLevels - 1);
-    job.prefix_blocks = PrefixBlocksOf(prompt, tokens);
+    job.prefix_blocks = PrefixBlocksOf(prompt);
     const bool crashes = absl::StrContains(prompt, kCrashMark);
     const auto channel = runtime_.Submit(job, crashes);
     if (channel == nullptr)
--- a/stand_ins/memory_object_store.cc
+++ b/stand_ins/memory_object_store.cc
@@ -35,10 +35,23 @@
   return writes_;
 }
 
+bool MemoryObjectStore::IsAway() {
+  if (faults_.calls_per_second > 0) {
+    const absl::Time now = absl::Now();
+    if (now - second_ >= absl::Seconds(1)) {
+      second_ = now;
+      calls_in_second_ = 0;
+    }
+    if (++calls_in_second_ > faults_.calls_per_second)
+      return true;
+  }
+  return faults_.down;
+}
+
 Result<StoredObject> MemoryObjectStore::Read(const std::string& key) {
   absl::MutexLock lock(&mutex_);
   ++reads_;
-  if (faults_.down)
+  if (IsAway())
     return Fail(ErrorCode::kUnavailable, "the object API is down");
   auto found = objects_.find(key);
   if (found == objects_.end())
@@ -53,7 +66,7 @@
                                           uint64_t expected_version) {
   absl::MutexLock lock(&mutex_);
   ++writes_;
-  if (faults_.down)
+  if (IsAway())
     return Fail(ErrorCode::kUnavailable, "the object API is down");
   if (value.size() > kMaxValueBytes)
     return Fail(ErrorCode::kInvalid, "the value is over a megabyte");
@@ -77,7 +90,7 @@
                                        uint64_t expected_version) {
   absl::MutexLock lock(&mutex_);
   ++writes_;
-  if (faults_.down)
+  if (IsAway())
     return Fail(ErrorCode::kUnavailable, "the object API is down");
   auto found = objects_.find(key);
   if (found == objects_.end())
@@ -94,6 +107,8 @@
   absl::MutexLock lock(&mutex_);
   ++reads_;
   const absl::Time until = absl::Now() + wait;
+  if (IsAway())
+    return Fail(ErrorCode::kUnavailable, "the object API is down");
   while (true) {
     if (faults_.down)
       return Fail(ErrorCode::kUnavailable, "the object API is down");
@@ -109,7 +124,7 @@
     const std::string& prefix) {
   absl::MutexLock lock(&mutex_);
   ++reads_;
-  if (faults_.down)
+  if (IsAway())
     return Fail(ErrorCode::kUnavailable, "the object API is down");
   std::vector<std::string> keys;
   for (const auto& [key, entry] : objects_) {
@@ -122,7 +137,7 @@
 Result<std::vector<InstanceRecord>> MemoryObjectStore::Instances() {
   absl::MutexLock lock(&mutex_);
   ++reads_;
-  if (faults_.down)
+  if (IsAway())
     return Fail(ErrorCode::kUnavailable, "the object API is down");
   std::vector<InstanceRecord> records;
   for (const auto& [name, record] : instances_)
--- a/stand_ins/memory_object_store.h
+++ b/stand_ins/memory_object_store.h
@@ -20,6 +20,9 @@
   int lose_answers = 0;
   /** Reads return the value before the last write. */
   bool stale_reads = false;
+  /** Calls served a second; beyond them calls fail without effect. 0 for no
+      cap. */
+  int calls_per_second = 0;
   /** Each call takes this long; applied by the server only. */
   absl::Duration delay = absl::ZeroDuration();
 };
@@ -53,6 +56,9 @@
   Result<std::vector<InstanceRecord>> Instances() override;
 
  private:
+  /** Whether the call is not served: an outage, or past the cap. */
+  bool IsAway() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
   /** The largest value, in bytes. */
   static constexpr size_t kMaxValueBytes = 1 << 20;
 
@@ -69,6 +75,9 @@
   uint64_t next_version_ ABSL_GUARDED_BY(mutex_) = 1;
   int64_t reads_ ABSL_GUARDED_BY(mutex_) = 0;
   int64_t writes_ ABSL_GUARDED_BY(mutex_) = 0;
+  /** The second that is counted for the cap, and its calls. */
+  absl::Time second_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  int calls_in_second_ ABSL_GUARDED_BY(mutex_) = 0;
 };
 
 }  // namespace chicory
--- a/stand_ins/object_api_main.cc
+++ b/stand_ins/object_api_main.cc
@@ -177,6 +177,7 @@
           {.down = json.value("down", false),
            .lose_answers = json.value("lose_answers", 0),
            .stale_reads = json.value("stale_reads", false),
+           .calls_per_second = json.value("calls_per_second", 0),
            .delay = absl::Milliseconds(json.value("delay_ms", 0))});
     });
     routes.Get("/calls", [this](const Request&, Response& response) {
