--- a/bench/baselines.cc
+++ b/bench/baselines.cc
@@ -80,12 +80,14 @@
 }
 
 Contender Shipped() {
-  return {"shipped", [] {
+  return {"shipped",
+          [] {
             Dispatcher::Options options;
             options.model_placement = std::make_unique<LengthAwarePlacement>();
             options.service_placement = std::make_unique<LeastBusyPlacement>();
             return options;
-          }};
+          },
+          /*detects_stalls=*/true};
 }
 
 Contender RoundRobin() {
--- a/bench/baselines.h
+++ b/bench/baselines.h
@@ -30,6 +30,8 @@
 struct Contender {
   std::string name;
   std::function<Dispatcher::Options()> make;
+  /** Off for baselines: a call waits for its first token until its deadline. */
+  bool detects_stalls = false;
 };
 
 /** The placement that ships, with its queues, levels and early refusal. */
--- a/bench/replay_main.cc
+++ b/bench/replay_main.cc
@@ -58,6 +58,7 @@
   options.has_gossip = false;
   options.polled_engines = polled_engines;
   options.make_dispatcher = contender.make;
+  options.detects_stalls = contender.detects_stalls;
   return options;
 }
 
--- a/modules/serving/once_runner.cc
+++ b/modules/serving/once_runner.cc
@@ -55,6 +55,15 @@
   return unsettled_.size();
 }
 
+std::string OnceRunner::TextToKeep(const OnceRecord& record) const {
+  if (record.body.size() <= options_.max_answer_bytes)
+    return record.ToJson();
+  OnceRecord kept = record;
+  kept.body.clear();
+  kept.body_omitted = true;
+  return kept.ToJson();
+}
+
 OnceRunner::Outcome OnceRunner::Run(const Request& request,
                                     const SendFunction& send) {
   const std::string object = ObjectOf(request.key);
@@ -70,7 +79,7 @@
       case OnceStep::kCreate:
       case OnceStep::kUpdate: {
         const auto written = Capture([&] {
-          return store_->Write(object, action.record.ToJson(),
+          return store_->Write(object, TextToKeep(action.record),
                                action.expected_version);
         });
         action = call.OnWritten(CodeOf(written.ok, written.error),
@@ -96,24 +105,6 @@
                            request.attempt, {});
         OnceRecord answer;
         const OnceSent sent = send(&answer);
-        if (answer.body.size() > options_.max_answer_bytes) {
-          OnceRecord kept = answer;
-          kept.body.clear();
-          kept.body_omitted = true;
-          action = call.OnSent(sent, kept, absl::Now());
-          // This caller still gets the whole of it.
-          if (action.step == OnceStep::kUpdate) {
-            const auto written = Capture([&] {
-              return store_->Write(object, action.record.ToJson(),
-                                   action.expected_version);
-            });
-            action = call.OnWritten(CodeOf(written.ok, written.error),
-                                    written.value, absl::Now());
-          }
-          action.record.body = answer.body;
-          action.record.body_omitted = false;
-          break;
-        }
         action = call.OnSent(sent, answer, absl::Now());
         break;
       }
@@ -122,15 +113,10 @@
     }
   }
   if (action.settle_later) {
-    OnceRecord record = action.record;
-    if (record.body.size() > options_.max_answer_bytes) {
-      record.body.clear();
-      record.body_omitted = true;
-    }
     absl::MutexLock lock(&mutex_);
     if (unsettled_.size() >= kMaxUnsettled)
       unsettled_.pop_front();
-    unsettled_.push_back({object, std::move(record)});
+    unsettled_.push_back({object, action.record});
   }
   if (action.reply == OnceReply::kReplay)
     time_line_->Record(absl::Now(), EventKind::kOnceReplayed, request.attempt,
@@ -154,7 +140,7 @@
   }
   // Created if nothing is there, so that a late claim of ours cannot land.
   const auto written = Capture([&] {
-    return store_->Write(entry.object, entry.record.ToJson(), version);
+    return store_->Write(entry.object, TextToKeep(entry.record), version);
   });
   return written.ok;
 }
--- a/modules/serving/once_runner.h
+++ b/modules/serving/once_runner.h
@@ -66,6 +66,8 @@
     OnceRecord record;
   };
 
+  /** The stored form of a record; an answer that is too large is left out. */
+  std::string TextToKeep(const OnceRecord& record) const;
   /** True when there is nothing left to do for `entry`. */
   bool TrySettle(const Unsettled& entry);
   void SettleLater();
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -242,9 +242,8 @@
 int Run(int argc, char** argv) {
   cxxopts::Options options("chicory_load", kPurpose);
   Arguments arguments;
-  options.add_options()("help", "Print this help")(
-      "version", "Print the version")("target", "Address to send to",
-                                      cxxopts::value(arguments.target))(
+  options.add_options()("target", "Address to send to",
+                        cxxopts::value(arguments.target))(
       "key", "Key of a client account", cxxopts::value(arguments.key))(
       "model", "Model to ask", cxxopts::value(arguments.model))(
       "direct", "The target is an engine", cxxopts::value(arguments.is_direct))(
@@ -258,20 +257,8 @@
                                               cxxopts::value(arguments.answer))(
       "retries", "Sendings again after a refusal or a break",
       cxxopts::value(arguments.retries));
-  try {
-    const auto parsed = options.parse(argc, argv);
-    if (parsed.count("help") != 0) {
-      std::cout << options.help();
-      return 0;
-    }
-    if (parsed.count("version") != 0) {
-      std::cout << "chicory_load " << kVersion << "\n";
-      return 0;
-    }
-  } catch (const std::exception& exception) {
-    std::cerr << "chicory_load: " << exception.what() << "; see --help\n";
-    return static_cast<int>(ExitCode::kUsage);
-  }
+  if (const auto code = ParseCommandLine(&options, "chicory_load", argc, argv))
+    return *code;
   if (arguments.target.empty()) {
     std::cerr << "chicory_load: --target is missing; see --help\n";
     return static_cast<int>(ExitCode::kUsage);
--- a/programs/program.cc
+++ b/programs/program.cc
@@ -11,6 +11,32 @@
 
 namespace chicory {
 
+std::optional<int> ParseCommandLine(cxxopts::Options* options,
+                                    const std::string& name,
+                                    int argc,
+                                    char** argv) {
+  options->add_options()("help", "Print this help")("version",
+                                                    "Print the version");
+  try {
+    const auto parsed = options->parse(argc, argv);
+    if (parsed.count("help") != 0) {
+      std::cout << options->help();
+      return static_cast<int>(ExitCode::kOk);
+    }
+    if (parsed.count("version") != 0) {
+      std::cout << name << " " << kVersion << "\n";
+      return static_cast<int>(ExitCode::kOk);
+    }
+    if (parsed.unmatched().empty())
+      return std::nullopt;
+    std::cerr << name << ": unknown argument `" << parsed.unmatched().front()
+              << "`; see --help\n";
+  } catch (const std::exception& exception) {
+    std::cerr << name << ": " << exception.what() << "; see --help\n";
+  }
+  return static_cast<int>(ExitCode::kUsage);
+}
+
 std::optional<CheckedRow> StartProgram(int argc,
                                        char** argv,
                                        const std::string& name,
@@ -20,37 +46,22 @@
   cxxopts::Options options(name, purpose);
   std::string config;
   std::vector<std::string> overrides;
-  options.add_options()("help", "Print this help")(
-      "version", "Print the version")("keys", "Print the settings' keys")(
-      "config", "Settings file", cxxopts::value(config))(
+  bool prints_keys = false;
+  options.add_options()("keys", "Print the settings' keys",
+                        cxxopts::value(prints_keys))("config", "Settings file",
+                                                     cxxopts::value(config))(
       "set", "A setting, key=value; may be repeated",
       cxxopts::value(overrides));
-  *exit_code = static_cast<int>(ExitCode::kUsage);
-  try {
-    const auto parsed = options.parse(argc, argv);
-    *exit_code = static_cast<int>(ExitCode::kOk);
-    if (parsed.count("help") != 0) {
-      std::cout << options.help();
-      return std::nullopt;
-    }
-    if (parsed.count("version") != 0) {
-      std::cout << name << " " << kVersion << "\n";
-      return std::nullopt;
-    }
-    if (parsed.count("keys") != 0) {
-      std::cout << SchemaChecker::ToMarkdown({settings});
-      return std::nullopt;
-    }
-    *exit_code = static_cast<int>(ExitCode::kUsage);
-    if (!parsed.unmatched().empty()) {
-      std::cerr << name << ": unknown argument `" << parsed.unmatched().front()
-                << "`; see --help\n";
-      return std::nullopt;
-    }
-  } catch (const std::exception& exception) {
-    std::cerr << name << ": " << exception.what() << "; see --help\n";
+  if (const auto code = ParseCommandLine(&options, name, argc, argv)) {
+    *exit_code = *code;
     return std::nullopt;
   }
+  *exit_code = static_cast<int>(ExitCode::kOk);
+  if (prints_keys) {
+    std::cout << SchemaChecker::ToMarkdown({settings});
+    return std::nullopt;
+  }
+  *exit_code = static_cast<int>(ExitCode::kUsage);
   Findings findings;
   auto row = Settings::Load(settings, config, overrides, &findings);
   if (!row) {
--- a/programs/program.h
+++ b/programs/program.h
@@ -3,10 +3,15 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "modules/config/schema.h"
 
+namespace cxxopts {
+class Options;
+}  // namespace cxxopts
+
 namespace chicory {
 
 /** Exit codes of every program. */
@@ -36,6 +41,13 @@
                                        const SectionRule& settings,
                                        int* exit_code);
 
+/** Parses the command line of a tool. `--help` and `--version`, which are added
+    here, and mistakes end the program: its exit code is returned. */
+std::optional<int> ParseCommandLine(cxxopts::Options* options,
+                                    const std::string& name,
+                                    int argc,
+                                    char** argv);
+
 /** Waits for SIGTERM or SIGINT. Call BlockStopSignals first, before any thread
     starts. */
 void WaitForStopSignal();
--- a/programs/publish/main.cc
+++ b/programs/publish/main.cc
@@ -249,9 +249,8 @@
 int Run(int argc, char** argv) {
   cxxopts::Options options("chicory_publish", kPurpose);
   Arguments arguments;
-  options.add_options()("help", "Print this help")(
-      "version", "Print the version")("command", "What to do",
-                                      cxxopts::value(arguments.command))(
+  options.add_options()("command", "What to do",
+                        cxxopts::value(arguments.command))(
       "files", "Folder that is searched", cxxopts::value(arguments.files))(
       "store", "Address of the object API", cxxopts::value(arguments.store))(
       "entry", "Operators' address of an instance; may be repeated",
@@ -260,20 +259,9 @@
                                          cxxopts::value(arguments.base))(
       "name", "Account or team of a secret", cxxopts::value(arguments.name));
   options.parse_positional({"command"});
-  try {
-    const auto parsed = options.parse(argc, argv);
-    if (parsed.count("help") != 0) {
-      std::cout << options.help();
-      return 0;
-    }
-    if (parsed.count("version") != 0) {
-      std::cout << "chicory_publish " << kVersion << "\n";
-      return 0;
-    }
-  } catch (const std::exception& exception) {
-    std::cerr << "chicory_publish: " << exception.what() << "; see --help\n";
-    return Code(ExitCode::kUsage);
-  }
+  if (const auto code =
+          ParseCommandLine(&options, "chicory_publish", argc, argv))
+    return *code;
   return RunCommand(arguments);
 }
 
--- a/programs/timeline/main.cc
+++ b/programs/timeline/main.cc
@@ -99,29 +99,17 @@
   std::vector<std::string> files;
   std::string request;
   bool as_json = false;
-  options.add_options()("help", "Print this help")(
-      "version", "Print the version")("from",
-                                      "Operators' address of a process; may be "
-                                      "repeated",
-                                      cxxopts::value(addresses))(
+  options.add_options()("from",
+                        "Operators' address of a process; may be "
+                        "repeated",
+                        cxxopts::value(addresses))(
       "file", "File of JSON lines; may be repeated", cxxopts::value(files))(
       "request", "Only events that name this request or attempt",
       cxxopts::value(request))("json", "Print JSON lines",
                                cxxopts::value(as_json));
-  try {
-    const auto parsed = options.parse(argc, argv);
-    if (parsed.count("help") != 0) {
-      std::cout << options.help();
-      return 0;
-    }
-    if (parsed.count("version") != 0) {
-      std::cout << "chicory_timeline " << kVersion << "\n";
-      return 0;
-    }
-  } catch (const std::exception& exception) {
-    std::cerr << "chicory_timeline: " << exception.what() << "; see --help\n";
-    return static_cast<int>(ExitCode::kUsage);
-  }
+  if (const auto code =
+          ParseCommandLine(&options, "chicory_timeline", argc, argv))
+    return *code;
   int exit_code = 0;
   std::vector<Event> events;
   for (const std::string& address : addresses) {
--- a/stand_ins/virtual_fleet.cc
+++ b/stand_ins/virtual_fleet.cc
@@ -485,6 +485,8 @@
 }
 
 void VirtualFleet::CheckStalls(Entry* entry) {
+  if (!options_.detects_stalls)
+    return;
   std::vector<std::pair<uint64_t, UpstreamId>> stalled;
   for (const auto& [sequence, running] : entry->running) {
     const bool is_group = running.upstreams.size() > 1;
--- a/stand_ins/virtual_fleet.h
+++ b/stand_ins/virtual_fleet.h
@@ -88,6 +88,8 @@
     absl::Duration resend_pause = absl::Seconds(1);
     /** Callers follow the advice on when to come back. */
     bool follows_retry_after = true;
+    /** Entries give up attempts whose upstream is silent for too long. */
+    bool detects_stalls = true;
     /** Entries notice callers that hung up. */
     bool cancels_on_hang_up = true;
     /** Entries talk to each other and sweep engines. */
