--- a/bench/baselines.cc
+++ b/bench/baselines.cc
@@ -101,12 +101,14 @@
 }
 
 Contender NaiveRetries() {
-  return {"naive retries", [] {
+  return {"naive retries",
+          [] {
             Dispatcher::Options options =
                 Baseline(std::make_unique<LeastLoadedPlacement>());
             options.limit_retries = false;
             return options;
-          }};
+          },
+          /*detects_stalls=*/true};
 }
 
 }  // namespace chicory
--- a/bench/baselines.h
+++ b/bench/baselines.h
@@ -30,7 +30,7 @@
 struct Contender {
   std::string name;
   std::function<Dispatcher::Options()> make;
-  /** Off for baselines: a call waits for its first token until its deadline. */
+  /** Off: a call waits for its first token until its deadline. */
   bool detects_stalls = false;
 };
 
@@ -43,7 +43,7 @@
 /** Least loaded on lagging reports, first come first served. */
 Contender LeastLoaded();
 
-/** Least loaded with unlimited retries at the entry. */
+/** Least loaded with time-outs and up to three attempts, without a budget. */
 Contender NaiveRetries();
 
 }  // namespace chicory
--- a/modules/decisions/dispatcher.cc
+++ b/modules/decisions/dispatcher.cc
@@ -58,7 +58,13 @@
 }
 
 UpstreamId Dispatcher::OnUpstreamSeen(const UpstreamRow& seen) {
-  return upstreams_.Upsert(seen);
+  const UpstreamRow* known = upstreams_.FindByName(seen.name);
+  const bool has_moved = known != nullptr && known->address != seen.address;
+  const UpstreamId id = upstreams_.Upsert(seen);
+  // Another address is another process: what left is not what is here now.
+  if (has_moved)
+    upstreams_.SetState(id, UpstreamState::kLive);
+  return id;
 }
 
 void Dispatcher::OnUpstreamState(const std::string& name, UpstreamState state) {
@@ -515,6 +521,10 @@
 void Dispatcher::Tick(absl::Time now,
                       absl::BitGenRef random,
                       std::vector<Command>* commands) {
+  if (now >= next_crash_expiry_) {
+    next_crash_expiry_ = now + CrashGuard::kMemory;
+    crash_guard_.Expire(now);
+  }
   RunTimers(now);
   RunPlacement(now, random);
   RefuseExcess();
--- a/modules/decisions/dispatcher.h
+++ b/modules/decisions/dispatcher.h
@@ -82,7 +82,7 @@
   UpstreamId OnUpstreamSeen(const UpstreamRow& seen);
 
   /** Someone said that an upstream is live, leaving or gone. Leaving and gone
-      hold until the upstream shows a new incarnation. */
+      hold until the upstream shows a new incarnation or another address. */
   void OnUpstreamState(const std::string& name, UpstreamState state);
 
   /** A load report came, alone or on an answer. */
@@ -201,6 +201,7 @@
   std::vector<Command> pending_;
   uint64_t next_attempt_ = 1;
   absl::Time next_queue_scan_ = absl::InfinitePast();
+  absl::Time next_crash_expiry_ = absl::InfinitePast();
 };
 
 }  // namespace chicory
--- a/modules/peers/peer_node.h
+++ b/modules/peers/peer_node.h
@@ -30,8 +30,9 @@
     absl::Duration period = GossipNode::kPeriod;
   };
 
-  /** What the process around this node provides. Called on the node's thread;
-      must not call back into the node. */
+  /** What the process around this node provides. Called on the node's thread,
+     or on that of the caller whose word brought the news. Of the node's
+     functions only Inspect may be called from here. */
   class Host {
    public:
     virtual ~Host() = default;
--- a/tests/logic/decisions_test.cc
+++ b/tests/logic/decisions_test.cc
@@ -161,6 +161,15 @@
     REQUIRE(command.upstreams.front() == bench.ids[1]);
 }
 
+TEST_CASE("another process under the name of one that left gets work") {
+  Bench bench(1);
+  bench.dispatcher->OnUpstreamState("engine0", UpstreamState::kLeaving);
+  bench.dispatcher->OnUpstreamSeen(
+      {.name = "engine0", .address = "another", .pool = "p", .models = {"m"}});
+  bench.dispatcher->OnArrival(Bench::Spec(1, 100), kStart);
+  REQUIRE(bench.Tick(kStart).front().kind == CommandKind::kStart);
+}
+
 TEST_CASE("a caller that hangs up leaves nothing behind") {
   Bench bench(2);
   bench.dispatcher->OnArrival(Bench::Spec(1), kStart);
