--- a/bench/replay_main.cc
+++ b/bench/replay_main.cc
@@ -218,11 +218,11 @@
   const double capacity = kEngines / (work / sample.size());
   std::vector<VirtualCall> calls;
   absl::Time at = Moment(absl::ZeroDuration());
-  const std::pair<absl::Duration, double> kPhases[] = {
+  const std::vector<std::pair<absl::Duration, double>> phases = {
       {storm.calm, storm.calm_load},
       {storm.storm, storm.storm_load},
       {storm.after, storm.calm_load}};
-  for (const auto& [length, load] : kPhases) {
+  for (const auto& [length, load] : phases) {
     mix.rate = load * capacity;
     mix.start = at;
     mix.length = length;
--- a/stand_ins/virtual_fleet.cc
+++ b/stand_ins/virtual_fleet.cc
@@ -20,7 +20,6 @@
 constexpr absl::Duration kStallCheck = absl::Milliseconds(100);
 constexpr absl::Duration kCancelPeriod = absl::Milliseconds(100);
 constexpr absl::Duration kSweepPeriod = absl::Seconds(2);
-constexpr absl::Duration kConnectTimeout = absl::Seconds(1);
 
 /** Calls name the request they belong to as `call/sending`. */
 constexpr uint64_t kSendingsPerCall = 1000;
@@ -360,7 +359,8 @@
   auto found = entry->requests.find(command.request);
   if (found == entry->requests.end())
     return;
-  const auto [index, sending] = found->second;
+  const size_t index = found->second.first;
+  const int sending = found->second.second;
   if (command.kind == CommandKind::kRefuse) {
     entry->requests.erase(found);
     const Refusal refusal = command.refusal;
@@ -858,7 +858,8 @@
   entry->is_alive = false;
   entry->inbox.clear();
   for (const auto& [request, where] : entry->requests) {
-    const auto [index, sending] = where;
+    const size_t index = where.first;
+    const int sending = where.second;
     At(now_ + options_.message_delay, [=, this] {
       if (records_[index].awaited == sending)
         OnSendingFailed(index, CallRecord::End::kBroken,
--- a/tests/logic/decisions_test.cc
+++ b/tests/logic/decisions_test.cc
@@ -301,8 +301,9 @@
       const auto at = absl::Uniform<size_t>(random, 0, pieces.size());
       switch (absl::Uniform(random, 0, 4)) {
         case 0:
-          pieces.insert(pieces.begin() + static_cast<int64_t>(at),
-                        {.attempt = "other", .index = 0, .text = "wrong"});
+          pieces.insert(
+              pieces.begin() + static_cast<int64_t>(at),
+              {.attempt = "other", .index = pieces[at].index, .text = "wrong"});
           break;
         case 1:
           pieces.insert(pieces.begin() + static_cast<int64_t>(at), pieces[at]);
