--- /dev/null
+++ b/modules/decisions/fleet_scheduler.cc
@@ -0,0 +1,506 @@
+#include "modules/decisions/fleet_scheduler.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <tuple>
+
+namespace chicory {
+
+namespace {
+
+/** Part of a request's value that is lost when its answer is late. */
+constexpr double kLateLoss = 0.75;
+/** Below this share of a limit an estimate is safe; the risk grows to certain
+    at kCertainShare. */
+constexpr double kSafeShare = 0.6;
+constexpr double kCertainShare = 1.05;
+/** Tokens of prompt and answer that double a request's value. */
+constexpr double kTokensPerValue = 8000;
+/** Time between the upstream and the caller, both ways and in queues. */
+constexpr absl::Duration kTransit = absl::Milliseconds(12);
+/** Numbers of engines that a prompt may be read by. */
+constexpr std::array<size_t, 9> kPartCounts = {1, 2, 3, 4, 6, 8, 10, 13, 16};
+/** A prompt that one engine reads faster is not split. */
+constexpr absl::Duration kSplitFrom = absl::Milliseconds(60);
+/** Cost of each further engine that takes part, in value. */
+constexpr double kPartCost = 0.004;
+/** Advantage of an engine for each stream that already writes there. */
+constexpr double kPackingBonus = 0.006;
+/** Share of its memory that an engine's requests may be expected to fill. */
+constexpr double kMemoryShare = 0.95;
+/** Requests at a plain service beyond its slots, as a share of the slots. */
+constexpr double kPlainOverflow = 0.5;
+/** Part of its value that a request which still has time avoids to lose by
+    waiting. */
+constexpr double kWaitAbove = 0.3;
+constexpr absl::Duration kFaultHalfLife = absl::Seconds(4);
+/** Faults at which an upstream is left alone for a while. */
+constexpr double kSuspendFaults = 2.5;
+constexpr absl::Duration kSuspension = absl::Milliseconds(1500);
+/** Cost of a recent fault, as a part of a request's value. */
+constexpr double kFaultCost = 0.3;
+constexpr absl::Duration kFullPause = absl::Milliseconds(100);
+/** Least time to ask again after a refusal. */
+constexpr absl::Duration kRetryAfter = absl::Milliseconds(500);
+
+/** Probability that something estimated as `time` exceeds `limit`. */
+double Risk(absl::Duration time, absl::Duration limit) {
+  if (limit == absl::InfiniteDuration())
+    return 0;
+  if (limit <= absl::ZeroDuration())
+    return 1;
+  const double share = absl::FDivDuration(time, limit);
+  return std::clamp((share - kSafeShare) / (kCertainShare - kSafeShare), 0.0,
+                    1.0);
+}
+
+}  // namespace
+
+double RequestValue(int64_t prompt_tokens, int64_t output_tokens) {
+  return 1 +
+         static_cast<double>(prompt_tokens + output_tokens) / kTokensPerValue;
+}
+
+void FleetScheduler::SetUpstreams(
+    const std::vector<SchedulerUpstream>& upstreams) {
+  for (auto& [key, state] : upstreams_)
+    state.eligible = false;
+  for (const SchedulerUpstream& upstream : upstreams) {
+    UpstreamState& state = upstreams_[upstream.key];
+    state.info = upstream;
+    state.eligible = true;
+  }
+  std::erase_if(upstreams_, [](const auto& entry) {
+    return !entry.second.eligible && entry.second.loads.empty();
+  });
+}
+
+void FleetScheduler::SetEngine(const std::string& service,
+                               const EngineProfile& engine) {
+  engines_[service] = engine;
+}
+
+void FleetScheduler::Submit(const WorkRequest& request) {
+  if (running_.contains(request.key))
+    return;
+  waiting_.emplace(request.key, request);
+}
+
+void FleetScheduler::Adopt(const RunningWork& work, absl::Time now) {
+  const WorkRequest& request = work.request;
+  if (running_.contains(request.key))
+    return;
+  waiting_.erase(request.key);
+  auto found = upstreams_.find(work.upstream);
+  if (found == upstreams_.end())
+    return;
+  Choice choice{.upstreams = {&found->second}};
+  Place(request, choice, now);
+  if (work.answering)
+    OnFirstPart(request.key, now);
+}
+
+void FleetScheduler::OnFirstPart(WorkKey key, absl::Time now) {
+  auto found = running_.find(key);
+  if (found == running_.end() || found->second.answering)
+    return;
+  Placement& placement = found->second;
+  placement.answering = true;
+  for (UpstreamKey upstream : placement.upstreams) {
+    auto state = upstreams_.find(upstream);
+    if (state == upstreams_.end())
+      continue;
+    std::erase_if(state->second.loads, [&](const Load& load) {
+      return load.key == key && load.is_part;
+    });
+    bool reading = false;
+    for (Load& load : state->second.loads) {
+      if (load.key == key)
+        load.answering = true;
+      reading |= !load.answering;
+    }
+    if (!reading)
+      state->second.read_until = std::min(state->second.read_until, now);
+  }
+}
+
+void FleetScheduler::RemoveLoads(WorkKey key, const Placement& placement) {
+  for (UpstreamKey upstream : placement.upstreams) {
+    auto state = upstreams_.find(upstream);
+    if (state == upstreams_.end())
+      continue;
+    std::erase_if(state->second.loads,
+                  [&](const Load& load) { return load.key == key; });
+    if (state->second.loads.empty()) {
+      state->second.read_until = absl::InfinitePast();
+      if (!state->second.eligible)
+        upstreams_.erase(state);
+    }
+  }
+}
+
+void FleetScheduler::OnEnded(WorkKey key,
+                             SendResult result,
+                             UpstreamKey fault_at,
+                             absl::Time now) {
+  auto found = running_.find(key);
+  if (found == running_.end()) {
+    waiting_.erase(key);
+    return;
+  }
+  const Placement placement = std::move(found->second);
+  running_.erase(found);
+  RemoveLoads(key, placement);
+  const UpstreamKey blamed =
+      fault_at != 0 ? fault_at : placement.upstreams.front();
+  auto state = upstreams_.find(blamed);
+  if (state == upstreams_.end())
+    return;
+  switch (result) {
+    case SendResult::kDone:
+      state->second.faults = FaultsNow(state->second, now) / 2;
+      state->second.faults_at = now;
+      break;
+    case SendResult::kFull:
+      state->second.suspended_until =
+          std::max(state->second.suspended_until, now + kFullPause);
+      break;
+    case SendResult::kFault:
+      AddFault(blamed, 1, now);
+      break;
+    case SendResult::kCancelled:
+      break;
+  }
+}
+
+void FleetScheduler::Forget(WorkKey key) {
+  OnEnded(key, SendResult::kCancelled, 0, absl::InfinitePast());
+}
+
+void FleetScheduler::SetPace(UpstreamKey upstream, double pace) {
+  auto found = upstreams_.find(upstream);
+  if (found != upstreams_.end())
+    found->second.pace = std::max(pace, 0.1);
+}
+
+std::vector<WorkKey> FleetScheduler::KeysOf(uint32_t owner) const {
+  std::vector<WorkKey> keys;
+  for (const auto& [key, request] : waiting_) {
+    if (key.owner == owner)
+      keys.push_back(key);
+  }
+  for (const auto& [key, placement] : running_) {
+    if (key.owner == owner)
+      keys.push_back(key);
+  }
+  std::sort(keys.begin(), keys.end());
+  return keys;
+}
+
+int FleetScheduler::RunningAt(UpstreamKey upstream) const {
+  auto found = upstreams_.find(upstream);
+  if (found == upstreams_.end())
+    return 0;
+  const std::vector<Load>& loads = found->second.loads;
+  return static_cast<int>(
+      std::count_if(loads.begin(), loads.end(),
+                    [](const Load& load) { return !load.is_part; }));
+}
+
+const EngineProfile* FleetScheduler::EngineOf(
+    const std::string& service) const {
+  auto found = engines_.find(service);
+  return found == engines_.end() ? nullptr : &found->second;
+}
+
+double FleetScheduler::FaultsNow(const UpstreamState& upstream,
+                                 absl::Time now) const {
+  if (upstream.faults <= 0)
+    return 0;
+  const double halves = std::max(
+      0.0, absl::FDivDuration(now - upstream.faults_at, kFaultHalfLife));
+  return upstream.faults * std::exp2(-halves);
+}
+
+void FleetScheduler::AddFault(UpstreamKey key, double amount, absl::Time now) {
+  auto found = upstreams_.find(key);
+  if (found == upstreams_.end())
+    return;
+  UpstreamState& state = found->second;
+  state.faults = FaultsNow(state, now) + amount;
+  state.faults_at = now;
+  if (state.faults >= kSuspendFaults)
+    state.suspended_until = now + kSuspension;
+}
+
+bool FleetScheduler::IsUsable(const UpstreamState& upstream,
+                              const WorkRequest& request,
+                              absl::Time now) const {
+  if (!upstream.eligible || upstream.info.service != request.service)
+    return false;
+  return upstream.suspended_until <= now;
+}
+
+FleetScheduler::Estimate FleetScheduler::EstimateRead(
+    const EngineProfile& engine,
+    UpstreamState* upstream,
+    absl::Duration read,
+    int64_t context_tokens,
+    absl::Time now) const {
+  int64_t context = context_tokens;
+  int writers = context_tokens > 0 ? 1 : 0;
+  int others = 0;
+  for (const Load& load : upstream->loads) {
+    if (load.is_part)
+      continue;
+    ++writers;
+    ++others;
+    context += load.tokens;
+  }
+  const absl::Duration base =
+      PassTime(engine, writers, context) * upstream->pace;
+  const absl::Duration backlog =
+      std::max(upstream->read_until - now, absl::ZeroDuration());
+  const absl::Duration own_read = read * upstream->pace;
+  const absl::Duration begin =
+      others > 0 ? std::max(backlog, base / 2) : backlog;
+  Estimate estimate{.upstream = upstream,
+                    .first_part = begin + own_read + base + kTransit,
+                    .pass = base + backlog + own_read,
+                    .writers = others};
+  const absl::Duration pass_before = base + backlog;
+  for (const Load& load : upstream->loads) {
+    if (load.is_part)
+      continue;
+    double added =
+        Risk(estimate.pass, load.event_gap) - Risk(pass_before, load.event_gap);
+    if (!load.answering && load.due > now) {
+      const absl::Duration wait = std::max(load.expected - now, pass_before);
+      added +=
+          Risk(wait + own_read, load.due - now) - Risk(wait, load.due - now);
+    }
+    estimate.harm += std::clamp(added, 0.0, 1.0) * load.value * kLateLoss;
+  }
+  return estimate;
+}
+
+FleetScheduler::Choice FleetScheduler::ChooseParts(
+    const EngineProfile& engine,
+    const WorkRequest& request,
+    const std::vector<UpstreamState*>& usable,
+    size_t parts,
+    absl::Time now) const {
+  const double value =
+      RequestValue(request.prompt_tokens, request.output_tokens);
+  const absl::Duration read =
+      ReadTime(engine, request.prompt_tokens) / static_cast<double>(parts);
+  const int64_t needed = request.prompt_tokens + request.output_tokens;
+  struct Ranked {
+    Estimate estimate;
+    double cost;
+    bool can_lead;
+  };
+  std::vector<Ranked> ranked;
+  for (UpstreamState* upstream : usable) {
+    int64_t held = 0;
+    int count = 0;
+    for (const Load& load : upstream->loads) {
+      if (load.is_part)
+        continue;
+      held += load.tokens;
+      ++count;
+    }
+    const bool can_lead =
+        count < upstream->info.slots &&
+        static_cast<double>(held + needed) <=
+            kMemoryShare * static_cast<double>(engine.memory_tokens);
+    if (!can_lead && parts == 1)
+      continue;
+    Estimate estimate =
+        EstimateRead(engine, upstream, read, can_lead ? needed : 0, now);
+    double cost = estimate.harm;
+    cost += Risk(estimate.first_part, request.due - now) * value * kLateLoss;
+    cost += std::min(FaultsNow(*upstream, now), 2.0) * kFaultCost * value;
+    if (parts == 1)
+      cost -= kPackingBonus * estimate.writers;
+    ranked.push_back({estimate, cost, can_lead});
+  }
+  Choice choice;
+  if (ranked.size() < parts)
+    return choice;
+  std::stable_sort(
+      ranked.begin(), ranked.end(),
+      [](const Ranked& a, const Ranked& b) { return a.cost < b.cost; });
+  size_t lead = 0;
+  while (lead < ranked.size() && !ranked[lead].can_lead)
+    ++lead;
+  if (lead == ranked.size())
+    return choice;
+  choice.upstreams.push_back(ranked[lead].estimate.upstream);
+  choice.first_part = ranked[lead].estimate.first_part;
+  choice.harm = ranked[lead].estimate.harm;
+  absl::Duration pass = ranked[lead].estimate.pass;
+  double bonus = parts == 1 ? kPackingBonus * ranked[lead].estimate.writers : 0;
+  double faults = FaultsNow(*ranked[lead].estimate.upstream, now);
+  for (size_t i = 0; i < ranked.size() && choice.upstreams.size() < parts;
+       ++i) {
+    if (i == lead)
+      continue;
+    choice.upstreams.push_back(ranked[i].estimate.upstream);
+    choice.first_part =
+        std::max(choice.first_part, ranked[i].estimate.first_part);
+    choice.harm += ranked[i].estimate.harm;
+    faults += FaultsNow(*ranked[i].estimate.upstream, now);
+  }
+  choice.cost = choice.harm - bonus +
+                Risk(choice.first_part, request.due - now) * value * kLateLoss +
+                Risk(pass, request.event_gap) * value * kLateLoss / 4 +
+                std::min(faults, 2.0) * kFaultCost * value +
+                kPartCost * static_cast<double>(parts);
+  return choice;
+}
+
+FleetScheduler::Choice FleetScheduler::ChooseEngines(
+    const EngineProfile& engine,
+    const WorkRequest& request,
+    absl::Time now) {
+  std::vector<UpstreamState*> usable;
+  for (auto& [key, state] : upstreams_) {
+    if (!IsUsable(state, request, now))
+      continue;
+    if (std::find(request.avoid.begin(), request.avoid.end(), key) !=
+        request.avoid.end())
+      continue;
+    usable.push_back(&state);
+  }
+  const bool may_split = ReadTime(engine, request.prompt_tokens) > kSplitFrom;
+  Choice best;
+  for (size_t parts : kPartCounts) {
+    if (parts > 1 && (!may_split || parts > usable.size()))
+      break;
+    Choice choice = ChooseParts(engine, request, usable, parts, now);
+    if (choice.upstreams.empty())
+      continue;
+    if (best.upstreams.empty() || choice.cost < best.cost)
+      best = std::move(choice);
+  }
+  return best;
+}
+
+FleetScheduler::Choice FleetScheduler::ChoosePlain(const WorkRequest& request,
+                                                   absl::Time now) {
+  Choice best;
+  std::tuple<bool, double, UpstreamKey> best_rank;
+  for (auto& [key, state] : upstreams_) {
+    if (!IsUsable(state, request, now))
+      continue;
+    const double slots = std::max(state.info.slots, 1);
+    const double running = static_cast<double>(state.loads.size());
+    if (running >= slots * (1 + kPlainOverflow))
+      continue;
+    const bool tried = std::find(request.avoid.begin(), request.avoid.end(),
+                                 key) != request.avoid.end();
+    const double load = running / slots + FaultsNow(state, now);
+    const std::tuple<bool, double, UpstreamKey> rank(tried, load, key);
+    if (!best.upstreams.empty() && best_rank <= rank)
+      continue;
+    best_rank = rank;
+    best.upstreams = {&state};
+    best.first_part = absl::ZeroDuration();
+  }
+  return best;
+}
+
+bool FleetScheduler::ShouldWait(const WorkRequest& request,
+                                const Choice& choice,
+                                absl::Time now) const {
+  if (choice.upstreams.empty())
+    return true;
+  const double value =
+      RequestValue(request.prompt_tokens, request.output_tokens);
+  const bool is_late = now + choice.first_part > request.due;
+  if (is_late)
+    return choice.harm > (1 - kLateLoss) * value &&
+           now + choice.first_part * 2 < request.deadline;
+  // It still has time: others' loss is not worth it yet.
+  const bool has_time = now + choice.first_part * 1.3 < request.due;
+  return has_time && choice.cost > kWaitAbove * value;
+}
+
+void FleetScheduler::Place(const WorkRequest& request,
+                           const Choice& choice,
+                           absl::Time now) {
+  Placement placement{.request = request};
+  const EngineProfile* engine = EngineOf(request.service);
+  const double parts = static_cast<double>(choice.upstreams.size());
+  const absl::Duration read =
+      engine ? ReadTime(*engine, request.prompt_tokens) / parts
+             : absl::ZeroDuration();
+  for (size_t i = 0; i < choice.upstreams.size(); ++i) {
+    UpstreamState& state = *choice.upstreams[i];
+    placement.upstreams.push_back(state.info.key);
+    state.loads.push_back(
+        {.key = request.key,
+         .is_part = i > 0,
+         .tokens = i > 0 ? 0 : request.prompt_tokens + request.output_tokens,
+         .due = request.due,
+         .expected = now + choice.first_part,
+         .event_gap = request.event_gap,
+         .value = RequestValue(request.prompt_tokens, request.output_tokens)});
+    state.read_until = std::max(state.read_until, now) + read * state.pace;
+  }
+  running_[request.key] = std::move(placement);
+}
+
+std::vector<WorkKey> FleetScheduler::InOrder(absl::Time now) const {
+  using Rank = std::tuple<bool, int, absl::Time, WorkKey>;
+  std::vector<Rank> ranks;
+  for (const auto& [key, request] : waiting_) {
+    const EngineProfile* engine = EngineOf(request.service);
+    const absl::Duration read =
+        engine ? ReadTime(*engine, request.prompt_tokens) /
+                     static_cast<double>(kPartCounts.back())
+               : absl::ZeroDuration();
+    const absl::Time latest_start = request.due - read;
+    ranks.emplace_back(latest_start < now, request.priority, latest_start, key);
+  }
+  std::sort(ranks.begin(), ranks.end());
+  std::vector<WorkKey> keys;
+  for (const Rank& rank : ranks)
+    keys.push_back(std::get<WorkKey>(rank));
+  return keys;
+}
+
+std::vector<ScheduleDecision> FleetScheduler::Run(absl::Time now) {
+  std::vector<ScheduleDecision> decisions;
+  if (waiting_.empty())
+    return decisions;
+  for (WorkKey key : InOrder(now)) {
+    const WorkRequest request = waiting_.at(key);
+    const EngineProfile* engine = EngineOf(request.service);
+    const bool is_prompt = engine != nullptr && request.prompt_tokens > 0;
+    if (request.deadline <= now) {
+      waiting_.erase(key);
+      decisions.push_back({.kind = ScheduleDecision::Kind::kRefuse,
+                           .key = key,
+                           .retry_after = kRetryAfter});
+      continue;
+    }
+    Choice choice = is_prompt ? ChooseEngines(*engine, request, now)
+                              : ChoosePlain(request, now);
+    if (ShouldWait(request, choice, now))
+      continue;
+    Place(request, choice, now);
+    waiting_.erase(key);
+    ScheduleDecision decision{.key = key,
+                              .upstream = choice.upstreams.front()->info.key,
+                              .expected = choice.first_part};
+    for (size_t i = 1; i < choice.upstreams.size(); ++i)
+      decision.helpers.push_back(choice.upstreams[i]->info.key);
+    decisions.push_back(std::move(decision));
+  }
+  return decisions;
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/decisions/fleet_scheduler.h
@@ -0,0 +1,230 @@
+#ifndef MODULES_DECISIONS_FLEET_SCHEDULER_H_
+#define MODULES_DECISIONS_FLEET_SCHEDULER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "modules/decisions/engine_timing.h"
+
+namespace chicory {
+
+/** Names one placement of a request over all instances. */
+struct WorkKey {
+  /** The instance that holds the request, by its IPv4 address. */
+  uint32_t owner = 0;
+  /** Unique within the owner's incarnation and beyond it. */
+  uint64_t sequence = 0;
+
+  friend bool operator==(WorkKey a, WorkKey b) {
+    return a.owner == b.owner && a.sequence == b.sequence;
+  }
+  friend bool operator<(WorkKey a, WorkKey b) {
+    return std::pair(a.owner, a.sequence) < std::pair(b.owner, b.sequence);
+  }
+  template <class H>
+  friend H AbslHashValue(H state, WorkKey key) {
+    return H::combine(std::move(state), key.owner, key.sequence);
+  }
+};
+
+/** An upstream by the stable hash of its id. */
+using UpstreamKey = uint64_t;
+
+/** A request that asks for an upstream. */
+struct WorkRequest {
+  WorkKey key;
+  std::string service;
+  /** 0 for requests that no model engine serves. */
+  int64_t prompt_tokens = 0;
+  int64_t output_tokens = 0;
+  /** The first part of the answer is on time until then. */
+  absl::Time due;
+  /** Nothing is of use after it. */
+  absl::Time deadline;
+  /** Longest pause between events that is on time. */
+  absl::Duration event_gap = absl::InfiniteDuration();
+  /** 0 goes first. */
+  int priority = 0;
+  /** Upstreams that already failed or refused it. */
+  std::vector<UpstreamKey> avoid;
+};
+
+/** An upstream as the scheduler needs it. */
+struct SchedulerUpstream {
+  UpstreamKey key = 0;
+  std::string service;
+  int slots = 1;
+};
+
+/** How one send ended, for the scheduler's view of the upstream. */
+enum class SendResult {
+  kDone,
+  /** The upstream said that it is full. */
+  kFull,
+  /** Reset, garbled, silent or answered with an error. */
+  kFault,
+  /** Ended for reasons of the caller or of this side. */
+  kCancelled,
+};
+
+/** What the scheduler decided. */
+struct ScheduleDecision {
+  enum class Kind { kAssign, kRefuse };
+  Kind kind = Kind::kAssign;
+  WorkKey key;
+  UpstreamKey upstream = 0;
+  /** Engines that read parts of the prompt, beside `upstream`. */
+  std::vector<UpstreamKey> helpers;
+  /** For refusals: when it is worth asking again. */
+  absl::Duration retry_after = absl::ZeroDuration();
+  /** Estimated time to the first part of the answer. */
+  absl::Duration expected = absl::ZeroDuration();
+};
+
+/** A placement that runs, as its owner tells it to a new scheduler. */
+struct RunningWork {
+  WorkRequest request;
+  UpstreamKey upstream = 0;
+  bool answering = false;
+};
+
+/** Decides which upstreams serve which requests, and in which order requests
+    wait, for load that swings between many short prompts and few very long
+    ones.
+
+    Short prompts share as few engines as keep their first event and their
+    pauses on time, so that others are free to read. A long prompt is read in
+    parts by as many engines as cost the streams there the least. What would
+    be late everywhere waits here, where it can still be reordered, and what can
+    no longer be served is refused. One instance runs it for all; each instance
+    keeps one of its own for when it reaches no other. Not thread-safe.
+
+    Reads and changes its tables of upstreams, waiting and running work in
+    Run; nothing else calls out. */
+class FleetScheduler {
+ public:
+  /** Replaces the upstreams that may get new work. Work at others goes on. */
+  void SetUpstreams(const std::vector<SchedulerUpstream>& upstreams);
+  /** Sets the published speed of a service's engines. */
+  void SetEngine(const std::string& service, const EngineProfile& engine);
+
+  /** Takes in a request. Repeats of a key are ignored. */
+  void Submit(const WorkRequest& request);
+  /** Takes in work that another scheduler or the owner placed. */
+  void Adopt(const RunningWork& work, absl::Time now);
+  /** The first part of the answer has come. */
+  void OnFirstPart(WorkKey key, absl::Time now);
+  /** The send ended; `fault_at` names another upstream that is to blame, 0 for
+      none. Unknown keys are ignored. */
+  void OnEnded(WorkKey key,
+               SendResult result,
+               UpstreamKey fault_at,
+               absl::Time now);
+  /** The owner no longer holds the request. */
+  void Forget(WorkKey key);
+  /** The upstream's own measure of its slowness; 1 is the published speed. */
+  void SetPace(UpstreamKey upstream, double pace);
+
+  /** Decides what can be decided now. */
+  std::vector<ScheduleDecision> Run(absl::Time now);
+
+  bool IsWaiting(WorkKey key) const { return waiting_.contains(key); }
+  bool IsRunning(WorkKey key) const { return running_.contains(key); }
+  /** Keys of an owner that wait or run. */
+  std::vector<WorkKey> KeysOf(uint32_t owner) const;
+  size_t waiting() const { return waiting_.size(); }
+  size_t running() const { return running_.size(); }
+  /** Requests that run at an upstream, for tests and metrics. */
+  int RunningAt(UpstreamKey upstream) const;
+
+ private:
+  /** A request, or a part of its prompt, at one upstream. */
+  struct Load {
+    WorkKey key;
+    bool is_part = false;
+    bool answering = false;
+    int64_t tokens = 0;
+    absl::Time due;
+    absl::Time expected;
+    absl::Duration event_gap;
+    double value = 0;
+  };
+  struct UpstreamState {
+    SchedulerUpstream info;
+    bool eligible = true;
+    std::vector<Load> loads;
+    /** When the prompts read there now are expected to be read. */
+    absl::Time read_until = absl::InfinitePast();
+    double pace = 1;
+    /** Recent faults, fading with kFaultHalfLife. */
+    double faults = 0;
+    absl::Time faults_at = absl::InfinitePast();
+    absl::Time suspended_until = absl::InfinitePast();
+  };
+  struct Placement {
+    WorkRequest request;
+    std::vector<UpstreamKey> upstreams;
+    bool answering = false;
+  };
+  /** What placing a read of some length on one engine would do. */
+  struct Estimate {
+    UpstreamState* upstream = nullptr;
+    /** Value that others there would lose. */
+    double harm = 0;
+    absl::Duration first_part;
+    absl::Duration pass;
+    int writers = 0;
+  };
+  struct Choice {
+    std::vector<UpstreamState*> upstreams;
+    double cost = 0;
+    double harm = 0;
+    absl::Duration first_part = absl::InfiniteDuration();
+  };
+
+  const EngineProfile* EngineOf(const std::string& service) const;
+  bool IsUsable(const UpstreamState& upstream,
+                const WorkRequest& request,
+                absl::Time now) const;
+  double FaultsNow(const UpstreamState& upstream, absl::Time now) const;
+  void AddFault(UpstreamKey key, double amount, absl::Time now);
+  Estimate EstimateRead(const EngineProfile& engine,
+                        UpstreamState* upstream,
+                        absl::Duration read,
+                        int64_t context_tokens,
+                        absl::Time now) const;
+  Choice ChooseParts(const EngineProfile& engine,
+                     const WorkRequest& request,
+                     const std::vector<UpstreamState*>& usable,
+                     size_t parts,
+                     absl::Time now) const;
+  Choice ChooseEngines(const EngineProfile& engine,
+                       const WorkRequest& request,
+                       absl::Time now);
+  Choice ChoosePlain(const WorkRequest& request, absl::Time now);
+  bool ShouldWait(const WorkRequest& request,
+                  const Choice& choice,
+                  absl::Time now) const;
+  void Place(const WorkRequest& request, const Choice& choice, absl::Time now);
+  void RemoveLoads(WorkKey key, const Placement& placement);
+  std::vector<WorkKey> InOrder(absl::Time now) const;
+
+  /** Ordered, so that a run depends on nothing but its inputs. */
+  std::map<UpstreamKey, UpstreamState> upstreams_;
+  absl::flat_hash_map<std::string, EngineProfile> engines_;
+  absl::flat_hash_map<WorkKey, WorkRequest> waiting_;
+  absl::flat_hash_map<WorkKey, Placement> running_;
+};
+
+/** What a request is worth to its caller, relative to a tiny one: long prompts
+    are rarer and their callers have waited longer. */
+double RequestValue(int64_t prompt_tokens, int64_t output_tokens);
+
+}  // namespace chicory
+
+#endif  // MODULES_DECISIONS_FLEET_SCHEDULER_H_
--- /dev/null
+++ b/modules/decisions/instance_roster.cc
@@ -0,0 +1,80 @@
+#include "modules/decisions/instance_roster.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "modules/core/hashing.h"
+
+namespace chicory {
+
+namespace {
+
+uint64_t Rank(InstanceIp ip) {
+  return StableHash(
+      std::string_view(reinterpret_cast<const char*>(&ip), sizeof(ip)));
+}
+
+}  // namespace
+
+void InstanceRoster::OnHeard(InstanceIp ip,
+                             absl::Time now,
+                             absl::Duration age) {
+  if (ip == self_ || age >= kGoneAfter)
+    return;
+  Row& row = rows_[ip];
+  row.heard = std::max(row.heard, now - age);
+}
+
+void InstanceRoster::OnHeardDirectly(InstanceIp ip, absl::Time now) {
+  if (ip == self_)
+    return;
+  Row& row = rows_[ip];
+  row.heard = now;
+  row.suspected_until = absl::InfinitePast();
+}
+
+void InstanceRoster::Suspect(InstanceIp ip, absl::Time now) {
+  auto found = rows_.find(ip);
+  if (found != rows_.end())
+    found->second.suspected_until = now + kSuspicion;
+}
+
+void InstanceRoster::Remove(InstanceIp ip) {
+  rows_.erase(ip);
+}
+
+std::vector<InstanceRoster::Member> InstanceRoster::Members(
+    absl::Time now) const {
+  std::vector<Member> members;
+  for (const auto& [ip, row] : rows_) {
+    if (now - row.heard >= kGoneAfter)
+      continue;
+    members.push_back({.ip = ip, .age = now - row.heard});
+  }
+  return members;
+}
+
+std::vector<InstanceIp> InstanceRoster::SchedulerOrder(absl::Time now,
+                                                       size_t count) const {
+  std::vector<std::pair<uint64_t, InstanceIp>> ranked = {{Rank(self_), self_}};
+  for (const auto& [ip, row] : rows_) {
+    if (now - row.heard >= kGoneAfter || row.suspected_until > now)
+      continue;
+    ranked.emplace_back(Rank(ip), ip);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<InstanceIp> order;
+  for (const auto& [rank, ip] : ranked) {
+    if (order.size() == count)
+      break;
+    order.push_back(ip);
+  }
+  return order;
+}
+
+size_t InstanceRoster::LiveCount(absl::Time now) const {
+  return Members(now).size() + 1;
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/decisions/instance_roster.h
@@ -0,0 +1,64 @@
+#ifndef MODULES_DECISIONS_INSTANCE_ROSTER_H_
+#define MODULES_DECISIONS_INSTANCE_ROSTER_H_
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "absl/time/time.h"
+
+namespace chicory {
+
+/** An instance by its IPv4 address, in host order. */
+using InstanceIp = uint32_t;
+
+/** The instances that are believed to be alive, and the order in which they
+    are asked to schedule.
+
+    All instances order the live ones by the same hash, so that with equal
+    beliefs they agree on the first without a message. Not thread-safe. */
+class InstanceRoster {
+ public:
+  /** An instance that nobody has heard for this long is taken as gone. */
+  static constexpr absl::Duration kGoneAfter = absl::Milliseconds(3000);
+  /** How long an instance that did not answer is passed over. */
+  static constexpr absl::Duration kSuspicion = absl::Seconds(2);
+
+  explicit InstanceRoster(InstanceIp self) : self_(self) {}
+
+  /** `ip` was heard `age` before `now`, directly or by another instance. */
+  void OnHeard(InstanceIp ip, absl::Time now, absl::Duration age);
+  /** `ip` itself was heard; ends a suspicion. */
+  void OnHeardDirectly(InstanceIp ip, absl::Time now);
+  /** `ip` left a request unanswered. */
+  void Suspect(InstanceIp ip, absl::Time now);
+  /** `ip` said that it is leaving. */
+  void Remove(InstanceIp ip);
+
+  /** Live instances other than this one, with the age of the last news. */
+  struct Member {
+    InstanceIp ip = 0;
+    absl::Duration age;
+  };
+  std::vector<Member> Members(absl::Time now) const;
+
+  /** Up to `count` instances to ask for scheduling, first choice first, this
+      one included. */
+  std::vector<InstanceIp> SchedulerOrder(absl::Time now, size_t count) const;
+
+  /** Live instances, this one included. */
+  size_t LiveCount(absl::Time now) const;
+
+ private:
+  struct Row {
+    absl::Time heard = absl::InfinitePast();
+    absl::Time suspected_until = absl::InfinitePast();
+  };
+
+  InstanceIp self_;
+  std::map<InstanceIp, Row> rows_;
+};
+
+}  // namespace chicory
+
+#endif  // MODULES_DECISIONS_INSTANCE_ROSTER_H_
--- /dev/null
+++ b/modules/gateway/gateway.cc
@@ -0,0 +1,323 @@
+#include "modules/gateway/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "modules/gateway/request_run.h"
+#include "modules/net/loop_time.h"
+
+namespace chicory {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+/** Tick interval while nothing waits or runs. */
+constexpr absl::Duration kIdleTick = absl::Milliseconds(250);
+constexpr absl::Duration kHousekeeping = absl::Seconds(1);
+/** A newer configuration elsewhere makes this instance ask at most so often. */
+constexpr absl::Duration kRefreshInterval = absl::Milliseconds(500);
+/** How long a stopping instance still takes new connections: the balancer asks
+    once a second and takes an instance out after two misses. */
+constexpr absl::Duration kBalancerGrace = absl::Milliseconds(2600);
+constexpr absl::Duration kStopPoll = absl::Milliseconds(50);
+/** Left of the stop time when the last requests are given up. */
+constexpr absl::Duration kStopMargin = absl::Milliseconds(300);
+constexpr size_t kMaxSideConnections = 64;
+
+/** Answers a request at once. */
+class ImmediateHandler : public HttpHandler {
+ public:
+  using Answer = std::function<std::pair<int, std::string>(const HttpRequest&)>;
+  explicit ImmediateHandler(Answer answer) : answer_(std::move(answer)) {}
+  void Start(HttpRequest request, AnswerSink* sink) override {
+    const auto [status, body] = answer_(request);
+    sink->SendWhole(status, {}, body);
+  }
+  void OnCallerLeft() override {}
+
+ private:
+  Answer answer_;
+};
+
+}  // namespace
+
+class Gateway::CallerSite : public HttpServer::Site {
+ public:
+  explicit CallerSite(Gateway* gateway) : gateway_(gateway) {}
+  std::shared_ptr<HttpHandler> NewHandler() override {
+    return std::make_shared<RequestRun>(&gateway_->state_);
+  }
+  HttpServer::Limits limits() const override {
+    const CallerLimits limits = gateway_->state_.table
+                                    ? gateway_->state_.table->limits()
+                                    : CallerLimits();
+    return {.parser = {.max_header_bytes = limits.max_header_bytes,
+                       .max_body_bytes = limits.max_body_bytes},
+            .header_timeout = limits.header_timeout,
+            .idle_timeout = limits.idle_timeout};
+  }
+
+ private:
+  Gateway* gateway_;
+};
+
+class Gateway::ReadySite : public HttpServer::Site {
+ public:
+  explicit ReadySite(Gateway* gateway) : gateway_(gateway) {}
+  std::shared_ptr<HttpHandler> NewHandler() override {
+    return std::make_shared<ImmediateHandler>([this](const HttpRequest&) {
+      return std::pair(gateway_->IsReady() ? kOk : kUnavailable, std::string());
+    });
+  }
+  HttpServer::Limits limits() const override { return {}; }
+
+ private:
+  Gateway* gateway_;
+};
+
+class Gateway::OperatorSite : public HttpServer::Site {
+ public:
+  explicit OperatorSite(Gateway* gateway) : gateway_(gateway) {}
+  std::shared_ptr<HttpHandler> NewHandler() override {
+    return std::make_shared<ImmediateHandler>(
+        [this](const HttpRequest& request) {
+          if (request.path() != "/metrics")
+            return std::pair(kNotFound, std::string());
+          return std::pair(kOk, gateway_->Metrics());
+        });
+  }
+  HttpServer::Limits limits() const override { return {}; }
+
+ private:
+  Gateway* gateway_;
+};
+
+Gateway::Gateway(boost::asio::io_context& loop,
+                 Options options,
+                 const WireCodec& codec,
+                 EventLog& log,
+                 GatewaySource* source)
+    : loop_(loop),
+      options_(std::move(options)),
+      source_(source),
+      log_(log),
+      placement_({.self = options_.peers.ip,
+                  .seeds = options_.seeds,
+                  .first_sequence = options_.first_sequence},
+                 this,
+                 this),
+      state_{.loop = loop,
+             .codec = codec,
+             .log = log,
+             .counters = counters_,
+             .table = nullptr,
+             .upstreams = {},
+             .pool = UpstreamPool(loop),
+             .retries = RetryWindow(options_.retries),
+             .crashes = CrashGuard(options_.instance),
+             .placement = &placement_,
+             .runs = {},
+             .random = std::minstd_rand(
+                 static_cast<unsigned>(options_.first_sequence)),
+             .on_waiting = [this] { HastenTick(); }},
+      caller_site_(std::make_unique<CallerSite>(this)),
+      ready_site_(std::make_unique<ReadySite>(this)),
+      operator_site_(std::make_unique<OperatorSite>(this)),
+      callers_(loop, caller_site_.get(), options_.max_connections),
+      ready_(loop, ready_site_.get(), kMaxSideConnections),
+      operators_(loop, operator_site_.get(), kMaxSideConnections),
+      peers_(loop,
+             [this](Endpoint sender, absl::string_view bytes) {
+               const auto message = DecodePeerMessage(bytes);
+               if (message && message->sender == sender.ip)
+                 placement_.OnMessage(*message, SteadyNow());
+               HastenTick();
+             }),
+      tick_(loop),
+      stop_timer_(loop) {}
+
+Gateway::~Gateway() = default;
+
+Result<void> Gateway::Start() {
+  BOOST_LEAF_CHECK(peers_.Open(options_.peers));
+  BOOST_LEAF_CHECK(ready_.Listen(options_.ready));
+  BOOST_LEAF_CHECK(operators_.Listen(options_.operators));
+  BOOST_LEAF_CHECK(callers_.Listen(options_.callers));
+  source_->Start(this);
+  Tick();
+  return {};
+}
+
+bool Gateway::IsReady() const {
+  return state_.table && has_upstreams_ &&
+         stop_began_ == absl::InfiniteFuture();
+}
+
+void Gateway::OnConfiguration(RoutingTable::Options options) {
+  const uint64_t known = state_.table ? state_.table->version() : 0;
+  if (options.version <= known) {
+    log_.WriteDetail("configuration_ignored",
+                     {{"version", options.version}, {"in_force", known}});
+    return;
+  }
+  state_.table = std::make_shared<const RoutingTable>(std::move(options));
+  placement_.SetConfigurationVersion(state_.table->version());
+  for (const Service& service : state_.table->services()) {
+    if (service.engine)
+      placement_.SetEngine(service.name, *service.engine);
+  }
+  log_.Write("configuration_in_force",
+             {{"version", state_.table->version()},
+              {"before", known},
+              {"routes", state_.table->routes().size()}});
+}
+
+void Gateway::TellUpstreams() {
+  has_upstreams_ = true;
+  placement_.SetUpstreams(state_.upstreams.Ready());
+}
+
+void Gateway::OnUpstreams(const std::vector<UpstreamRecord>& upstreams,
+                          bool after_outage) {
+  state_.upstreams.Replace(upstreams, after_outage, SteadyNow());
+  log_.Write("upstreams_listed", {{"listed", upstreams.size()},
+                                  {"held", state_.upstreams.size()},
+                                  {"after_outage", after_outage ? 1 : 0}});
+  TellUpstreams();
+}
+
+void Gateway::OnUpstreamChanges(const std::vector<UpstreamChange>& changes,
+                                bool after_outage) {
+  for (const UpstreamChange& change : changes) {
+    const UpstreamRecord& record = change.record;
+    if (change.removed)
+      state_.upstreams.Remove(record.id, after_outage, SteadyNow());
+    else
+      state_.upstreams.Put(record);
+    const bool ready = record.state == UpstreamState::kReady;
+    log_.Write("upstream_changed", {{"upstream", record.id},
+                                    {"service", record.service},
+                                    {"state", change.removed ? "gone"
+                                              : ready        ? "ready"
+                                                             : "draining"}});
+  }
+  TellUpstreams();
+}
+
+void Gateway::OnSourceReachable(const std::string& source,
+                                bool reachable,
+                                const std::string& reason) {
+  log_.Write(reachable ? "source_regained" : "source_lost",
+             {{"source", source}, {"reason", reason}});
+}
+
+void Gateway::OnUnreadable(const std::string& what, const std::string& reason) {
+  log_.Write("input_unreadable", {{"what", what}, {"reason", reason}});
+}
+
+void Gateway::Send(InstanceIp to, const PeerMessage& message) {
+  peers_.Send({.ip = to, .port = options_.peers.port},
+              EncodePeerMessage(message));
+}
+
+void Gateway::OnDecision(const ScheduleDecision& decision,
+                         InstanceIp scheduler) {
+  auto found = state_.runs.find(decision.key);
+  if (found == state_.runs.end())
+    return;
+  (void)scheduler;
+  found->second->OnDecision(decision);
+}
+
+void Gateway::OnNewerConfiguration(uint64_t version) {
+  const absl::Time now = SteadyNow();
+  if (now - refreshed_ < kRefreshInterval)
+    return;
+  refreshed_ = now;
+  log_.Write("configuration_behind_peer",
+             {{"version", version},
+              {"in_force", state_.table ? state_.table->version() : 0}});
+  source_->RefreshConfiguration();
+}
+
+void Gateway::SetSeeds(const std::vector<InstanceIp>& seeds) {
+  placement_.SetSeeds(seeds);
+}
+
+void Gateway::ArmTick() {
+  tick_is_soon_ = placement_.IsBusy();
+  const absl::Duration wait = tick_is_soon_ ? PlacementNode::kTick : kIdleTick;
+  tick_.expires_after(absl::ToChronoNanoseconds(wait));
+  tick_.async_wait([this](const boost::system::error_code& error) {
+    if (!error)
+      Tick();
+  });
+}
+
+void Gateway::HastenTick() {
+  if (!tick_is_soon_ && placement_.IsBusy())
+    ArmTick();
+}
+
+void Gateway::Tick() {
+  const absl::Time now = SteadyNow();
+  if (state_.upstreams.Expire(now))
+    TellUpstreams();
+  placement_.Tick(now);
+  if (now >= next_housekeeping_) {
+    next_housekeeping_ = now + kHousekeeping;
+    state_.pool.Expire(now);
+    state_.crashes.Expire(now);
+  }
+  ArmTick();
+}
+
+std::string Gateway::Metrics() const {
+  const absl::Time now = SteadyNow();
+  return absl::StrCat(
+      counters_.Exposition(), "chicory_requests_in_flight ", state_.runs.size(),
+      "\nchicory_live_instances ", placement_.LiveInstances(now),
+      "\nchicory_scheduler_waiting ", placement_.scheduler().waiting(),
+      "\nchicory_scheduler_running ", placement_.scheduler().running(),
+      "\nchicory_configuration_version ",
+      state_.table ? state_.table->version() : 0, "\nchicory_upstreams ",
+      state_.upstreams.size(), "\nchicory_log_lines_dropped_total ",
+      log_.dropped(), "\n");
+}
+
+void Gateway::BeginStop(std::function<void()> done) {
+  if (stop_began_ != absl::InfiniteFuture())
+    return;
+  stop_began_ = SteadyNow();
+  stopped_ = std::move(done);
+  callers_.BeginDrain();
+  placement_.Leave(stop_began_);
+  log_.Write("stopping", {{"in_flight", state_.runs.size()},
+                          {"connections", callers_.connections()}});
+  ContinueStop();
+}
+
+void Gateway::ContinueStop() {
+  const absl::Duration since = SteadyNow() - stop_began_;
+  if (since >= kBalancerGrace) {
+    callers_.StopAccepting();
+    callers_.CloseIdle();
+  }
+  const bool drained = since >= kBalancerGrace && callers_.connections() == 0;
+  if (drained || since >= options_.stop_within - kStopMargin) {
+    log_.Write("stopped", {{"in_flight", state_.runs.size()},
+                           {"connections", callers_.connections()}});
+    stopped_();
+    return;
+  }
+  stop_timer_.expires_after(absl::ToChronoNanoseconds(kStopPoll));
+  stop_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error)
+      ContinueStop();
+  });
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/gateway/gateway.h
@@ -0,0 +1,117 @@
+#ifndef MODULES_GATEWAY_GATEWAY_H_
+#define MODULES_GATEWAY_GATEWAY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "modules/core/error.h"
+#include "modules/gateway/gateway_inputs.h"
+#include "modules/gateway/gateway_state.h"
+#include "modules/net/datagram_socket.h"
+#include "modules/net/http_server.h"
+
+namespace chicory {
+
+/** One instance that takes callers' requests to upstreams on one event loop.
+
+    It listens for callers, for the balancer's question whether it is ready, and
+    for operators, follows its source, and talks to the other instances. All
+    its methods belong to the loop's thread. */
+class Gateway : public GatewayInputs,
+                public PlacementNode::Transport,
+                public PlacementNode::Listener {
+ public:
+  struct Options {
+    Endpoint callers;
+    Endpoint ready;
+    Endpoint operators;
+    /** For datagrams of the other instances; they use the same port. */
+    Endpoint peers;
+    std::vector<InstanceIp> seeds;
+    size_t max_connections = 1000;
+    RetryWindow::Options retries;
+    /** From a stop signal to the end of the process, at most. */
+    absl::Duration stop_within = absl::Seconds(8);
+    std::string instance;
+    uint64_t first_sequence = 1;
+  };
+
+  Gateway(boost::asio::io_context& loop,
+          Options options,
+          const WireCodec& codec,
+          EventLog& log,
+          GatewaySource* source);
+  ~Gateway() override;
+
+  /** Opens the listeners and follows the source. */
+  Result<void> Start();
+  /** Leaves the balancer, finishes what is under way, then calls `done`. */
+  void BeginStop(std::function<void()> done);
+  /** Replaces the instances that are asked first. */
+  void SetSeeds(const std::vector<InstanceIp>& seeds);
+
+  uint16_t callers_port() const { return callers_.port(); }
+  uint16_t ready_port() const { return ready_.port(); }
+  uint16_t operators_port() const { return operators_.port(); }
+
+  void OnConfiguration(RoutingTable::Options options) override;
+  void OnUpstreams(const std::vector<UpstreamRecord>& upstreams,
+                   bool after_outage) override;
+  void OnUpstreamChanges(const std::vector<UpstreamChange>& changes,
+                         bool after_outage) override;
+  void OnSourceReachable(const std::string& source,
+                         bool reachable,
+                         const std::string& reason) override;
+  void OnUnreadable(const std::string& what,
+                    const std::string& reason) override;
+
+  void Send(InstanceIp to, const PeerMessage& message) override;
+  void OnDecision(const ScheduleDecision& decision,
+                  InstanceIp scheduler) override;
+  void OnNewerConfiguration(uint64_t version) override;
+
+ private:
+  class CallerSite;
+  class ReadySite;
+  class OperatorSite;
+
+  bool IsReady() const;
+  std::string Metrics() const;
+  void TellUpstreams();
+  void Tick();
+  void ArmTick();
+  /** Makes the next tick come soon if requests wait. */
+  void HastenTick();
+  void ContinueStop();
+
+  boost::asio::io_context& loop_;
+  Options options_;
+  GatewaySource* source_;
+  EventLog& log_;
+  Counters counters_;
+  PlacementNode placement_;
+  GatewayState state_;
+  std::unique_ptr<CallerSite> caller_site_;
+  std::unique_ptr<ReadySite> ready_site_;
+  std::unique_ptr<OperatorSite> operator_site_;
+  HttpServer callers_;
+  HttpServer ready_;
+  HttpServer operators_;
+  DatagramSocket peers_;
+  boost::asio::steady_timer tick_;
+  bool tick_is_soon_ = false;
+  boost::asio::steady_timer stop_timer_;
+  absl::Time next_housekeeping_ = absl::InfinitePast();
+  absl::Time refreshed_ = absl::InfinitePast();
+  bool has_upstreams_ = false;
+  std::function<void()> stopped_;
+  absl::Time stop_began_ = absl::InfiniteFuture();
+};
+
+}  // namespace chicory
+
+#endif  // MODULES_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/modules/net/http_caller.cc
@@ -0,0 +1,84 @@
+#include "modules/net/http_caller.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace chicory {
+
+HttpCaller::HttpCaller(boost::asio::io_context& loop, Endpoint server)
+    : loop_(loop), server_(server), timer_(loop) {}
+
+HttpCaller::~HttpCaller() {
+  Cancel();
+}
+
+void HttpCaller::SetServer(Endpoint server) {
+  if (server == server_)
+    return;
+  server_ = server;
+  if (!is_busy())
+    Cancel();
+}
+
+void HttpCaller::Call(const std::string& method,
+                      const std::string& target,
+                      const std::string& body,
+                      absl::Duration timeout,
+                      Done done) {
+  done_ = std::move(done);
+  body_.clear();
+  if (!connection_ || !connection_->IsReusable() ||
+      !(connection_->peer() == server_)) {
+    if (connection_)
+      connection_->Close();
+    connection_ = std::make_shared<HttpClientConnection>(loop_, server_);
+  }
+  std::string request =
+      absl::StrCat(method, " ", target,
+                   " HTTP/1.1\r\nHost: ", EndpointText(server_), "\r\n");
+  if (!body.empty()) {
+    absl::StrAppend(&request, "Content-Type: application/json\r\n",
+                    "Content-Length: ", body.size(), "\r\n");
+  }
+  absl::StrAppend(&request, "\r\n", body);
+  timer_.expires_after(absl::ToChronoNanoseconds(timeout));
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error || !is_busy())
+      return;
+    connection_->Close();
+    Finish({});
+  });
+  connection_->Exchange(std::move(request), false, this);
+}
+
+void HttpCaller::Cancel() {
+  done_ = nullptr;
+  timer_.cancel();
+  if (connection_)
+    connection_->Close();
+  connection_.reset();
+}
+
+void HttpCaller::OnResponse(HttpResponseParser& parser) {
+  body_.append(parser.TakeBody());
+  if (parser.state() != ParseState::kComplete)
+    return;
+  Finish({.answered = true,
+          .status = parser.head().status,
+          .body = std::move(body_)});
+}
+
+void HttpCaller::OnFailure(HttpClientConnection::Failure) {
+  Finish({});
+}
+
+void HttpCaller::Finish(CallOutcome outcome) {
+  timer_.cancel();
+  connection_->Detach();
+  Done done = std::exchange(done_, nullptr);
+  if (done)
+    done(std::move(outcome));
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/net/http_caller.h
@@ -0,0 +1,60 @@
+#ifndef MODULES_NET_HTTP_CALLER_H_
+#define MODULES_NET_HTTP_CALLER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/time/time.h"
+#include "modules/net/http_client_connection.h"
+
+namespace chicory {
+
+/** How a call ended. */
+struct CallOutcome {
+  /** A whole response came; otherwise the call may or may not have arrived. */
+  bool answered = false;
+  int status = 0;
+  std::string body;
+};
+
+/** Makes one call after another to one server over a kept connection. Belongs
+    to the event loop's thread. */
+class HttpCaller : private HttpClientConnection::Listener {
+ public:
+  using Done = std::function<void(CallOutcome)>;
+
+  HttpCaller(boost::asio::io_context& loop, Endpoint server);
+  ~HttpCaller() override;
+
+  /** Calls; `done` runs from the loop, once, unless Cancel comes before it.
+      One call at a time. `body` is JSON, or empty. */
+  void Call(const std::string& method,
+            const std::string& target,
+            const std::string& body,
+            absl::Duration timeout,
+            Done done);
+  /** Ends the call under way and the connection, without a callback. */
+  void Cancel();
+  /** Changes the server from the next call on. */
+  void SetServer(Endpoint server);
+  bool is_busy() const { return done_ != nullptr; }
+
+ private:
+  void OnResponse(HttpResponseParser& parser) override;
+  void OnFailure(HttpClientConnection::Failure failure) override;
+  void Finish(CallOutcome outcome);
+
+  boost::asio::io_context& loop_;
+  Endpoint server_;
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<HttpClientConnection> connection_;
+  std::string body_;
+  Done done_;
+};
+
+}  // namespace chicory
+
+#endif  // MODULES_NET_HTTP_CALLER_H_
--- /dev/null
+++ b/modules/net/http_message.cc
@@ -0,0 +1,212 @@
+#include "modules/net/http_message.h"
+
+#include <array>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+namespace chicory {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/** Bytes of a response's head; engines send a few hundred. */
+constexpr uint32_t kMaxResponseHeadBytes = 64 << 10;
+
+constexpr std::array<absl::string_view, 9> kHopByHop = {
+    "connection",          "keep-alive", "proxy-connection",
+    "proxy-authenticate",  "te",         "trailer",
+    "proxy-authorization", "upgrade",    "transfer-encoding"};
+
+std::string ToString(boost::beast::string_view text) {
+  return std::string(text.data(), text.size());
+}
+
+template <class Fields>
+HttpHeaders CopyHeaders(const Fields& fields) {
+  HttpHeaders headers;
+  for (const auto& field : fields)
+    headers.Add(ToString(field.name_string()), ToString(field.value()));
+  return headers;
+}
+
+}  // namespace
+
+absl::string_view HttpHeaders::Find(absl::string_view name) const {
+  for (const auto& [key, value] : fields_) {
+    if (absl::EqualsIgnoreCase(key, name))
+      return value;
+  }
+  // Not a null view, which some functions treat unlike an empty text.
+  return "";
+}
+
+bool HttpHeaders::Has(absl::string_view name) const {
+  for (const auto& [key, value] : fields_) {
+    if (absl::EqualsIgnoreCase(key, name))
+      return true;
+  }
+  return false;
+}
+
+bool IsHopByHop(absl::string_view name, absl::string_view connection) {
+  for (absl::string_view known : kHopByHop) {
+    if (absl::EqualsIgnoreCase(name, known))
+      return true;
+  }
+  for (absl::string_view token : absl::StrSplit(connection, ',')) {
+    if (absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(token), name))
+      return true;
+  }
+  return false;
+}
+
+absl::string_view HttpRequest::path() const {
+  return absl::string_view(target).substr(0, target.find('?'));
+}
+
+std::string HttpReason(int status) {
+  return ToString(http::obsolete_reason(
+      http::int_to_status(static_cast<unsigned>(status))));
+}
+
+struct HttpRequestParser::Impl {
+  http::request_parser<http::string_body> parser;
+};
+
+HttpRequestParser::HttpRequestParser(Options options)
+    : options_(options), impl_(std::make_unique<Impl>()) {
+  impl_->parser.header_limit(static_cast<uint32_t>(options_.max_header_bytes));
+  impl_->parser.body_limit(options_.max_body_bytes);
+  impl_->parser.eager(true);
+}
+
+HttpRequestParser::~HttpRequestParser() = default;
+
+size_t HttpRequestParser::Feed(absl::string_view bytes) {
+  size_t used = 0;
+  while (state_ == ParseState::kNeedMore && used < bytes.size()) {
+    started_ = true;
+    boost::beast::error_code error;
+    size_t taken = impl_->parser.put(
+        boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
+    used += taken;
+    if (error == http::error::need_more)
+      break;
+    if (error) {
+      state_ = ParseState::kBad;
+      if (error == http::error::header_limit)
+        error_status_ = 431;
+      else if (error == http::error::body_limit)
+        error_status_ = 413;
+      return used;
+    }
+    if (impl_->parser.is_done())
+      state_ = ParseState::kComplete;
+    else if (taken == 0)
+      break;
+  }
+  return used;
+}
+
+bool HttpRequestParser::awaits_body() const {
+  return impl_->parser.is_header_done() && !impl_->parser.is_done();
+}
+
+bool HttpRequestParser::expects_continue() const {
+  if (!impl_->parser.is_header_done())
+    return false;
+  return absl::EqualsIgnoreCase(
+      ToString(impl_->parser.get()[http::field::expect]), "100-continue");
+}
+
+HttpRequest HttpRequestParser::Take() {
+  auto& message = impl_->parser.get();
+  return {.method = ToString(message.method_string()),
+          .target = ToString(message.target()),
+          .headers = CopyHeaders(message.base()),
+          .body = std::move(message.body()),
+          .keep_alive = message.keep_alive()};
+}
+
+struct HttpResponseParser::Impl {
+  std::optional<http::response_parser<http::string_body>> parser;
+};
+
+HttpResponseParser::HttpResponseParser(bool head_only)
+    : head_only_(head_only), impl_(std::make_unique<Impl>()) {
+  impl_->parser.emplace();
+  impl_->parser->header_limit(kMaxResponseHeadBytes);
+  impl_->parser->body_limit(boost::none);
+  impl_->parser->eager(true);
+  impl_->parser->skip(head_only_);
+}
+
+HttpResponseParser::~HttpResponseParser() = default;
+
+size_t HttpResponseParser::Feed(absl::string_view bytes) {
+  size_t used = 0;
+  while (state_ == ParseState::kNeedMore && used < bytes.size()) {
+    started_ = true;
+    boost::beast::error_code error;
+    size_t taken = impl_->parser->put(
+        boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
+    used += taken;
+    if (error && error != http::error::need_more) {
+      state_ = ParseState::kBad;
+      return used;
+    }
+    if (!has_head_ && impl_->parser->is_header_done()) {
+      const auto& message = impl_->parser->get();
+      const int status = static_cast<int>(message.result_int());
+      if (status < 200) {
+        impl_->parser.emplace();
+        impl_->parser->header_limit(kMaxResponseHeadBytes);
+        impl_->parser->body_limit(boost::none);
+        impl_->parser->eager(true);
+        impl_->parser->skip(head_only_);
+        continue;
+      }
+      has_head_ = true;
+      head_ = {.status = status,
+               .reason = ToString(message.reason()),
+               .headers = CopyHeaders(message.base()),
+               .keep_alive = message.keep_alive()};
+    }
+    if (impl_->parser->is_done())
+      state_ = ParseState::kComplete;
+    else if (error == http::error::need_more || taken == 0)
+      break;
+  }
+  return used;
+}
+
+void HttpResponseParser::FeedEnd() {
+  if (state_ != ParseState::kNeedMore)
+    return;
+  boost::beast::error_code error;
+  impl_->parser->put_eof(error);
+  const bool whole = !error && has_head_ && impl_->parser->is_done();
+  state_ = whole ? ParseState::kComplete : ParseState::kBad;
+}
+
+bool HttpResponseParser::ends_with_connection() const {
+  return has_head_ && impl_->parser->need_eof();
+}
+
+std::string HttpResponseParser::TakeBody() {
+  if (!has_head_)
+    return {};
+  std::string body = std::move(impl_->parser->get().body());
+  impl_->parser->get().body().clear();
+  return body;
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/net/http_server.cc
@@ -0,0 +1,95 @@
+#include "modules/net/http_server.h"
+
+#include <sys/socket.h>
+
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "modules/net/http_server_connection.h"
+
+namespace chicory {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** Pause after an accept that failed, as for want of descriptors. */
+constexpr std::chrono::milliseconds kAcceptPause(50);
+
+}  // namespace
+
+HttpServer::HttpServer(asio::io_context& loop,
+                       Site* site,
+                       size_t max_connections)
+    : loop_(loop),
+      site_(site),
+      max_connections_(max_connections),
+      acceptor_(loop),
+      accept_timer_(loop) {}
+
+HttpServer::~HttpServer() = default;
+
+Result<void> HttpServer::Listen(Endpoint address) {
+  const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(address.ip),
+                                         address.port);
+  boost::system::error_code error;
+  acceptor_.open(endpoint.protocol(), error);
+  if (!error)
+    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error)
+    acceptor_.bind(endpoint, error);
+  if (!error)
+    acceptor_.listen(SOMAXCONN, error);
+  if (error) {
+    return Fail(ErrorCode::kUnavailable,
+                absl::StrCat("cannot listen on ", EndpointText(address), ": ",
+                             error.message()));
+  }
+  port_ = acceptor_.local_endpoint(error).port();
+  Accept();
+  return {};
+}
+
+void HttpServer::Accept() {
+  acceptor_.async_accept([this](const boost::system::error_code& error,
+                                asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted)
+      return;
+    if (error) {
+      AcceptLater();
+      return;
+    }
+    if (connections_.size() < max_connections_) {
+      auto connection =
+          std::make_shared<HttpServerConnection>(std::move(socket), this);
+      connections_.insert(connection);
+      connection->Start();
+    }
+    Accept();
+  });
+}
+
+void HttpServer::AcceptLater() {
+  accept_timer_.expires_after(kAcceptPause);
+  accept_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error)
+      Accept();
+  });
+}
+
+void HttpServer::StopAccepting() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void HttpServer::CloseIdle() {
+  const std::vector<std::shared_ptr<HttpServerConnection>> all(
+      connections_.begin(), connections_.end());
+  for (const auto& connection : all) {
+    if (connection->IsIdle())
+      connection->Close();
+  }
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/net/http_server_connection.cc
@@ -0,0 +1,279 @@
+#include "modules/net/http_server_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+
+namespace chicory {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** How long a closing connection still reads what the caller sends, so that
+    the answer is not lost to a reset. */
+constexpr absl::Duration kLinger = absl::Seconds(1);
+
+constexpr char kInterimAnswer[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+}  // namespace
+
+HttpServerConnection::HttpServerConnection(asio::ip::tcp::socket socket,
+                                           HttpServer* server)
+    : socket_(std::move(socket)),
+      server_(server),
+      timer_(socket_.get_executor()) {}
+
+HttpServerConnection::~HttpServerConnection() = default;
+
+void HttpServerConnection::Start() {
+  SetKeepAliveOptions(socket_.native_handle());
+  NextRequest();
+}
+
+bool HttpServerConnection::IsIdle() const {
+  return !handler_ && unsent_.empty() && sending_.empty() &&
+         !(parser_ && parser_->started());
+}
+
+void HttpServerConnection::NextRequest() {
+  const HttpServer::Limits limits = server_->site_->limits();
+  handler_.reset();
+  parser_.emplace(limits.parser);
+  answered_ = false;
+  streaming_ = false;
+  continued_ = false;
+  ArmTimer(limits.idle_timeout);
+  ParseUnread();
+}
+
+void HttpServerConnection::Read() {
+  if (reading_ || closed_ || unread_.size() > kMaxReadAhead)
+    return;
+  reading_ = true;
+  socket_.async_read_some(
+      asio::buffer(bytes_),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  size_t count) {
+        self->reading_ = false;
+        self->OnBytes(error, count);
+      });
+}
+
+void HttpServerConnection::OnBytes(const boost::system::error_code& error,
+                                   size_t count) {
+  if (closed_)
+    return;
+  if (error) {
+    Close();
+    return;
+  }
+  if (lingering_) {
+    Read();
+    return;
+  }
+  unread_.append(bytes_.data(), count);
+  if (handler_)
+    Read();
+  else
+    ParseUnread();
+}
+
+void HttpServerConnection::ParseUnread() {
+  if (!unread_.empty()) {
+    const bool was_started = parser_->started();
+    unread_.erase(0, parser_->Feed(unread_));
+    const HttpServer::Limits limits = server_->site_->limits();
+    if (parser_->awaits_body())
+      ArmTimer(limits.idle_timeout);
+    else if (!was_started)
+      ArmTimer(limits.header_timeout);
+  }
+  switch (parser_->state()) {
+    case ParseState::kComplete:
+      StartHandler();
+      return;
+    case ParseState::kBad:
+      RejectBadRequest();
+      return;
+    case ParseState::kNeedMore:
+      break;
+  }
+  if (parser_->awaits_body() && parser_->expects_continue() && !continued_) {
+    continued_ = true;
+    Queue(kInterimAnswer);
+  }
+  Read();
+}
+
+void HttpServerConnection::StartHandler() {
+  timer_.cancel();
+  HttpRequest request = parser_->Take();
+  if (!request.keep_alive)
+    close_after_ = true;
+  is_head_request_ = absl::EqualsIgnoreCase(request.method, "HEAD");
+  handler_ = server_->site_->NewHandler();
+  Read();
+  // The handler may answer at once, which makes room for the next one.
+  const auto handler = handler_;
+  handler->Start(std::move(request), this);
+}
+
+void HttpServerConnection::RejectBadRequest() {
+  close_after_ = true;
+  SendWhole(parser_->error_status(), {}, "");
+}
+
+std::string HttpServerConnection::Head(int status, const HttpHeaders& headers) {
+  if (server_->draining_)
+    close_after_ = true;
+  std::string head =
+      absl::StrCat("HTTP/1.1 ", status, " ", HttpReason(status), "\r\n");
+  for (const auto& [name, value] : headers.fields())
+    absl::StrAppend(&head, name, ": ", value, "\r\n");
+  if (close_after_)
+    head.append("Connection: close\r\n");
+  return head;
+}
+
+void HttpServerConnection::SendWhole(int status,
+                                     const HttpHeaders& headers,
+                                     const std::string& body) {
+  if (closed_ || answered_)
+    return;
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  std::string bytes = Head(status, headers);
+  const bool has_length = status != kNoContent && status != kNotModified &&
+                          !(is_head_request_ && headers.Has("Content-Length"));
+  if (has_length)
+    absl::StrAppend(&bytes, "Content-Length: ", body.size(), "\r\n");
+  bytes.append("\r\n");
+  if (!is_head_request_)
+    bytes.append(body);
+  answered_ = true;
+  Queue(std::move(bytes));
+}
+
+void HttpServerConnection::BeginStream(int status, const HttpHeaders& headers) {
+  if (closed_ || answered_)
+    return;
+  streaming_ = true;
+  Queue(absl::StrCat(Head(status, headers),
+                     "Transfer-Encoding: chunked\r\n\r\n"));
+}
+
+void HttpServerConnection::SendPiece(const std::string& bytes) {
+  if (closed_ || !streaming_ || bytes.empty())
+    return;
+  Queue(absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n"));
+}
+
+void HttpServerConnection::EndStream() {
+  if (closed_ || !streaming_)
+    return;
+  answered_ = true;
+  Queue("0\r\n\r\n");
+}
+
+void HttpServerConnection::Abort() {
+  if (handler_)
+    handler_.reset();
+  Close();
+}
+
+void HttpServerConnection::Queue(std::string bytes) {
+  unsent_.append(bytes);
+  if (unsent_.size() > kMaxUnsent) {
+    Close();
+    return;
+  }
+  if (sending_.empty())
+    Flush();
+}
+
+void HttpServerConnection::Flush() {
+  sending_ = std::exchange(unsent_, {});
+  asio::async_write(
+      socket_, asio::buffer(sending_),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  size_t) { self->OnFlushed(error); });
+}
+
+void HttpServerConnection::OnFlushed(const boost::system::error_code& error) {
+  sending_.clear();
+  if (closed_)
+    return;
+  if (error) {
+    Close();
+    return;
+  }
+  if (!unsent_.empty()) {
+    Flush();
+    return;
+  }
+  if (answered_)
+    FinishAnswer();
+}
+
+void HttpServerConnection::FinishAnswer() {
+  handler_.reset();
+  if (close_after_) {
+    Linger();
+    return;
+  }
+  NextRequest();
+}
+
+void HttpServerConnection::Linger() {
+  lingering_ = true;
+  boost::system::error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  ArmTimer(kLinger);
+  unread_.clear();
+  Read();
+}
+
+void HttpServerConnection::ArmTimer(absl::Duration wait) {
+  timer_.expires_after(absl::ToChronoNanoseconds(wait));
+  timer_.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        // A timer that was armed again may still deliver its earlier expiry.
+        const bool expired =
+            self->timer_.expiry() <= asio::steady_timer::clock_type::now();
+        if (!error && !self->closed_ && expired)
+          self->OnTimeout();
+      });
+}
+
+void HttpServerConnection::OnTimeout() {
+  constexpr int kRequestTimeout = 408;
+  if (handler_)
+    return;
+  const bool partly_read = parser_ && parser_->started() && !answered_;
+  if (!partly_read || lingering_) {
+    Close();
+    return;
+  }
+  close_after_ = true;
+  SendWhole(kRequestTimeout, {}, "");
+}
+
+void HttpServerConnection::Close() {
+  if (closed_)
+    return;
+  closed_ = true;
+  const auto self = shared_from_this();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  timer_.cancel();
+  const auto handler = std::exchange(handler_, nullptr);
+  if (handler)
+    handler->OnCallerLeft();
+  server_->connections_.erase(self);
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/net/socket_options.cc
@@ -0,0 +1,60 @@
+#include "modules/net/socket_options.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace chicory {
+
+namespace {
+
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr int kUnacknowledgedMilliseconds = 2500;
+
+void SetOption(int socket, int level, int name, int value) {
+  ::setsockopt(socket, level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+std::optional<Endpoint> ParseEndpoint(absl::string_view text) {
+  size_t colon = text.rfind(':');
+  if (colon == absl::string_view::npos)
+    return std::nullopt;
+  in_addr address;
+  if (::inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(),
+                  &address) != 1)
+    return std::nullopt;
+  uint32_t port = 0;
+  if (!absl::SimpleAtoi(text.substr(colon + 1), &port) || port > 65535)
+    return std::nullopt;
+  return Endpoint{.ip = ntohl(address.s_addr),
+                  .port = static_cast<uint16_t>(port)};
+}
+
+std::string EndpointText(Endpoint endpoint) {
+  return absl::StrCat(endpoint.ip >> 24, ".", (endpoint.ip >> 16) & 255, ".",
+                      (endpoint.ip >> 8) & 255, ".", endpoint.ip & 255, ":",
+                      endpoint.port);
+}
+
+void SetKeepAliveOptions(int socket) {
+  SetOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+void SetLivenessOptions(int socket) {
+  SetKeepAliveOptions(socket);
+  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMilliseconds);
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/peers/placement_message.cc
@@ -0,0 +1,238 @@
+#include "modules/peers/placement_message.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+#include "modules/peers/placement.capnp.h"
+
+namespace chicory {
+
+namespace {
+
+/** Most list entries of a datagram; keeps it within kMaxDatagramBytes. */
+constexpr size_t kMaxRunningTold = 8;
+constexpr size_t kMaxMembersTold = 120;
+constexpr size_t kMaxAvoidTold = 4;
+/** Words that a received message may make the reader visit. */
+constexpr uint64_t kMaxReadWords = 4096;
+
+void WriteWork(const TravellingWork& work, wire::Work::Builder builder) {
+  builder.setSequence(work.sequence);
+  builder.setService(work.service);
+  builder.setPromptTokens(work.prompt_tokens);
+  builder.setOutputTokens(work.output_tokens);
+  builder.setDueInMicroseconds(absl::ToInt64Microseconds(work.due_in));
+  builder.setDeadlineInMicroseconds(
+      absl::ToInt64Microseconds(work.deadline_in));
+  builder.setEventGapMicroseconds(
+      work.event_gap == absl::InfiniteDuration()
+          ? -1
+          : absl::ToInt64Microseconds(work.event_gap));
+  builder.setPriority(work.priority);
+  const size_t count = std::min(work.avoid.size(), kMaxAvoidTold);
+  auto avoid = builder.initAvoid(static_cast<uint32_t>(count));
+  for (size_t i = 0; i < count; ++i)
+    avoid.set(static_cast<uint32_t>(i), work.avoid[i]);
+}
+
+TravellingWork ReadWork(wire::Work::Reader reader) {
+  TravellingWork work{
+      .sequence = reader.getSequence(),
+      .service = reader.getService(),
+      .prompt_tokens = std::max<int64_t>(reader.getPromptTokens(), 0),
+      .output_tokens = std::max<int64_t>(reader.getOutputTokens(), 0),
+      .due_in = absl::Microseconds(reader.getDueInMicroseconds()),
+      .deadline_in = absl::Microseconds(reader.getDeadlineInMicroseconds()),
+      .event_gap = reader.getEventGapMicroseconds() < 0
+                       ? absl::InfiniteDuration()
+                       : absl::Microseconds(reader.getEventGapMicroseconds()),
+      .priority = reader.getPriority()};
+  for (uint64_t key : reader.getAvoid())
+    work.avoid.push_back(key);
+  return work;
+}
+
+struct ContentWriter {
+  wire::Datagram::Builder builder;
+
+  void operator()(const HelloMessage& hello) {
+    const size_t count = std::min(hello.running.size(), kMaxRunningTold);
+    builder.setRunningTotal(static_cast<uint32_t>(hello.total));
+    auto list = builder.initHello(static_cast<uint32_t>(count));
+    for (size_t i = 0; i < count; ++i) {
+      auto item = list[static_cast<uint32_t>(i)];
+      WriteWork(hello.running[i].work, item.initWork());
+      item.setUpstream(hello.running[i].upstream);
+      item.setAnswering(hello.running[i].answering);
+    }
+  }
+  void operator()(const WelcomeMessage& welcome) {
+    const size_t count = std::min(welcome.members.size(), kMaxMembersTold);
+    auto list = builder.initWelcome(static_cast<uint32_t>(count));
+    for (size_t i = 0; i < count; ++i) {
+      auto item = list[static_cast<uint32_t>(i)];
+      item.setIp(welcome.members[i].ip);
+      item.setAgeMilliseconds(static_cast<uint32_t>(
+          absl::ToInt64Milliseconds(welcome.members[i].age)));
+    }
+  }
+  void operator()(const SubmitMessage& submit) {
+    WriteWork(submit.work, builder.initSubmit());
+  }
+  void operator()(const WaitsMessage& waits) {
+    builder.setWaits(waits.sequence);
+  }
+  void operator()(const DecisionMessage& message) {
+    const ScheduleDecision& decision = message.decision;
+    if (decision.kind == ScheduleDecision::Kind::kRefuse) {
+      auto refuse = builder.initRefuse();
+      refuse.setRefusedSequence(decision.key.sequence);
+      refuse.setRetryAfterMicroseconds(
+          absl::ToInt64Microseconds(decision.retry_after));
+      return;
+    }
+    auto assign = builder.initAssign();
+    assign.setSequence(decision.key.sequence);
+    assign.setUpstream(decision.upstream);
+    assign.setExpectedMicroseconds(
+        absl::ToInt64Microseconds(decision.expected));
+    auto helpers =
+        assign.initHelpers(static_cast<uint32_t>(decision.helpers.size()));
+    for (size_t i = 0; i < decision.helpers.size(); ++i)
+      helpers.set(static_cast<uint32_t>(i), decision.helpers[i]);
+  }
+  void operator()(const FirstPartMessage& first) {
+    builder.setFirstPart(first.sequence);
+  }
+  void operator()(const EndedMessage& message) {
+    auto ended = builder.initEnded();
+    ended.setEndedSequence(message.sequence);
+    ended.setResult(static_cast<uint8_t>(message.result));
+    ended.setFaultAt(message.fault_at);
+  }
+  void operator()(const GoodbyeMessage&) { builder.setGoodbye(); }
+};
+
+HelloMessage ReadHello(wire::Datagram::Reader reader) {
+  HelloMessage hello{.total = reader.getRunningTotal()};
+  const auto list = reader.getHello();
+  for (auto item : list) {
+    hello.running.push_back({.work = ReadWork(item.getWork()),
+                             .upstream = item.getUpstream(),
+                             .answering = item.getAnswering()});
+  }
+  return hello;
+}
+
+WelcomeMessage ReadWelcome(capnp::List<wire::Member>::Reader list) {
+  WelcomeMessage welcome;
+  for (auto item : list) {
+    welcome.members.push_back(
+        {.ip = item.getIp(),
+         .age = absl::Milliseconds(item.getAgeMilliseconds())});
+  }
+  return welcome;
+}
+
+DecisionMessage ReadAssign(wire::Datagram::Assign::Reader assign) {
+  ScheduleDecision decision{
+      .kind = ScheduleDecision::Kind::kAssign,
+      .key = {.sequence = assign.getSequence()},
+      .upstream = assign.getUpstream(),
+      .expected = absl::Microseconds(assign.getExpectedMicroseconds())};
+  for (uint64_t helper : assign.getHelpers())
+    decision.helpers.push_back(helper);
+  return {.decision = std::move(decision)};
+}
+
+EndedMessage ReadEnded(wire::Datagram::Ended::Reader ended) {
+  const uint8_t result =
+      std::min(ended.getResult(), static_cast<uint8_t>(SendResult::kCancelled));
+  return {.sequence = ended.getEndedSequence(),
+          .result = static_cast<SendResult>(result),
+          .fault_at = ended.getFaultAt()};
+}
+
+bool ReadContent(wire::Datagram::Reader reader, PeerMessage* message) {
+  switch (reader.which()) {
+    case wire::Datagram::HELLO:
+      message->content = ReadHello(reader);
+      return true;
+    case wire::Datagram::WELCOME:
+      message->content = ReadWelcome(reader.getWelcome());
+      return true;
+    case wire::Datagram::SUBMIT:
+      message->content = SubmitMessage{.work = ReadWork(reader.getSubmit())};
+      return true;
+    case wire::Datagram::WAITS:
+      message->content = WaitsMessage{.sequence = reader.getWaits()};
+      return true;
+    case wire::Datagram::ASSIGN:
+      message->content = ReadAssign(reader.getAssign());
+      return true;
+    case wire::Datagram::REFUSE: {
+      auto refuse = reader.getRefuse();
+      message->content = DecisionMessage{
+          .decision = {.kind = ScheduleDecision::Kind::kRefuse,
+                       .key = {.sequence = refuse.getRefusedSequence()},
+                       .retry_after = absl::Microseconds(
+                           refuse.getRetryAfterMicroseconds())}};
+      return true;
+    }
+    case wire::Datagram::FIRST_PART:
+      message->content = FirstPartMessage{.sequence = reader.getFirstPart()};
+      return true;
+    case wire::Datagram::ENDED:
+      message->content = ReadEnded(reader.getEnded());
+      return true;
+    case wire::Datagram::GOODBYE:
+      message->content = GoodbyeMessage{};
+      return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+std::string EncodePeerMessage(const PeerMessage& message) {
+  capnp::MallocMessageBuilder builder;
+  auto datagram = builder.initRoot<wire::Datagram>();
+  datagram.setSender(message.sender);
+  datagram.setConfigurationVersion(message.configuration_version);
+  std::visit(ContentWriter{datagram}, message.content);
+  const auto words = capnp::messageToFlatArray(builder);
+  const auto bytes = words.asBytes();
+  return std::string(reinterpret_cast<const char*>(bytes.begin()),
+                     bytes.size());
+}
+
+std::optional<PeerMessage> DecodePeerMessage(absl::string_view bytes) {
+  if (bytes.empty() || bytes.size() % sizeof(capnp::word) != 0)
+    return std::nullopt;
+  // The reader needs aligned words.
+  std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word));
+  std::memcpy(words.data(), bytes.data(), bytes.size());
+  std::optional<PeerMessage> result;
+  const auto failure = kj::runCatchingExceptions([&] {
+    capnp::FlatArrayMessageReader reader(
+        kj::arrayPtr(words.data(), words.size()),
+        {.traversalLimitInWords = kMaxReadWords});
+    auto datagram = reader.getRoot<wire::Datagram>();
+    PeerMessage message{
+        .sender = datagram.getSender(),
+        .configuration_version = datagram.getConfigurationVersion(),
+        .content = GoodbyeMessage{}};
+    if (ReadContent(datagram, &message))
+      result = std::move(message);
+  });
+  if (failure != nullptr)
+    return std::nullopt;
+  return result;
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/peers/placement_message.h
@@ -0,0 +1,106 @@
+#ifndef MODULES_PEERS_PLACEMENT_MESSAGE_H_
+#define MODULES_PEERS_PLACEMENT_MESSAGE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+#include "absl/strings/string_view.h"
+
+#include "absl/time/time.h"
+#include "modules/decisions/fleet_scheduler.h"
+#include "modules/decisions/instance_roster.h"
+
+namespace chicory {
+
+/** A request as it travels: times are relative to the sending. */
+struct TravellingWork {
+  uint64_t sequence = 0;
+  std::string service;
+  int64_t prompt_tokens = 0;
+  int64_t output_tokens = 0;
+  absl::Duration due_in;
+  absl::Duration deadline_in;
+  absl::Duration event_gap = absl::InfiniteDuration();
+  int priority = 0;
+  std::vector<UpstreamKey> avoid;
+};
+
+/** Tells a scheduler that the sender lives, and what it has running. */
+struct HelloMessage {
+  struct Item {
+    TravellingWork work;
+    UpstreamKey upstream = 0;
+    bool answering = false;
+  };
+  std::vector<Item> running;
+  /** Requests that run; more than are listed when the list was shortened. */
+  size_t total = 0;
+};
+
+/** Answers a HelloMessage with the live instances. */
+struct WelcomeMessage {
+  std::vector<InstanceRoster::Member> members;
+};
+
+/** Asks a scheduler for an upstream; repeated until it answers. */
+struct SubmitMessage {
+  TravellingWork work;
+};
+
+/** The scheduler knows the request, which waits. */
+struct WaitsMessage {
+  uint64_t sequence = 0;
+};
+
+/** The scheduler's decision. */
+struct DecisionMessage {
+  ScheduleDecision decision;
+};
+
+/** The first part of the answer has come. */
+struct FirstPartMessage {
+  uint64_t sequence = 0;
+};
+
+/** A send has ended. */
+struct EndedMessage {
+  uint64_t sequence = 0;
+  SendResult result = SendResult::kDone;
+  /** Another upstream that is to blame; 0 for none. */
+  UpstreamKey fault_at = 0;
+};
+
+/** The sender is leaving. */
+struct GoodbyeMessage {};
+
+/** One datagram between instances. */
+struct PeerMessage {
+  InstanceIp sender = 0;
+  /** Version of the configuration that the sender has; 0 for none. */
+  uint64_t configuration_version = 0;
+  std::variant<HelloMessage,
+               WelcomeMessage,
+               SubmitMessage,
+               WaitsMessage,
+               DecisionMessage,
+               FirstPartMessage,
+               EndedMessage,
+               GoodbyeMessage>
+      content;
+};
+
+/** Largest datagram that is sent, in bytes. */
+inline constexpr size_t kMaxDatagramBytes = 1400;
+
+/** The bytes of a message. Lists that would exceed kMaxDatagramBytes are
+    shortened. */
+std::string EncodePeerMessage(const PeerMessage& message);
+
+/** Reads a datagram; nothing when it is no message of this version. */
+std::optional<PeerMessage> DecodePeerMessage(absl::string_view bytes);
+
+}  // namespace chicory
+
+#endif  // MODULES_PEERS_PLACEMENT_MESSAGE_H_
--- /dev/null
+++ b/modules/peers/placement_node.cc
@@ -0,0 +1,362 @@
+#include "modules/peers/placement_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicory {
+
+namespace {
+
+/** Time after which an unanswered question is repeated. */
+constexpr absl::Duration kAskAgain = absl::Milliseconds(60);
+/** Questions without an answer before the next instance is asked. */
+constexpr int kMaxUnanswered = 2;
+/** A waiting request asks again this often, in case the answer was lost. */
+constexpr absl::Duration kWaitPoll = absl::Milliseconds(200);
+constexpr absl::Duration kHelloInterval = absl::Milliseconds(500);
+/** Instances that are told what runs here: the scheduler and the next one. */
+constexpr size_t kTold = 2;
+/** Every so many hellos one also goes to a seed, so that parts of the fleet
+    that lost each other meet again. */
+constexpr uint64_t kSeedEvery = 4;
+/** Below this many live instances all seeds are greeted. */
+constexpr size_t kFewInstances = 3;
+
+}  // namespace
+
+PlacementNode::PlacementNode(Options options,
+                             Transport* transport,
+                             Listener* listener)
+    : options_(std::move(options)),
+      transport_(transport),
+      listener_(listener),
+      roster_(options_.self),
+      next_sequence_(options_.first_sequence) {}
+
+void PlacementNode::SetSeeds(std::vector<InstanceIp> seeds) {
+  options_.seeds = std::move(seeds);
+}
+
+void PlacementNode::SetUpstreams(
+    const std::vector<SchedulerUpstream>& upstreams) {
+  scheduler_.SetUpstreams(upstreams);
+}
+
+void PlacementNode::SetEngine(const std::string& service,
+                              const EngineProfile& engine) {
+  scheduler_.SetEngine(service, engine);
+}
+
+void PlacementNode::SetConfigurationVersion(uint64_t version) {
+  configuration_version_ = version;
+}
+
+bool PlacementNode::IsBusy() const {
+  if (scheduler_.waiting() > 0)
+    return true;
+  return std::any_of(jobs_.begin(), jobs_.end(), [](const auto& entry) {
+    return entry.second.stage != Stage::kRunning;
+  });
+}
+
+TravellingWork PlacementNode::ToTravel(const WorkRequest& request,
+                                       absl::Time now) const {
+  return {.sequence = request.key.sequence,
+          .service = request.service,
+          .prompt_tokens = request.prompt_tokens,
+          .output_tokens = request.output_tokens,
+          .due_in = request.due - now,
+          .deadline_in = request.deadline - now,
+          .event_gap = request.event_gap,
+          .priority = request.priority,
+          .avoid = request.avoid};
+}
+
+WorkRequest PlacementNode::FromTravel(InstanceIp owner,
+                                      const TravellingWork& work,
+                                      absl::Time now) const {
+  return {.key = {.owner = owner, .sequence = work.sequence},
+          .service = work.service,
+          .prompt_tokens = work.prompt_tokens,
+          .output_tokens = work.output_tokens,
+          .due = now + work.due_in,
+          .deadline = now + work.deadline_in,
+          .event_gap = work.event_gap,
+          .priority = work.priority,
+          .avoid = work.avoid};
+}
+
+void PlacementNode::Send(InstanceIp to, PeerMessage message) {
+  message.sender = options_.self;
+  message.configuration_version = configuration_version_;
+  transport_->Send(to, message);
+}
+
+WorkKey PlacementNode::Submit(WorkRequest request, absl::Time now) {
+  const uint64_t sequence = next_sequence_++;
+  request.key = {.owner = options_.self, .sequence = sequence};
+  const WorkKey key = request.key;
+  Job& job = jobs_[sequence];
+  job.request = std::move(request);
+  Ask(&job, now);
+  return key;
+}
+
+void PlacementNode::Ask(Job* job, absl::Time now) {
+  const InstanceIp scheduler = roster_.SchedulerOrder(now, 1).front();
+  if (job->scheduler != scheduler)
+    job->unanswered = 0;
+  job->scheduler = scheduler;
+  job->asked = now;
+  if (scheduler == options_.self) {
+    job->stage = Stage::kWaiting;
+    scheduler_.Submit(job->request);
+    RunScheduler(now);
+    return;
+  }
+  ++job->unanswered;
+  Send(scheduler, {.content = SubmitMessage{ToTravel(job->request, now)}});
+}
+
+void PlacementNode::OnFirstPart(WorkKey key, absl::Time now) {
+  auto found = jobs_.find(key.sequence);
+  if (found == jobs_.end())
+    return;
+  Job& job = found->second;
+  job.answering = true;
+  if (job.scheduler != options_.self) {
+    Send(job.scheduler, {.content = FirstPartMessage{key.sequence}});
+    return;
+  }
+  scheduler_.OnFirstPart(key, now);
+  RunScheduler(now);
+}
+
+void PlacementNode::OnEnded(WorkKey key,
+                            SendResult result,
+                            UpstreamKey fault_at,
+                            absl::Time now) {
+  auto found = jobs_.find(key.sequence);
+  if (found == jobs_.end())
+    return;
+  const InstanceIp scheduler = found->second.scheduler;
+  jobs_.erase(found);
+  if (scheduler != options_.self) {
+    Send(scheduler, {.content = EndedMessage{.sequence = key.sequence,
+                                             .result = result,
+                                             .fault_at = fault_at}});
+  }
+  scheduler_.OnEnded(key, result, fault_at, now);
+  RunScheduler(now);
+}
+
+void PlacementNode::RunScheduler(absl::Time now) {
+  for (const ScheduleDecision& decision : scheduler_.Run(now))
+    Deliver(decision);
+}
+
+void PlacementNode::Deliver(const ScheduleDecision& decision) {
+  if (decision.key.owner == options_.self) {
+    Decide(decision, options_.self);
+    return;
+  }
+  if (decision.kind == ScheduleDecision::Kind::kAssign)
+    assigned_[decision.key] = {.decision = decision};
+  Send(decision.key.owner, {.content = DecisionMessage{decision}});
+}
+
+void PlacementNode::Decide(const ScheduleDecision& decision,
+                           InstanceIp scheduler) {
+  auto found = jobs_.find(decision.key.sequence);
+  if (found == jobs_.end() || found->second.stage == Stage::kRunning)
+    return;
+  if (decision.kind == ScheduleDecision::Kind::kRefuse) {
+    jobs_.erase(found);
+  } else {
+    found->second.stage = Stage::kRunning;
+    found->second.scheduler = scheduler;
+    found->second.upstream = decision.upstream;
+  }
+  listener_->OnDecision(decision, scheduler);
+}
+
+void PlacementNode::OnMessage(const PeerMessage& message, absl::Time now) {
+  if (message.sender == options_.self)
+    return;
+  if (std::holds_alternative<GoodbyeMessage>(message.content)) {
+    roster_.Remove(message.sender);
+    return;
+  }
+  roster_.OnHeardDirectly(message.sender, now);
+  if (message.configuration_version > configuration_version_)
+    listener_->OnNewerConfiguration(message.configuration_version);
+  if (const auto* hello = std::get_if<HelloMessage>(&message.content)) {
+    OnHello(message.sender, *hello, now);
+  } else if (const auto* welcome =
+                 std::get_if<WelcomeMessage>(&message.content)) {
+    for (const InstanceRoster::Member& member : welcome->members)
+      roster_.OnHeard(member.ip, now, member.age);
+  } else if (const auto* submit =
+                 std::get_if<SubmitMessage>(&message.content)) {
+    OnSubmit(message.sender, *submit, now);
+  } else if (const auto* waits = std::get_if<WaitsMessage>(&message.content)) {
+    OnWaits(message.sender, *waits);
+  } else if (const auto* decision =
+                 std::get_if<DecisionMessage>(&message.content)) {
+    OnRemoteDecision(message.sender, *decision);
+  } else if (const auto* first =
+                 std::get_if<FirstPartMessage>(&message.content)) {
+    scheduler_.OnFirstPart({message.sender, first->sequence}, now);
+    RunScheduler(now);
+  } else if (const auto* ended = std::get_if<EndedMessage>(&message.content)) {
+    const WorkKey key{message.sender, ended->sequence};
+    assigned_.erase(key);
+    scheduler_.OnEnded(key, ended->result, ended->fault_at, now);
+    RunScheduler(now);
+  }
+}
+
+void PlacementNode::OnHello(InstanceIp sender,
+                            const HelloMessage& hello,
+                            absl::Time now) {
+  std::vector<WorkKey> told;
+  for (const HelloMessage::Item& item : hello.running) {
+    RunningWork work{.request = FromTravel(sender, item.work, now),
+                     .upstream = item.upstream,
+                     .answering = item.answering};
+    told.push_back(work.request.key);
+    if (work.answering)
+      scheduler_.OnFirstPart(work.request.key, now);
+    scheduler_.Adopt(work, now);
+  }
+  if (told.size() == hello.total)
+    ForgetUnlisted(sender, told);
+  Send(sender, {.content = WelcomeMessage{roster_.Members(now)}});
+  RunScheduler(now);
+}
+
+void PlacementNode::ForgetUnlisted(InstanceIp sender,
+                                   const std::vector<WorkKey>& listed) {
+  for (WorkKey key : scheduler_.KeysOf(sender)) {
+    // Requests that wait are asked for again by their owner.
+    if (scheduler_.IsWaiting(key) ||
+        std::find(listed.begin(), listed.end(), key) != listed.end())
+      continue;
+    auto found = assigned_.find(key);
+    // The assignment and the hello may have crossed on the way.
+    if (found != assigned_.end() && !found->second.unlisted) {
+      found->second.unlisted = true;
+      continue;
+    }
+    assigned_.erase(key);
+    scheduler_.Forget(key);
+  }
+}
+
+void PlacementNode::OnSubmit(InstanceIp sender,
+                             const SubmitMessage& submit,
+                             absl::Time now) {
+  const WorkRequest request = FromTravel(sender, submit.work, now);
+  auto found = assigned_.find(request.key);
+  if (found != assigned_.end()) {
+    Send(sender, {.content = DecisionMessage{found->second.decision}});
+    return;
+  }
+  scheduler_.Submit(request);
+  RunScheduler(now);
+  if (scheduler_.IsWaiting(request.key))
+    Send(sender, {.content = WaitsMessage{request.key.sequence}});
+}
+
+void PlacementNode::OnWaits(InstanceIp sender, const WaitsMessage& waits) {
+  auto found = jobs_.find(waits.sequence);
+  if (found == jobs_.end() || found->second.scheduler != sender)
+    return;
+  found->second.unanswered = 0;
+  if (found->second.stage == Stage::kAsking)
+    found->second.stage = Stage::kWaiting;
+}
+
+void PlacementNode::OnRemoteDecision(InstanceIp sender,
+                                     const DecisionMessage& message) {
+  ScheduleDecision decision = message.decision;
+  decision.key.owner = options_.self;
+  auto found = jobs_.find(decision.key.sequence);
+  const bool is_wanted =
+      found != jobs_.end() && found->second.stage != Stage::kRunning;
+  const bool is_known =
+      found != jobs_.end() && !is_wanted && found->second.scheduler == sender;
+  if (is_wanted) {
+    Decide(decision, sender);
+  } else if (!is_known && decision.kind == ScheduleDecision::Kind::kAssign) {
+    // Given up or placed by another instance meanwhile.
+    Send(sender, {.content = EndedMessage{.sequence = decision.key.sequence,
+                                          .result = SendResult::kCancelled}});
+  }
+}
+
+void PlacementNode::Tick(absl::Time now) {
+  std::vector<uint64_t> again;
+  for (const auto& [sequence, job] : jobs_) {
+    if (job.stage == Stage::kRunning || job.scheduler == options_.self)
+      continue;
+    const absl::Duration patience =
+        job.stage == Stage::kAsking || job.unanswered > 0 ? kAskAgain
+                                                          : kWaitPoll;
+    if (now - job.asked >= patience)
+      again.push_back(sequence);
+  }
+  for (uint64_t sequence : again) {
+    auto found = jobs_.find(sequence);
+    if (found == jobs_.end())
+      continue;
+    Job& job = found->second;
+    if (job.unanswered >= kMaxUnanswered) {
+      roster_.Suspect(job.scheduler, now);
+      job.stage = Stage::kAsking;
+    }
+    Ask(&job, now);
+  }
+  RunScheduler(now);
+  if (now >= next_hello_)
+    SayHellos(now);
+}
+
+void PlacementNode::SendHello(InstanceIp to, absl::Time now) {
+  HelloMessage hello;
+  for (const auto& [sequence, job] : jobs_) {
+    if (job.stage != Stage::kRunning)
+      continue;
+    ++hello.total;
+    hello.running.push_back({.work = ToTravel(job.request, now),
+                             .upstream = job.upstream,
+                             .answering = job.answering});
+  }
+  Send(to, {.content = std::move(hello)});
+}
+
+void PlacementNode::SayHellos(absl::Time now) {
+  next_hello_ = now + kHelloInterval;
+  ++hello_count_;
+  std::vector<InstanceIp> targets = roster_.SchedulerOrder(now, kTold);
+  const std::vector<InstanceIp>& seeds = options_.seeds;
+  if (!seeds.empty()) {
+    if (roster_.LiveCount(now) < kFewInstances)
+      targets.insert(targets.end(), seeds.begin(), seeds.end());
+    else if (hello_count_ % kSeedEvery == 0)
+      targets.push_back(seeds[(hello_count_ / kSeedEvery) % seeds.size()]);
+  }
+  std::sort(targets.begin(), targets.end());
+  targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
+  for (InstanceIp target : targets) {
+    if (target != options_.self)
+      SendHello(target, now);
+  }
+}
+
+void PlacementNode::Leave(absl::Time now) {
+  for (const InstanceRoster::Member& member : roster_.Members(now))
+    Send(member.ip, {.content = GoodbyeMessage{}});
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/modules/peers/placement_node.h
@@ -0,0 +1,143 @@
+#ifndef MODULES_PEERS_PLACEMENT_NODE_H_
+#define MODULES_PEERS_PLACEMENT_NODE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "modules/decisions/fleet_scheduler.h"
+#include "modules/decisions/instance_roster.h"
+#include "modules/peers/placement_message.h"
+
+namespace chicory {
+
+/** Gets upstreams for an instance's requests from the instance that schedules
+    for all, and schedules for the others when they ask this one.
+
+    The first instance of the roster's order schedules. It keeps nothing that
+    must last: each instance tells the first two what it has running, repeats
+    what is not answered, goes on to the next when one is silent, and decides
+    by itself when none is left. Free of clocks and sockets: time comes in as
+    arguments and datagrams go out through Transport. Not thread-safe.
+
+    @see FleetScheduler, InstanceRoster */
+class PlacementNode {
+ public:
+  /** Sends datagrams to other instances; they may be lost. */
+  class Transport {
+   public:
+    virtual ~Transport() = default;
+    virtual void Send(InstanceIp to, const PeerMessage& message) = 0;
+  };
+
+  /** Hears of this instance's own requests. */
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    /** The request may be sent, or is refused. Called from within any call. */
+    virtual void OnDecision(const ScheduleDecision& decision,
+                            InstanceIp scheduler) = 0;
+    /** Another instance has a newer configuration. */
+    virtual void OnNewerConfiguration(uint64_t version) = 0;
+  };
+
+  struct Options {
+    InstanceIp self = 0;
+    std::vector<InstanceIp> seeds;
+    /** First sequence number; differs between starts of the instance. */
+    uint64_t first_sequence = 1;
+  };
+
+  PlacementNode(Options options, Transport* transport, Listener* listener);
+
+  /** Replaces the instances that are asked first. */
+  void SetSeeds(std::vector<InstanceIp> seeds);
+  void SetUpstreams(const std::vector<SchedulerUpstream>& upstreams);
+  void SetEngine(const std::string& service, const EngineProfile& engine);
+  /** The configuration version in force here. */
+  void SetConfigurationVersion(uint64_t version);
+
+  /** The key that the next Submit gives. */
+  WorkKey NextKey() const { return {options_.self, next_sequence_}; }
+  /** Asks for an upstream; `request.key` is set here and returned. The decision
+      may come before this returns. */
+  WorkKey Submit(WorkRequest request, absl::Time now);
+  /** The first part of the answer has come. */
+  void OnFirstPart(WorkKey key, absl::Time now);
+  /** The request's send ended, or the request is given up. */
+  void OnEnded(WorkKey key,
+               SendResult result,
+               UpstreamKey fault_at,
+               absl::Time now);
+
+  void OnMessage(const PeerMessage& message, absl::Time now);
+  /** Call every kTick while IsBusy, and every few hundred milliseconds
+      otherwise. */
+  void Tick(absl::Time now);
+  /** Tells the others that this instance is leaving. */
+  void Leave(absl::Time now);
+
+  /** How often Tick wants to be called while requests wait. */
+  static constexpr absl::Duration kTick = absl::Milliseconds(20);
+
+  /** Whether requests wait, so that Tick is to be called every kTick. */
+  bool IsBusy() const;
+  size_t LiveInstances(absl::Time now) const { return roster_.LiveCount(now); }
+  const FleetScheduler& scheduler() const { return scheduler_; }
+
+ private:
+  enum class Stage { kAsking, kWaiting, kRunning };
+  struct Job {
+    WorkRequest request;
+    Stage stage = Stage::kAsking;
+    InstanceIp scheduler = 0;
+    /** When the scheduler was asked last, and how often without an answer. */
+    absl::Time asked;
+    int unanswered = 0;
+    UpstreamKey upstream = 0;
+    bool answering = false;
+  };
+
+  void Ask(Job* job, absl::Time now);
+  void Send(InstanceIp to, PeerMessage message);
+  void SendHello(InstanceIp to, absl::Time now);
+  void RunScheduler(absl::Time now);
+  void Deliver(const ScheduleDecision& decision);
+  void Decide(const ScheduleDecision& decision, InstanceIp scheduler);
+  void OnHello(InstanceIp sender, const HelloMessage& hello, absl::Time now);
+  /** Drops work of `sender` that it no longer lists. */
+  void ForgetUnlisted(InstanceIp sender, const std::vector<WorkKey>& listed);
+  void OnSubmit(InstanceIp sender, const SubmitMessage& submit, absl::Time now);
+  void OnWaits(InstanceIp sender, const WaitsMessage& waits);
+  void OnRemoteDecision(InstanceIp sender, const DecisionMessage& message);
+  void SayHellos(absl::Time now);
+  TravellingWork ToTravel(const WorkRequest& request, absl::Time now) const;
+  WorkRequest FromTravel(InstanceIp owner,
+                         const TravellingWork& work,
+                         absl::Time now) const;
+
+  Options options_;
+  Transport* transport_;
+  Listener* listener_;
+  InstanceRoster roster_;
+  FleetScheduler scheduler_;
+  uint64_t next_sequence_;
+  uint64_t configuration_version_ = 0;
+  std::map<uint64_t, Job> jobs_;
+  /** An assignment made here for another instance, to repeat a lost answer. */
+  struct Assignment {
+    ScheduleDecision decision;
+    /** The owner's last hello did not list it. */
+    bool unlisted = false;
+  };
+  absl::flat_hash_map<WorkKey, Assignment> assigned_;
+  absl::Time next_hello_ = absl::InfinitePast();
+  uint64_t hello_count_ = 0;
+};
+
+}  // namespace chicory
+
+#endif  // MODULES_PEERS_PLACEMENT_NODE_H_
--- /dev/null
+++ b/modules/routing/upstream_directory.cc
@@ -0,0 +1,86 @@
+#include "modules/routing/upstream_directory.h"
+
+#include <iterator>
+#include <set>
+
+#include "modules/core/hashing.h"
+
+namespace chicory {
+
+UpstreamKey UpstreamDirectory::KeyOf(const std::string& id) {
+  return StableHash(id);
+}
+
+void UpstreamDirectory::MarkMissing(std::map<UpstreamKey, Row>::iterator row,
+                                    bool after_outage,
+                                    absl::Time now) {
+  if (!after_outage) {
+    rows_.erase(row);
+    return;
+  }
+  if (row->second.gone_at == absl::InfiniteFuture())
+    row->second.gone_at = now + kLapseGrace;
+}
+
+void UpstreamDirectory::Replace(const std::vector<UpstreamRecord>& records,
+                                bool after_outage,
+                                absl::Time now) {
+  std::set<UpstreamKey> listed;
+  for (const UpstreamRecord& record : records) {
+    Put(record);
+    listed.insert(KeyOf(record.id));
+  }
+  for (auto row = rows_.begin(); row != rows_.end();) {
+    const auto next = std::next(row);
+    if (!listed.contains(row->first))
+      MarkMissing(row, after_outage, now);
+    row = next;
+  }
+}
+
+void UpstreamDirectory::Put(const UpstreamRecord& record) {
+  rows_[KeyOf(record.id)] = {.record = record};
+}
+
+void UpstreamDirectory::Remove(const std::string& id,
+                               bool after_outage,
+                               absl::Time now) {
+  auto found = rows_.find(KeyOf(id));
+  if (found != rows_.end())
+    MarkMissing(found, after_outage, now);
+}
+
+bool UpstreamDirectory::Expire(absl::Time now) {
+  return std::erase_if(rows_, [now](const auto& entry) {
+           return entry.second.gone_at <= now;
+         }) > 0;
+}
+
+const UpstreamRecord* UpstreamDirectory::FindReady(UpstreamKey key) const {
+  auto found = rows_.find(key);
+  if (found == rows_.end() ||
+      found->second.record.state != UpstreamState::kReady)
+    return nullptr;
+  return &found->second.record;
+}
+
+UpstreamKey UpstreamDirectory::KeyOfAddress(const std::string& address) const {
+  for (const auto& [key, row] : rows_) {
+    if (row.record.address == address)
+      return key;
+  }
+  return 0;
+}
+
+std::vector<SchedulerUpstream> UpstreamDirectory::Ready() const {
+  std::vector<SchedulerUpstream> ready;
+  for (const auto& [key, row] : rows_) {
+    if (row.record.state != UpstreamState::kReady)
+      continue;
+    ready.push_back(
+        {.key = key, .service = row.record.service, .slots = row.record.slots});
+  }
+  return ready;
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/programs/gateway/gateway_settings.cc
@@ -0,0 +1,124 @@
+#include "programs/gateway/gateway_settings.h"
+
+#include <algorithm>
+
+namespace chicory {
+
+namespace {
+
+/** Descriptors kept for files, the store, peers and the side listeners. */
+constexpr int64_t kReservedDescriptors = 300;
+
+class EndpointReader {
+ public:
+  EndpointReader(const CheckedRow& row, std::string file, Findings* findings)
+      : row_(row), file_(std::move(file)), findings_(findings) {}
+
+  Endpoint Read(const char* key) {
+    const auto endpoint = ParseEndpoint(row_.text(key));
+    if (!endpoint)
+      Report(key, row_.text(key));
+    return endpoint.value_or(Endpoint{});
+  }
+
+  std::vector<InstanceIp> ReadList(const char* key) {
+    std::vector<InstanceIp> ips;
+    for (const std::string& text : row_.text_list(key)) {
+      if (const auto endpoint = ParseEndpoint(text))
+        ips.push_back(endpoint->ip);
+      else
+        Report(key, text);
+    }
+    return ips;
+  }
+
+ private:
+  void Report(const char* key, const std::string& text) {
+    const CheckedRow::Place place = row_.place(key);
+    findings_->Add({.file = file_,
+                    .line = place.line,
+                    .column = place.column,
+                    .path = std::string("settings.") + key,
+                    .code = "bad-address",
+                    .problem = "`" + text + "` is no address",
+                    .expected = "ip:port"});
+  }
+
+  const CheckedRow& row_;
+  const std::string file_;
+  Findings* findings_;
+};
+
+}  // namespace
+
+SectionRule GatewaySettingsRule() {
+  using Type = ValueType;
+  SectionRule rule{"settings", false, "Settings of a gateway.", {}};
+  rule.keys = {
+      {"instance", Type::kText, "", true, "", 1, 128, "",
+       "Name of the instance."},
+      {"data_centre", Type::kText, "", true, "", 1, 128, "",
+       "Data centre of the instance."},
+      {"callers_listen", Type::kText, "", true, "", 1, 64, "",
+       "Address for callers, ip:port."},
+      {"ready_listen", Type::kText, "", true, "", 1, 64, "",
+       "Address for the balancer's question whether it is ready."},
+      {"operators_listen", Type::kText, "", true, "", 1, 64, "",
+       "Address for operators; serves /metrics."},
+      {"peers_listen", Type::kText, "", true, "", 1, 64, "",
+       "Address for the other instances' datagrams; all use the same port."},
+      {"seeds", Type::kTextList, "", false, "", 0, 64, "",
+       "Instances to ask first, each ip:port; only the ip is used."},
+      {"store", Type::kText, "", true, "", 1, 64, "",
+       "Address of the platform's store."},
+      {"max_descriptors", Type::kInteger, "descriptors", false, "1024", 400,
+       1048576, "", "Descriptors that the process may hold."},
+      {"apply_within", Type::kDuration, "", false, "2s", 0.1, 3600, "",
+       "Longest time until a changed configuration is in force."},
+      {"drain_within", Type::kDuration, "", false, "2s", 0.1, 3600, "",
+       "Longest time that a leaving upstream still gets requests."},
+      {"stop_within", Type::kDuration, "", false, "8s", 1, 3600, "",
+       "Time from a stop signal to the end of the process."},
+      {"retry_ratio", Type::kNumber, "", false, "0.2", 0, 10, "",
+       "Repeated sends of all instances, as a share of the requests."},
+      {"retry_slack", Type::kNumber, "sends", false, "100", 0, 1000000, "",
+       "Repeated sends of all instances beyond that share."},
+      {"retry_window", Type::kDuration, "", false, "10s", 1, 3600, "",
+       "Window in which repeated sends are counted."},
+      {"log_detail", Type::kBoolean, "", false, "true", 0, 0, "",
+       "Whether each step of each request is logged."},
+      {"log_level", Type::kText, "", false, "info", 1, 16,
+       "debug|info|warn|error", "Least severe messages of the start."},
+  };
+  return rule;
+}
+
+std::optional<GatewaySettings> ReadGatewaySettings(const CheckedRow& row,
+                                                   const std::string& file,
+                                                   Findings* findings) {
+  EndpointReader reader(row, file, findings);
+  GatewaySettings settings{
+      .gateway = {.callers = reader.Read("callers_listen"),
+                  .ready = reader.Read("ready_listen"),
+                  .operators = reader.Read("operators_listen"),
+                  .peers = reader.Read("peers_listen"),
+                  .seeds = reader.ReadList("seeds"),
+                  .retries = {.ratio = row.number("retry_ratio"),
+                              .slack = row.number("retry_slack"),
+                              .window = row.duration("retry_window")},
+                  .stop_within = row.duration("stop_within"),
+                  .instance = row.text("instance")},
+      .store = reader.Read("store"),
+      .data_centre = row.text("data_centre"),
+      .apply_within = row.duration("apply_within"),
+      .drain_within = row.duration("drain_within"),
+      .log_detail = row.boolean("log_detail")};
+  // Each caller may need a connection to an upstream.
+  settings.gateway.max_connections = static_cast<size_t>(std::max<int64_t>(
+      (row.integer("max_descriptors") - kReservedDescriptors) / 2, 50));
+  if (!findings->empty())
+    return std::nullopt;
+  return settings;
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/programs/gateway/main.cc
@@ -0,0 +1,199 @@
+#include <sys/stat.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <random>
+
+#include "modules/config/settings.h"
+#include "modules/net/loop_time.h"
+#include "platform/header_codec.h"
+#include "platform/platform_source.h"
+#include "platform/settings_path.h"
+#include "programs/gateway/gateway_settings.h"
+#include "programs/program.h"
+
+namespace chicory {
+namespace {
+
+/** How often the settings file is looked at for a change without a signal. */
+constexpr std::chrono::seconds kSettingsPoll(2);
+/** Longest wait of one watch at the store. */
+constexpr absl::Duration kWatch = absl::Seconds(10);
+/** Parts of the bounds that changes are gathered for. */
+constexpr double kGatherConfiguration = 0.1;
+constexpr double kGatherUpstreams = 0.15;
+
+std::optional<GatewaySettings> LoadSettings(
+    const std::string& path,
+    const std::vector<std::string>& overrides,
+    Findings* findings) {
+  const auto row =
+      Settings::Load(GatewaySettingsRule(), path, overrides, findings);
+  if (!row)
+    return std::nullopt;
+  return ReadGatewaySettings(*row, path, findings);
+}
+
+/** A number that differs between starts of an instance. */
+uint64_t FirstSequence() {
+  std::random_device random;
+  return (static_cast<uint64_t>(random()) << 24) + 1;
+}
+
+/** Follows the settings file and signals of a running gateway. */
+class Supervisor {
+ public:
+  Supervisor(boost::asio::io_context& loop,
+             std::string path,
+             std::vector<std::string> overrides,
+             EventLog& log,
+             Gateway* gateway)
+      : loop_(loop),
+        path_(std::move(path)),
+        overrides_(std::move(overrides)),
+        log_(log),
+        gateway_(gateway),
+        stop_signals_(loop, SIGTERM, SIGINT),
+        reload_signals_(loop, SIGHUP),
+        poll_(loop) {}
+
+  void Start() {
+    changed_ = Changed();
+    stop_signals_.async_wait(
+        [this](const boost::system::error_code& error, int) {
+          if (!error)
+            gateway_->BeginStop([this] { loop_.stop(); });
+        });
+    AwaitReload();
+    AwaitPoll();
+  }
+
+ private:
+  /** Time of the file's last change in nanoseconds; 0 when there is no file. */
+  int64_t Changed() const {
+    struct stat status {};
+    if (::stat(path_.c_str(), &status) != 0)
+      return 0;
+    return status.st_mtim.tv_sec * 1'000'000'000LL + status.st_mtim.tv_nsec;
+  }
+
+  void AwaitReload() {
+    reload_signals_.async_wait(
+        [this](const boost::system::error_code& error, int) {
+          if (error)
+            return;
+          Reload("signal");
+          AwaitReload();
+        });
+  }
+
+  void AwaitPoll() {
+    poll_.expires_after(kSettingsPoll);
+    poll_.async_wait([this](const boost::system::error_code& error) {
+      if (error)
+        return;
+      if (Changed() != changed_)
+        Reload("file");
+      AwaitPoll();
+    });
+  }
+
+  void Reload(const char* cause) {
+    changed_ = Changed();
+    Findings findings;
+    const auto settings = LoadSettings(path_, overrides_, &findings);
+    log_.Write("settings_reloaded", {{"cause", cause},
+                                     {"used", settings ? 1 : 0},
+                                     {"findings", findings.Sorted().size()}});
+    if (settings)
+      gateway_->SetSeeds(settings->gateway.seeds);
+  }
+
+  boost::asio::io_context& loop_;
+  const std::string path_;
+  const std::vector<std::string> overrides_;
+  EventLog& log_;
+  Gateway* gateway_;
+  boost::asio::signal_set stop_signals_;
+  boost::asio::signal_set reload_signals_;
+  boost::asio::steady_timer poll_;
+  int64_t changed_ = 0;
+};
+
+int Serve(GatewaySettings settings,
+          const std::string& path,
+          const std::vector<std::string>& overrides) {
+  boost::asio::io_context loop(1);
+  EventLog log({.detail = settings.log_detail});
+  const HeaderCodec codec;
+  PlatformSource source(
+      loop,
+      {.store = settings.store,
+       .gather_configuration = settings.apply_within * kGatherConfiguration,
+       .gather_upstreams = settings.drain_within * kGatherUpstreams,
+       .watch = kWatch});
+  settings.gateway.first_sequence = FirstSequence();
+  Gateway gateway(loop, settings.gateway, codec, log, &source);
+  Supervisor supervisor(loop, path, overrides, log, &gateway);
+  supervisor.Start();
+  const auto started = Capture([&] { return gateway.Start(); });
+  if (!started.ok) {
+    log.Write("start_failed", {{"reason", started.error.message}});
+    std::cerr << "chicory_gateway: " << started.error.message << "\n";
+    return static_cast<int>(ExitCode::kUnavailable);
+  }
+  log.Write("started", {{"instance", settings.gateway.instance},
+                        {"data_centre", settings.data_centre},
+                        {"version", kVersion},
+                        {"callers_port", gateway.callers_port()},
+                        {"ready_port", gateway.ready_port()},
+                        {"operators_port", gateway.operators_port()}});
+  loop.run();
+  return static_cast<int>(ExitCode::kOk);
+}
+
+int Run(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  cxxopts::Options options(
+      "chicory_gateway",
+      "Takes callers' requests to model engines and plain services.");
+  std::string path;
+  std::vector<std::string> overrides;
+  bool prints_keys = false;
+  bool only_checks = false;
+  options.add_options()("keys", "Print the settings' keys",
+                        cxxopts::value(prints_keys))(
+      "check", "Check the settings and end", cxxopts::value(only_checks))(
+      "config", "Settings file; without it the platform's",
+      cxxopts::value(path))("set", "A setting, key=value; may be repeated",
+                            cxxopts::value(overrides));
+  if (const auto code =
+          ParseCommandLine(&options, "chicory_gateway", argc, argv))
+    return *code;
+  if (prints_keys) {
+    std::cout << SchemaChecker::ToMarkdown({GatewaySettingsRule()});
+    return static_cast<int>(ExitCode::kOk);
+  }
+  if (path.empty())
+    path = PlatformSettingsPath();
+  Findings findings;
+  auto settings = LoadSettings(path, overrides, &findings);
+  if (!settings) {
+    std::cerr << findings.ToText();
+    return static_cast<int>(ExitCode::kUsage);
+  }
+  if (only_checks)
+    return static_cast<int>(ExitCode::kOk);
+  return Serve(*std::move(settings), path, overrides);
+}
+
+}  // namespace
+}  // namespace chicory
+
+int main(int argc, char** argv) {
+  return chicory::Run(argc, argv);
+}
