--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -29,8 +29,28 @@
 constexpr double kPackingBonus = 0.006;
 /** Share of its memory that an engine's requests may be expected to fill. */
 constexpr double kMemoryShare = 0.95;
+/** Callers leave a stream after a pause of this length or of so many times the
+    pause that is still on time, whichever is longer. */
+constexpr absl::Duration kLeastPatience = absl::Seconds(2);
+constexpr double kPatienceGaps = 8;
+/** Engines set memory aside in blocks. */
+constexpr int64_t kMemoryBlock = 16;
+/** Memory shares are larger than needed by one part in this many. */
+constexpr int64_t kMemoryMarginDivisor = 50;
 /** Requests at a plain service beyond its slots, as a share of the slots. */
 constexpr double kPlainOverflow = 0.5;
+/** Reading owed by an engine on average up to which it costs others nothing,
+    and from which it costs kFullReadPrice. */
+constexpr absl::Duration kFreeBacklog = absl::Milliseconds(150);
+constexpr absl::Duration kFullBacklog = absl::Milliseconds(750);
+/** Value of a millisecond of reading while all engines have enough to read. */
+constexpr double kFullReadPrice = 0.005;
+/** A late request is decided on when it has so many times the time left that
+    its first part takes. */
+constexpr double kLastMoment = 2;
+/** A late request is still served at the last moment when others lose up to
+    so many times what it gains. */
+constexpr double kLastChance = 2;
 /** Part of its value that a request which still has time avoids to lose by
     waiting. */
 constexpr double kWaitAbove = 0.3;
@@ -112,7 +132,7 @@
     if (state == upstreams_.end())
       continue;
     std::erase_if(state->second.loads, [&](const Load& load) {
-      return load.key == key && load.is_part;
+      return load.key == key && load.is_part && load.tokens == 0;
     });
     bool reading = false;
     for (Load& load : state->second.loads) {
@@ -275,17 +295,23 @@
       continue;
     double added =
         Risk(estimate.pass, load.event_gap) - Risk(pass_before, load.event_gap);
+    const absl::Duration patience =
+        std::max(kLeastPatience, load.event_gap * kPatienceGaps);
+    const double abandoned =
+        Risk(estimate.pass, patience) - Risk(pass_before, patience);
     if (!load.answering && load.due > now) {
       const absl::Duration wait = std::max(load.expected - now, pass_before);
       added +=
           Risk(wait + own_read, load.due - now) - Risk(wait, load.due - now);
     }
     estimate.harm += std::clamp(added, 0.0, 1.0) * load.value * kLateLoss;
+    estimate.harm +=
+        std::clamp(abandoned, 0.0, 1.0) * load.value * (1 - kLateLoss);
   }
   return estimate;
 }
 
-FleetScheduler::Choice FleetScheduler::ChooseParts(
+std::vector<FleetScheduler::Candidate> FleetScheduler::RankCandidates(
     const EngineProfile& engine,
     const WorkRequest& request,
     const std::vector<UpstreamState*>& usable,
@@ -296,68 +322,123 @@
   const absl::Duration read =
       ReadTime(engine, request.prompt_tokens) / static_cast<double>(parts);
   const int64_t needed = request.prompt_tokens + request.output_tokens;
-  struct Ranked {
-    Estimate estimate;
-    double cost;
-    bool can_lead;
-  };
-  std::vector<Ranked> ranked;
+  const int64_t memory = static_cast<int64_t>(
+      kMemoryShare * static_cast<double>(engine.memory_tokens));
+  std::vector<Candidate> candidates;
   for (UpstreamState* upstream : usable) {
     int64_t held = 0;
     int count = 0;
     for (const Load& load : upstream->loads) {
-      if (load.is_part)
-        continue;
       held += load.tokens;
-      ++count;
+      count += load.is_part ? 0 : 1;
     }
-    const bool can_lead =
-        count < upstream->info.slots &&
-        static_cast<double>(held + needed) <=
-            kMemoryShare * static_cast<double>(engine.memory_tokens);
-    if (!can_lead && parts == 1)
+    Candidate candidate{.has_slot = count < upstream->info.slots,
+                        .free_tokens = std::max<int64_t>(memory - held, 0)};
+    const bool could_lead =
+        candidate.has_slot && (parts > 1 || candidate.free_tokens >= needed);
+    if (!could_lead && parts == 1)
       continue;
-    Estimate estimate =
-        EstimateRead(engine, upstream, read, can_lead ? needed : 0, now);
-    double cost = estimate.harm;
-    cost += Risk(estimate.first_part, request.due - now) * value * kLateLoss;
-    cost += std::min(FaultsNow(*upstream, now), 2.0) * kFaultCost * value;
+    candidate.estimate = EstimateRead(
+        engine, upstream, read,
+        could_lead ? std::min(needed, candidate.free_tokens) : 0, now);
+    const Estimate& estimate = candidate.estimate;
+    candidate.cost =
+        estimate.harm +
+        Risk(estimate.first_part, request.due - now) * value * kLateLoss +
+        std::min(FaultsNow(*upstream, now), 2.0) * kFaultCost * value;
     if (parts == 1)
-      cost -= kPackingBonus * estimate.writers;
-    ranked.push_back({estimate, cost, can_lead});
+      candidate.cost -= kPackingBonus * estimate.writers;
+    candidates.push_back(candidate);
+  }
+  std::stable_sort(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
+  return candidates;
+}
+
+bool FleetScheduler::PutLeadFirst(std::vector<Candidate>* candidates,
+                                  size_t parts,
+                                  int64_t needed) {
+  const auto can_hold = [needed](const Candidate& candidate) {
+    return candidate.has_slot && candidate.free_tokens >= needed;
+  };
+  auto lead = std::find_if(candidates->begin(), candidates->end(), can_hold);
+  if (lead == candidates->end()) {
+    // None holds it alone: the one with most room among the cheapest.
+    const auto end = candidates->begin() + std::min(parts, candidates->size());
+    lead = std::max_element(candidates->begin(), end,
+                            [](const Candidate& a, const Candidate& b) {
+                              return std::pair(a.has_slot, a.free_tokens) <
+                                     std::pair(b.has_slot, b.free_tokens);
+                            });
+    if (lead == end || !lead->has_slot)
+      return false;
+  }
+  std::rotate(candidates->begin(), lead, lead + 1);
+  return true;
+}
+
+bool FleetScheduler::ShareMemory(const std::vector<Candidate>& parts,
+                                 int64_t needed,
+                                 std::vector<MemoryShare>* memory) {
+  int64_t missing = needed - parts.front().free_tokens;
+  if (missing <= 0)
+    return true;
+  missing += missing / kMemoryMarginDivisor + kMemoryBlock;
+  std::vector<const Candidate*> holders;
+  for (size_t i = 1; i < parts.size(); ++i)
+    holders.push_back(&parts[i]);
+  std::stable_sort(holders.begin(), holders.end(),
+                   [](const Candidate* a, const Candidate* b) {
+                     return a->free_tokens > b->free_tokens;
+                   });
+  for (const Candidate* holder : holders) {
+    if (missing <= 0)
+      break;
+    const int64_t share = std::min(missing, holder->free_tokens);
+    if (share < kMemoryBlock)
+      break;
+    memory->push_back(
+        {.upstream = holder->estimate.upstream->info.key, .tokens = share});
+    missing -= share;
   }
+  return missing <= 0;
+}
+
+FleetScheduler::Choice FleetScheduler::ChooseParts(
+    const EngineProfile& engine,
+    const WorkRequest& request,
+    const std::vector<UpstreamState*>& usable,
+    size_t parts,
+    absl::Time now) const {
+  const double value =
+      RequestValue(request.prompt_tokens, request.output_tokens);
+  const int64_t needed = request.prompt_tokens + request.output_tokens;
+  std::vector<Candidate> candidates =
+      RankCandidates(engine, request, usable, parts, now);
   Choice choice;
-  if (ranked.size() < parts)
+  if (candidates.size() < parts || !PutLeadFirst(&candidates, parts, needed))
     return choice;
-  std::stable_sort(
-      ranked.begin(), ranked.end(),
-      [](const Ranked& a, const Ranked& b) { return a.cost < b.cost; });
-  size_t lead = 0;
-  while (lead < ranked.size() && !ranked[lead].can_lead)
-    ++lead;
-  if (lead == ranked.size())
+  candidates.resize(parts);
+  if (!ShareMemory(candidates, needed, &choice.memory))
     return choice;
-  choice.upstreams.push_back(ranked[lead].estimate.upstream);
-  choice.first_part = ranked[lead].estimate.first_part;
-  choice.harm = ranked[lead].estimate.harm;
-  absl::Duration pass = ranked[lead].estimate.pass;
-  double bonus = parts == 1 ? kPackingBonus * ranked[lead].estimate.writers : 0;
-  double faults = FaultsNow(*ranked[lead].estimate.upstream, now);
-  for (size_t i = 0; i < ranked.size() && choice.upstreams.size() < parts;
-       ++i) {
-    if (i == lead)
-      continue;
-    choice.upstreams.push_back(ranked[i].estimate.upstream);
+  choice.first_part = absl::ZeroDuration();
+  double faults = 0;
+  for (const Candidate& candidate : candidates) {
+    choice.upstreams.push_back(candidate.estimate.upstream);
     choice.first_part =
-        std::max(choice.first_part, ranked[i].estimate.first_part);
-    choice.harm += ranked[i].estimate.harm;
-    faults += FaultsNow(*ranked[i].estimate.upstream, now);
+        std::max(choice.first_part, candidate.estimate.first_part);
+    choice.harm += candidate.estimate.harm;
+    faults += FaultsNow(*candidate.estimate.upstream, now);
   }
-  choice.cost = choice.harm - bonus +
+  const Estimate& lead = candidates.front().estimate;
+  choice.cost = choice.harm +
                 Risk(choice.first_part, request.due - now) * value * kLateLoss +
-                Risk(pass, request.event_gap) * value * kLateLoss / 4 +
+                Risk(lead.pass, request.event_gap) * value * kLateLoss / 4 +
                 std::min(faults, 2.0) * kFaultCost * value +
                 kPartCost * static_cast<double>(parts);
+  if (parts == 1)
+    choice.cost -= kPackingBonus * lead.writers;
   return choice;
 }
 
@@ -412,20 +493,55 @@
   return best;
 }
 
-bool FleetScheduler::ShouldWait(const WorkRequest& request,
-                                const Choice& choice,
-                                absl::Time now) const {
+double FleetScheduler::ReadPrice(const WorkRequest& request,
+                                 absl::Time now) const {
+  const EngineProfile& engine = *EngineOf(request.service);
+  absl::Duration owed;
+  double engines = 0;
+  for (const auto& [key, state] : upstreams_) {
+    if (!state.eligible || state.info.service != request.service)
+      continue;
+    ++engines;
+    owed += std::max(state.read_until - now, absl::ZeroDuration());
+  }
+  for (const auto& [key, other] : waiting_) {
+    if (key == request.key || other.service != request.service ||
+        other.due < now)
+      continue;
+    owed += ReadTime(engine, other.prompt_tokens);
+  }
+  if (engines == 0)
+    return 0;
+  const double share = absl::FDivDuration(owed / engines - kFreeBacklog,
+                                          kFullBacklog - kFreeBacklog);
+  return kFullReadPrice * std::clamp(share, 0.0, 1.0);
+}
+
+FleetScheduler::Verdict FleetScheduler::Judge(const WorkRequest& request,
+                                              const Choice& choice,
+                                              absl::Duration read,
+                                              absl::Time now) const {
   if (choice.upstreams.empty())
-    return true;
+    return Verdict::kWait;
+  if (read == absl::ZeroDuration())
+    return Verdict::kPlace;
   const double value =
       RequestValue(request.prompt_tokens, request.output_tokens);
+  const double loss =
+      choice.harm + ReadPrice(request, now) * absl::ToDoubleMilliseconds(read);
   const bool is_late = now + choice.first_part > request.due;
-  if (is_late)
-    return choice.harm > (1 - kLateLoss) * value &&
-           now + choice.first_part * 2 < request.deadline;
-  // It still has time: others' loss is not worth it yet.
-  const bool has_time = now + choice.first_part * 1.3 < request.due;
-  return has_time && choice.cost > kWaitAbove * value;
+  const double gain = is_late ? value * (1 - kLateLoss) : value;
+  if (!is_late) {
+    // While there is time, a better moment may come.
+    const bool has_time = now + choice.first_part * 1.3 < request.due;
+    return has_time && choice.cost > kWaitAbove * value ? Verdict::kWait
+                                                        : Verdict::kPlace;
+  }
+  if (loss <= gain)
+    return Verdict::kPlace;
+  if (now + choice.first_part * kLastMoment < request.deadline)
+    return Verdict::kWait;
+  return loss <= gain * kLastChance ? Verdict::kPlace : Verdict::kRefuse;
 }
 
 void FleetScheduler::Place(const WorkRequest& request,
@@ -437,13 +553,21 @@
   const absl::Duration read =
       engine ? ReadTime(*engine, request.prompt_tokens) / parts
              : absl::ZeroDuration();
+  const int64_t needed = request.prompt_tokens + request.output_tokens;
+  std::map<UpstreamKey, int64_t> shares;
+  int64_t shared = 0;
+  for (const MemoryShare& share : choice.memory) {
+    shares[share.upstream] = share.tokens;
+    shared += share.tokens;
+  }
   for (size_t i = 0; i < choice.upstreams.size(); ++i) {
     UpstreamState& state = *choice.upstreams[i];
     placement.upstreams.push_back(state.info.key);
+    const int64_t share = shares[state.info.key];
     state.loads.push_back(
         {.key = request.key,
          .is_part = i > 0,
-         .tokens = i > 0 ? 0 : request.prompt_tokens + request.output_tokens,
+         .tokens = i > 0 ? share : needed - shared,
          .due = request.due,
          .expected = now + choice.first_part,
          .event_gap = request.event_gap,
@@ -489,8 +613,19 @@
     }
     Choice choice = is_prompt ? ChooseEngines(*engine, request, now)
                               : ChoosePlain(request, now);
-    if (ShouldWait(request, choice, now))
+    const absl::Duration read = is_prompt
+                                    ? ReadTime(*engine, request.prompt_tokens)
+                                    : absl::ZeroDuration();
+    const Verdict verdict = Judge(request, choice, read, now);
+    if (verdict == Verdict::kWait)
       continue;
+    if (verdict == Verdict::kRefuse) {
+      waiting_.erase(key);
+      decisions.push_back({.kind = ScheduleDecision::Kind::kRefuse,
+                           .key = key,
+                           .retry_after = kRetryAfter});
+      continue;
+    }
     Place(request, choice, now);
     waiting_.erase(key);
     ScheduleDecision decision{.key = key,
@@ -498,6 +633,7 @@
                               .expected = choice.first_part};
     for (size_t i = 1; i < choice.upstreams.size(); ++i)
       decision.helpers.push_back(choice.upstreams[i]->info.key);
+    decision.memory = choice.memory;
     decisions.push_back(std::move(decision));
   }
   return decisions;
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -72,6 +72,12 @@
   kCancelled,
 };
 
+/** Memory that is to be set aside at an engine for a prompt. */
+struct MemoryShare {
+  UpstreamKey upstream = 0;
+  int64_t tokens = 0;
+};
+
 /** What the scheduler decided. */
 struct ScheduleDecision {
   enum class Kind { kAssign, kRefuse };
@@ -80,6 +86,8 @@
   UpstreamKey upstream = 0;
   /** Engines that read parts of the prompt, beside `upstream`. */
   std::vector<UpstreamKey> helpers;
+  /** Memory at helpers for what `upstream` cannot hold by itself. */
+  std::vector<MemoryShare> memory;
   /** For refusals: when it is worth asking again. */
   absl::Duration retry_after = absl::ZeroDuration();
   /** Estimated time to the first part of the answer. */
@@ -148,6 +156,7 @@
     WorkKey key;
     bool is_part = false;
     bool answering = false;
+    /** Memory that it takes. */
     int64_t tokens = 0;
     absl::Time due;
     absl::Time expected;
@@ -180,8 +189,17 @@
     absl::Duration pass;
     int writers = 0;
   };
+  struct Candidate {
+    Estimate estimate;
+    double cost = 0;
+    bool has_slot = false;
+    /** Tokens that its memory can still take. */
+    int64_t free_tokens = 0;
+  };
   struct Choice {
+    /** The one that answers comes first. */
     std::vector<UpstreamState*> upstreams;
+    std::vector<MemoryShare> memory;
     double cost = 0;
     double harm = 0;
     absl::Duration first_part = absl::InfiniteDuration();
@@ -198,6 +216,21 @@
                         absl::Duration read,
                         int64_t context_tokens,
                         absl::Time now) const;
+  std::vector<Candidate> RankCandidates(
+      const EngineProfile& engine,
+      const WorkRequest& request,
+      const std::vector<UpstreamState*>& usable,
+      size_t parts,
+      absl::Time now) const;
+  /** Puts the candidate that answers first; false when none can. */
+  static bool PutLeadFirst(std::vector<Candidate>* candidates,
+                           size_t parts,
+                           int64_t needed);
+  /** Memory at the others for what the first cannot hold; false when they
+      cannot hold it either. */
+  static bool ShareMemory(const std::vector<Candidate>& parts,
+                          int64_t needed,
+                          std::vector<MemoryShare>* memory);
   Choice ChooseParts(const EngineProfile& engine,
                      const WorkRequest& request,
                      const std::vector<UpstreamState*>& usable,
@@ -207,9 +240,15 @@
                        const WorkRequest& request,
                        absl::Time now);
   Choice ChoosePlain(const WorkRequest& request, absl::Time now);
-  bool ShouldWait(const WorkRequest& request,
-                  const Choice& choice,
-                  absl::Time now) const;
+  /** What becomes of a request whose best choice is known. */
+  enum class Verdict { kPlace, kWait, kRefuse };
+  Verdict Judge(const WorkRequest& request,
+                const Choice& choice,
+                absl::Duration read,
+                absl::Time now) const;
+  /** Value that others lose for each millisecond of reading at the engines of
+      the request's service, by how much reading is owed there. */
+  double ReadPrice(const WorkRequest& request, absl::Time now) const;
   void Place(const WorkRequest& request, const Choice& choice, absl::Time now);
   void RemoveLoads(WorkKey key, const Placement& placement);
   std::vector<WorkKey> InOrder(absl::Time now) const;
--- a/modules/gateway/request_run.cc
+++ b/modules/gateway/request_run.cc
@@ -181,17 +181,63 @@
     AnswerWithoutUpstream("no_time_left");
     return;
   }
-  SendTo(*upstream, decision);
+  if (decision.memory.empty())
+    SendTo(*upstream, decision);
+  else
+    HoldMemory(*upstream, decision);
+}
+
+void RequestRun::HoldMemory(const UpstreamRecord& upstream,
+                            const ScheduleDecision& decision) {
+  std::vector<MemoryHold::Share> shares;
+  for (const MemoryShare& share : decision.memory) {
+    const UpstreamRecord* holder = state_->upstreams.FindReady(share.upstream);
+    if (!holder)
+      continue;
+    shares.push_back({.upstream_id = holder->id,
+                      .address = *ParseEndpoint(holder->address),
+                      .tokens = share.tokens});
+  }
+  memory_ = std::make_shared<MemoryHold>(
+      state_->loop, state_->codec,
+      absl::StrCat("m", decision.key.owner, "-", decision.key.sequence),
+      std::move(shares));
+  const std::weak_ptr<RequestRun> weak = weak_from_this();
+  memory_->Acquire([weak, decision, upstream](bool held) {
+    const std::shared_ptr<RequestRun> self = weak.lock();
+    if (!self || self->finished_)
+      return;
+    self->state_->log.WriteDetail("memory_asked",
+                                  {{"request", self->caller_.id},
+                                   {"engines", decision.memory.size()},
+                                   {"held", held ? 1 : 0}});
+    if (held) {
+      self->SendTo(upstream, decision);
+      return;
+    }
+    self->EndSend(SendResult::kCancelled, 0);
+    if (self->decisions_ < kMaxDecisions)
+      self->AskForUpstream();
+    else
+      self->AnswerWithoutUpstream("no_memory");
+  });
 }
 
-std::vector<std::string> RequestRun::HelperAddresses(
-    const std::vector<UpstreamKey>& helpers) const {
-  std::vector<std::string> addresses;
-  for (UpstreamKey helper : helpers) {
-    if (const UpstreamRecord* record = state_->upstreams.FindReady(helper))
-      addresses.push_back(record->address);
+std::vector<PromptHelper> RequestRun::Helpers(
+    const ScheduleDecision& decision) const {
+  std::vector<PromptHelper> helpers;
+  for (UpstreamKey key : decision.helpers) {
+    const UpstreamRecord* record = state_->upstreams.FindReady(key);
+    if (!record)
+      continue;
+    const bool holds_memory = std::any_of(
+        decision.memory.begin(), decision.memory.end(),
+        [key](const MemoryShare& share) { return share.upstream == key; });
+    helpers.push_back(
+        {.address = record->address,
+         .memory_id = holds_memory ? memory_->id() : std::string()});
   }
-  return addresses;
+  return helpers;
 }
 
 void RequestRun::SendTo(const UpstreamRecord& upstream,
@@ -209,7 +255,7 @@
   UpstreamSend send{.upstream_id = upstream.id,
                     .account = account_,
                     .time_left = TimeLeft(),
-                    .helpers = HelperAddresses(decision.helpers)};
+                    .helpers = Helpers(decision)};
   if (!events_.last_event_id().empty())
     send.resume_after = events_.last_event_id();
   events_.TakeRest();
@@ -354,6 +400,9 @@
 
 void RequestRun::EndSend(SendResult result, UpstreamKey fault_at) {
   DropConnection();
+  if (memory_)
+    memory_->Release();
+  memory_.reset();
   if (!work_)
     return;
   const WorkKey key = *std::exchange(work_, std::nullopt);
--- a/modules/gateway/request_run.h
+++ b/modules/gateway/request_run.h
@@ -9,6 +9,7 @@
 
 #include "absl/time/time.h"
 #include "modules/gateway/gateway_state.h"
+#include "modules/gateway/memory_hold.h"
 #include "modules/net/event_stream.h"
 #include "modules/net/http_client_connection.h"
 #include "modules/net/http_server.h"
@@ -56,8 +57,10 @@
   bool FindRoute();
   void AskForUpstream();
   void SendTo(const UpstreamRecord& upstream, const ScheduleDecision& decision);
-  std::vector<std::string> HelperAddresses(
-      const std::vector<UpstreamKey>& helpers) const;
+  /** Sets memory aside at helpers first, then sends. */
+  void HoldMemory(const UpstreamRecord& upstream,
+                  const ScheduleDecision& decision);
+  std::vector<PromptHelper> Helpers(const ScheduleDecision& decision) const;
   /** False when the response ended the send. */
   bool JudgeHead(const HttpResponseHead& head);
   void RelayStream(HttpResponseParser& parser);
@@ -90,6 +93,7 @@
   boost::asio::steady_timer timeout_;
 
   std::optional<WorkKey> work_;
+  std::shared_ptr<MemoryHold> memory_;
   std::shared_ptr<HttpClientConnection> connection_;
   UpstreamKey upstream_ = 0;
   std::string upstream_id_;
--- a/modules/gateway/wire_codec.h
+++ b/modules/gateway/wire_codec.h
@@ -29,6 +29,23 @@
   int64_t expected_output_tokens = 0;
 };
 
+/** An engine that reads a part of a prompt. */
+struct PromptHelper {
+  /** `ip:port`. */
+  std::string address;
+  /** The memory set aside there for the prompt; empty for none. */
+  std::string memory_id;
+};
+
+/** A call to an upstream that is no caller's request. */
+struct UpstreamCall {
+  std::string method;
+  std::string target;
+  /** Further lines of the head, each with its line end. */
+  std::string extra_head;
+  std::string body;
+};
+
 /** What is added to a request for its upstream. */
 struct UpstreamSend {
   /** Only this upstream may run it. */
@@ -39,8 +56,8 @@
   absl::Duration time_left = absl::InfiniteDuration();
   /** The last event that the caller has; unset unless a stream is resumed. */
   std::optional<std::string> resume_after;
-  /** Addresses of engines that read parts of the prompt. */
-  std::vector<std::string> helpers;
+  /** Engines that read parts of the prompt. */
+  std::vector<PromptHelper> helpers;
 };
 
 /** What the head of an upstream's response says about the request. */
@@ -74,6 +91,17 @@
   virtual UpstreamVerdict Judge(const HttpResponseHead& head,
                                 absl::string_view request_id) const = 0;
 
+  /** Sets memory for `tokens` aside at the upstream `upstream_id` under the id
+      `memory_id`, or renews that. Answered 200 when it is held; it lapses
+      `hold` after the last call. */
+  virtual UpstreamCall ReserveMemory(const std::string& upstream_id,
+                                     const std::string& memory_id,
+                                     int64_t tokens,
+                                     absl::Duration hold) const = 0;
+  /** Gives that memory back. */
+  virtual UpstreamCall ReleaseMemory(const std::string& upstream_id,
+                                     const std::string& memory_id) const = 0;
+
   /** Fields that name the caller's request in a response of this project. */
   virtual HttpHeaders OwnAnswerHeaders(absl::string_view request_id) const = 0;
 };
--- a/modules/net/http_caller.cc
+++ b/modules/net/http_caller.cc
@@ -21,11 +21,7 @@
     Cancel();
 }
 
-void HttpCaller::Call(const std::string& method,
-                      const std::string& target,
-                      const std::string& body,
-                      absl::Duration timeout,
-                      Done done) {
+void HttpCaller::Call(const Request& request, Done done) {
   done_ = std::move(done);
   body_.clear();
   if (!connection_ || !connection_->IsReusable() ||
@@ -34,22 +30,22 @@
       connection_->Close();
     connection_ = std::make_shared<HttpClientConnection>(loop_, server_);
   }
-  std::string request =
-      absl::StrCat(method, " ", target,
-                   " HTTP/1.1\r\nHost: ", EndpointText(server_), "\r\n");
-  if (!body.empty()) {
-    absl::StrAppend(&request, "Content-Type: application/json\r\n",
-                    "Content-Length: ", body.size(), "\r\n");
+  std::string bytes = absl::StrCat(request.method, " ", request.target,
+                                   " HTTP/1.1\r\nHost: ", EndpointText(server_),
+                                   "\r\n", request.extra_head);
+  if (!request.body.empty()) {
+    absl::StrAppend(&bytes, "Content-Type: application/json\r\n",
+                    "Content-Length: ", request.body.size(), "\r\n");
   }
-  absl::StrAppend(&request, "\r\n", body);
-  timer_.expires_after(absl::ToChronoNanoseconds(timeout));
+  absl::StrAppend(&bytes, "\r\n", request.body);
+  timer_.expires_after(absl::ToChronoNanoseconds(request.timeout));
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (error || !is_busy())
       return;
     connection_->Close();
     Finish({});
   });
-  connection_->Exchange(std::move(request), false, this);
+  connection_->Exchange(std::move(bytes), false, this);
 }
 
 void HttpCaller::Cancel() {
--- a/modules/net/http_caller.h
+++ b/modules/net/http_caller.h
@@ -29,13 +29,20 @@
   HttpCaller(boost::asio::io_context& loop, Endpoint server);
   ~HttpCaller() override;
 
+  /** One call. */
+  struct Request {
+    std::string method = "GET";
+    std::string target;
+    /** Further lines of the head, each with its line end. */
+    std::string extra_head;
+    /** JSON, or empty. */
+    std::string body;
+    absl::Duration timeout = absl::Seconds(1);
+  };
+
   /** Calls; `done` runs from the loop, once, unless Cancel comes before it.
-      One call at a time. `body` is JSON, or empty. */
-  void Call(const std::string& method,
-            const std::string& target,
-            const std::string& body,
-            absl::Duration timeout,
-            Done done);
+      One call at a time. */
+  void Call(const Request& request, Done done);
   /** Ends the call under way and the connection, without a callback. */
   void Cancel();
   /** Changes the server from the next call on. */
--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -51,6 +51,9 @@
       upstream @7 :UInt64;
       helpers @8 :List(UInt64);
       expectedMicroseconds @9 :Int64;
+      # Memory to set aside at helpers, as many as memoryAt.
+      memoryAt @18 :List(UInt64);
+      memoryTokens @19 :List(Int64);
     }
     refuse :group {
       refusedSequence @10 :UInt64;
--- a/modules/peers/placement.capnp.h
+++ b/modules/peers/placement.capnp.h
@@ -97,7 +97,7 @@
   struct Ended;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 6, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 6, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -112,7 +112,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 6, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 6, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -127,7 +127,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 6, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 6, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -142,7 +142,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 6, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 6, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -643,6 +643,12 @@
 
   inline  ::int64_t getExpectedMicroseconds() const;
 
+  inline bool hasMemoryAt() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getMemoryAt() const;
+
+  inline bool hasMemoryTokens() const;
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader getMemoryTokens() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -688,6 +694,22 @@
   inline  ::int64_t getExpectedMicroseconds();
   inline void setExpectedMicroseconds( ::int64_t value);
 
+  inline bool hasMemoryAt();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getMemoryAt();
+  inline void setMemoryAt( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setMemoryAt(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initMemoryAt(unsigned int size);
+  inline void adoptMemoryAt(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownMemoryAt();
+
+  inline bool hasMemoryTokens();
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder getMemoryTokens();
+  inline void setMemoryTokens( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setMemoryTokens(::kj::ArrayPtr<const  ::int64_t> value);
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder initMemoryTokens(unsigned int size);
+  inline void adoptMemoryTokens(::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> disownMemoryTokens();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1396,6 +1418,8 @@
   _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename Datagram::Assign::Builder(_builder);
 }
 inline bool Datagram::Reader::isRefuse() const {
@@ -1591,6 +1615,82 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::Assign::Reader::hasMemoryAt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Assign::Builder::hasMemoryAt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Datagram::Assign::Reader::getMemoryAt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::Assign::Builder::getMemoryAt() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Datagram::Assign::Builder::setMemoryAt( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::Assign::Builder::setMemoryAt(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::Assign::Builder::initMemoryAt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Assign::Builder::adoptMemoryAt(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Datagram::Assign::Builder::disownMemoryAt() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Assign::Reader::hasMemoryTokens() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Assign::Builder::hasMemoryTokens() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader Datagram::Assign::Reader::getMemoryTokens() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::Assign::Builder::getMemoryTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Datagram::Assign::Builder::setMemoryTokens( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::Assign::Builder::setMemoryTokens(::kj::ArrayPtr<const  ::int64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::Assign::Builder::initMemoryTokens(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Assign::Builder::adoptMemoryTokens(
+    ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> Datagram::Assign::Builder::disownMemoryTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Datagram::Refuse::Reader::getRefusedSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -105,6 +105,13 @@
         assign.initHelpers(static_cast<uint32_t>(decision.helpers.size()));
     for (size_t i = 0; i < decision.helpers.size(); ++i)
       helpers.set(static_cast<uint32_t>(i), decision.helpers[i]);
+    const uint32_t shares = static_cast<uint32_t>(decision.memory.size());
+    auto memory_at = assign.initMemoryAt(shares);
+    auto memory_tokens = assign.initMemoryTokens(shares);
+    for (uint32_t i = 0; i < shares; ++i) {
+      memory_at.set(i, decision.memory[i].upstream);
+      memory_tokens.set(i, decision.memory[i].tokens);
+    }
   }
   void operator()(const FirstPartMessage& first) {
     builder.setFirstPart(first.sequence);
@@ -147,6 +154,13 @@
       .expected = absl::Microseconds(assign.getExpectedMicroseconds())};
   for (uint64_t helper : assign.getHelpers())
     decision.helpers.push_back(helper);
+  const auto memory_at = assign.getMemoryAt();
+  const auto memory_tokens = assign.getMemoryTokens();
+  for (uint32_t i = 0; i < std::min(memory_at.size(), memory_tokens.size());
+       ++i) {
+    decision.memory.push_back(
+        {.upstream = memory_at[i], .tokens = memory_tokens[i]});
+  }
   return {.decision = std::move(decision)};
 }
 
