Estimates follow the order in which engines read

Cause: ledgers were late although half the engines' reading time was free; first events came up to four times later than estimated, and only under load. Prompts apart are estimated within 2 in 100. Overlapping ones showed it: an engine turns at once to the newest part that it reads for another engine, goes on with earlier ones later, and reads its own prompts last; a part that lacked 50 ms waited 3 s behind others. Requests at plain services go to the least recently used of equally loaded upstreams (all went to one).

--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -25,10 +25,19 @@
 constexpr absl::Duration kSplitFrom = absl::Milliseconds(60);
 /** Cost of each further engine that takes part, in value. */
 constexpr double kPartCost = 0.004;
+/** The same for a prompt that is late in any case. */
+constexpr double kLatePartCost = 0.5;
+/** Cost of an arrangement that would end after the deadline. */
+constexpr double kTooLateCost = 1000;
+/** Time that a late prompt is given, over the estimate. */
+constexpr double kLateReserve = 1.5;
 /** Advantage of an engine for each stream that already writes there. */
 constexpr double kPackingBonus = 0.006;
 /** Share of its memory that an engine's requests may be expected to fill. */
 constexpr double kMemoryShare = 0.95;
+/** Part of its value that a request loses with each second in which the engine
+    that is to answer it reads for others. */
+constexpr double kDelayCost = 0.05;
 /** Callers leave a stream after a pause of this length or of so many times the
     pause that is still on time, whichever is longer. */
 constexpr absl::Duration kLeastPatience = absl::Seconds(2);
@@ -266,16 +275,18 @@
     const EngineProfile& engine,
     UpstreamState* upstream,
     absl::Duration read,
-    int64_t context_tokens,
+    PartRole role,
     absl::Time now) const {
-  int64_t context = context_tokens;
-  int writers = context_tokens > 0 ? 1 : 0;
-  int others = 0;
+  int64_t context = 0;
+  int writers = 0;
+  int requests = 0;
   for (const Load& load : upstream->loads) {
     if (load.is_part)
       continue;
+    ++requests;
+    if (!load.answering)
+      continue;
     ++writers;
-    ++others;
     context += load.tokens;
   }
   const absl::Duration base =
@@ -283,34 +294,49 @@
   const absl::Duration backlog =
       std::max(upstream->read_until - now, absl::ZeroDuration());
   const absl::Duration own_read = read * upstream->pace;
-  const absl::Duration begin =
-      others > 0 ? std::max(backlog, base / 2) : backlog;
+  absl::Duration begin =
+      role == PartRole::kLead ? backlog : absl::ZeroDuration();
+  // A pass with writers reads all that is there before a next one begins.
+  if (writers > 0)
+    begin = std::max(backlog, base / 2);
   Estimate estimate{.upstream = upstream,
                     .first_part = begin + own_read + base + kTransit,
                     .pass = base + backlog + own_read,
-                    .writers = others};
+                    .writers = requests};
   const absl::Duration pass_before = base + backlog;
   for (const Load& load : upstream->loads) {
+    if (!load.answering) {
+      estimate.harm += DelayHarm(load, own_read, now);
+      continue;
+    }
     if (load.is_part)
       continue;
-    double added =
+    const double late =
         Risk(estimate.pass, load.event_gap) - Risk(pass_before, load.event_gap);
     const absl::Duration patience =
         std::max(kLeastPatience, load.event_gap * kPatienceGaps);
-    const double abandoned =
+    const double left =
         Risk(estimate.pass, patience) - Risk(pass_before, patience);
-    if (!load.answering && load.due > now) {
-      const absl::Duration wait = std::max(load.expected - now, pass_before);
-      added +=
-          Risk(wait + own_read, load.due - now) - Risk(wait, load.due - now);
-    }
-    estimate.harm += std::clamp(added, 0.0, 1.0) * load.value * kLateLoss;
-    estimate.harm +=
-        std::clamp(abandoned, 0.0, 1.0) * load.value * (1 - kLateLoss);
+    estimate.harm += load.value * (late * kLateLoss + left * (1 - kLateLoss));
   }
   return estimate;
 }
 
+double FleetScheduler::DelayHarm(const Load& load,
+                                 absl::Duration delay,
+                                 absl::Time now) {
+  const absl::Duration wait =
+      std::max(load.expected - now, absl::ZeroDuration());
+  double harm = kDelayCost * absl::ToDoubleSeconds(delay);
+  if (load.due > now) {
+    harm += kLateLoss *
+            (Risk(wait + delay, load.due - now) - Risk(wait, load.due - now));
+  }
+  harm += (1 - kLateLoss) * (Risk(wait + delay, load.deadline - now) -
+                             Risk(wait, load.deadline - now));
+  return harm * load.value;
+}
+
 std::vector<FleetScheduler::Candidate> FleetScheduler::RankCandidates(
     const EngineProfile& engine,
     const WorkRequest& request,
@@ -338,16 +364,24 @@
         candidate.has_slot && (parts > 1 || candidate.free_tokens >= needed);
     if (!could_lead && parts == 1)
       continue;
-    candidate.estimate = EstimateRead(
-        engine, upstream, read,
-        could_lead ? std::min(needed, candidate.free_tokens) : 0, now);
-    const Estimate& estimate = candidate.estimate;
-    candidate.cost =
-        estimate.harm +
-        Risk(estimate.first_part, request.due - now) * value * kLateLoss +
+    const double fault_cost =
         std::min(FaultsNow(*upstream, now), 2.0) * kFaultCost * value;
-    if (parts == 1)
-      candidate.cost -= kPackingBonus * estimate.writers;
+    const auto cost = [&](const Estimate& estimate) {
+      return estimate.harm + fault_cost +
+             Risk(estimate.first_part, request.due - now) * value * kLateLoss;
+    };
+    candidate.as_lead =
+        EstimateRead(engine, upstream, read, PartRole::kLead, now);
+    candidate.cost_as_lead = cost(candidate.as_lead);
+    if (parts == 1) {
+      candidate.cost_as_lead -= kPackingBonus * candidate.as_lead.writers;
+      candidate.estimate = candidate.as_lead;
+      candidate.cost = candidate.cost_as_lead;
+    } else {
+      candidate.estimate =
+          EstimateRead(engine, upstream, read, PartRole::kHelper, now);
+      candidate.cost = cost(candidate.estimate);
+    }
     candidates.push_back(candidate);
   }
   std::stable_sort(
@@ -362,7 +396,13 @@
   const auto can_hold = [needed](const Candidate& candidate) {
     return candidate.has_slot && candidate.free_tokens >= needed;
   };
-  auto lead = std::find_if(candidates->begin(), candidates->end(), can_hold);
+  auto lead = candidates->end();
+  for (auto it = candidates->begin(); it != candidates->end(); ++it) {
+    if (!can_hold(*it))
+      continue;
+    if (lead == candidates->end() || it->cost_as_lead < lead->cost_as_lead)
+      lead = it;
+  }
   if (lead == candidates->end()) {
     // None holds it alone: the one with most room among the cheapest.
     const auto end = candidates->begin() + std::min(parts, candidates->size());
@@ -374,6 +414,7 @@
     if (lead == end || !lead->has_slot)
       return false;
   }
+  lead->estimate = lead->as_lead;
   std::rotate(candidates->begin(), lead, lead + 1);
   return true;
 }
@@ -456,23 +497,40 @@
     usable.push_back(&state);
   }
   const bool may_split = ReadTime(engine, request.prompt_tokens) > kSplitFrom;
-  Choice best;
+  std::vector<Choice> choices;
   for (size_t parts : kPartCounts) {
     if (parts > 1 && (!may_split || parts > usable.size()))
       break;
     Choice choice = ChooseParts(engine, request, usable, parts, now);
     if (choice.upstreams.empty())
       continue;
-    if (best.upstreams.empty() || choice.cost < best.cost)
-      best = std::move(choice);
+    choices.push_back(std::move(choice));
   }
-  return best;
+  if (choices.empty())
+    return {};
+  const bool all_late =
+      std::all_of(choices.begin(), choices.end(), [&](const Choice& choice) {
+        return now + choice.first_part > request.due;
+      });
+  // What is late in any case is read by few, so that others find free engines.
+  const auto cost = [&](const Choice& choice) {
+    if (!all_late)
+      return choice.cost;
+    const bool in_time =
+        now + choice.first_part * kLateReserve < request.deadline;
+    return choice.harm +
+           kLatePartCost * static_cast<double>(choice.upstreams.size()) +
+           (in_time ? 0 : kTooLateCost);
+  };
+  return *std::min_element(
+      choices.begin(), choices.end(),
+      [&](const Choice& a, const Choice& b) { return cost(a) < cost(b); });
 }
 
 FleetScheduler::Choice FleetScheduler::ChoosePlain(const WorkRequest& request,
                                                    absl::Time now) {
   Choice best;
-  std::tuple<bool, double, UpstreamKey> best_rank;
+  std::tuple<bool, double, absl::Time> best_rank;
   for (auto& [key, state] : upstreams_) {
     if (!IsUsable(state, request, now))
       continue;
@@ -483,7 +541,8 @@
     const bool tried = std::find(request.avoid.begin(), request.avoid.end(),
                                  key) != request.avoid.end();
     const double load = running / slots + FaultsNow(state, now);
-    const std::tuple<bool, double, UpstreamKey> rank(tried, load, key);
+    const std::tuple<bool, double, absl::Time> rank(tried, load,
+                                                    state.last_placed);
     if (!best.upstreams.empty() && best_rank <= rank)
       continue;
     best_rank = rank;
@@ -563,16 +622,22 @@
   for (size_t i = 0; i < choice.upstreams.size(); ++i) {
     UpstreamState& state = *choice.upstreams[i];
     placement.upstreams.push_back(state.info.key);
+    for (Load& load : state.loads) {
+      if (!load.answering)
+        load.expected += read * state.pace;
+    }
     const int64_t share = shares[state.info.key];
     state.loads.push_back(
         {.key = request.key,
          .is_part = i > 0,
          .tokens = i > 0 ? share : needed - shared,
          .due = request.due,
+         .deadline = request.deadline,
          .expected = now + choice.first_part,
          .event_gap = request.event_gap,
          .value = RequestValue(request.prompt_tokens, request.output_tokens)});
     state.read_until = std::max(state.read_until, now) + read * state.pace;
+    state.last_placed = now;
   }
   running_[request.key] = std::move(placement);
 }
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -159,6 +159,8 @@
     /** Memory that it takes. */
     int64_t tokens = 0;
     absl::Time due;
+    absl::Time deadline;
+    /** When the request's first part was expected, delays since included. */
     absl::Time expected;
     absl::Duration event_gap;
     double value = 0;
@@ -170,6 +172,7 @@
     /** When the prompts read there now are expected to be read. */
     absl::Time read_until = absl::InfinitePast();
     double pace = 1;
+    absl::Time last_placed = absl::InfinitePast();
     /** Recent faults, fading with kFaultHalfLife. */
     double faults = 0;
     absl::Time faults_at = absl::InfinitePast();
@@ -180,6 +183,14 @@
     std::vector<UpstreamKey> upstreams;
     bool answering = false;
   };
+  /** How an engine takes part in a prompt. */
+  enum class PartRole {
+    /** It reads its part after all that it reads for others, and writes the
+        answer. */
+    kLead,
+    /** It reads its part at once; what it was reading goes on afterwards. */
+    kHelper,
+  };
   /** What placing a read of some length on one engine would do. */
   struct Estimate {
     UpstreamState* upstream = nullptr;
@@ -190,8 +201,11 @@
     int writers = 0;
   };
   struct Candidate {
+    /** With the role of a helper, or as the only one. */
     Estimate estimate;
     double cost = 0;
+    Estimate as_lead;
+    double cost_as_lead = 0;
     bool has_slot = false;
     /** Tokens that its memory can still take. */
     int64_t free_tokens = 0;
@@ -214,7 +228,7 @@
   Estimate EstimateRead(const EngineProfile& engine,
                         UpstreamState* upstream,
                         absl::Duration read,
-                        int64_t context_tokens,
+                        PartRole role,
                         absl::Time now) const;
   std::vector<Candidate> RankCandidates(
       const EngineProfile& engine,
@@ -231,6 +245,11 @@
   static bool ShareMemory(const std::vector<Candidate>& parts,
                           int64_t needed,
                           std::vector<MemoryShare>* memory);
+  /** What `load` loses in value when the engine that reads it turns to another
+      read first. */
+  static double DelayHarm(const Load& load,
+                          absl::Duration delay,
+                          absl::Time now);
   Choice ChooseParts(const EngineProfile& engine,
                      const WorkRequest& request,
                      const std::vector<UpstreamState*>& usable,
--- a/modules/gateway/request_run.cc
+++ b/modules/gateway/request_run.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "modules/core/hashing.h"
 #include "modules/net/loop_time.h"
 
@@ -36,6 +37,16 @@
   return status >= 200 && status < 300;
 }
 
+/** Addresses of helpers for the log; `none` when there are none. */
+std::string HelperText(const std::vector<PromptHelper>& helpers) {
+  if (helpers.empty())
+    return "none";
+  return absl::StrJoin(helpers, ",",
+                       [](std::string* out, const PromptHelper& helper) {
+                         out->append(helper.address);
+                       });
+}
+
 HttpHeaders ForwardedHeaders(const HttpResponseHead& head) {
   HttpHeaders headers;
   const absl::string_view connection = head.headers.Find("Connection");
@@ -263,8 +274,9 @@
       "request_sent",
       {{"request", caller_.id},
        {"upstream", upstream.id},
+       {"address", upstream.address},
        {"send", sends_},
-       {"helpers", send.helpers.size()},
+       {"helpers", HelperText(send.helpers)},
        {"waited_ms", absl::ToInt64Milliseconds(now - arrived_)},
        {"expected_ms", absl::ToInt64Milliseconds(decision.expected)},
        {"time_left_ms", absl::ToInt64Milliseconds(send.time_left)}});
@@ -328,9 +340,12 @@
     sink_->BeginStream(parser.head().status, ForwardedHeaders(parser.head()));
   }
   if (!bytes.empty()) {
+    const absl::Time now = SteadyNow();
+    if (first_part_told_)
+      longest_gap_ = std::max(longest_gap_, now - last_event_);
+    last_event_ = now;
     if (!first_part_told_) {
       first_part_told_ = true;
-      const absl::Time now = SteadyNow();
       state_->log.WriteDetail(
           "first_event",
           {{"request", caller_.id},
@@ -507,13 +522,15 @@
   finished_ = true;
   timeout_.cancel();
   const absl::Duration took = SteadyNow() - arrived_;
-  state_->log.WriteDetail("request_ended",
-                          {{"request", caller_.id},
-                           {"status", status},
-                           {"reason", reason},
-                           {"sends", sends_},
-                           {"events", events_.events()},
-                           {"took_ms", absl::ToInt64Milliseconds(took)}});
+  state_->log.WriteDetail(
+      "request_ended",
+      {{"request", caller_.id},
+       {"status", status},
+       {"reason", reason},
+       {"sends", sends_},
+       {"events", events_.events()},
+       {"longest_gap_ms", absl::ToInt64Milliseconds(longest_gap_)},
+       {"took_ms", absl::ToInt64Milliseconds(took)}});
   state_->counters.Add(absl::StrCat("chicory_requests_total{status=\"", status,
                                     "\",reason=\"", reason, "\"}"));
 }
--- a/modules/gateway/request_run.h
+++ b/modules/gateway/request_run.h
@@ -104,6 +104,8 @@
   bool is_stream_ = false;
   std::string whole_body_;
   EventStreamSplitter events_;
+  absl::Time last_event_;
+  absl::Duration longest_gap_;
   int sends_ = 0;
   int decisions_ = 0;
   bool may_have_run_ = false;
