Late prompts wait for the last moment of the fastest arrangement

Cause: a prompt that is late in any case was refused 2 ms after it came when the arrangement with the fewest engines could not end in time; its caller asked again, was refused again, and nothing was read.

--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -55,7 +55,7 @@
 /** Value of a millisecond of reading while all engines have enough to read. */
 constexpr double kFullReadPrice = 0.005;
 /** A late request is decided on when it has so many times the time left that
-    its first part takes. */
+    its first part takes at best. */
 constexpr double kLastMoment = 2;
 /** A late request is still served at the last moment when others lose up to
     so many times what it gains. */
@@ -522,9 +522,13 @@
            kLatePartCost * static_cast<double>(choice.upstreams.size()) +
            (in_time ? 0 : kTooLateCost);
   };
-  return *std::min_element(
+  Choice best = *std::min_element(
       choices.begin(), choices.end(),
       [&](const Choice& a, const Choice& b) { return cost(a) < cost(b); });
+  best.fastest = absl::InfiniteDuration();
+  for (const Choice& choice : choices)
+    best.fastest = std::min(best.fastest, choice.first_part);
+  return best;
 }
 
 FleetScheduler::Choice FleetScheduler::ChoosePlain(const WorkRequest& request,
@@ -598,7 +602,7 @@
   }
   if (loss <= gain)
     return Verdict::kPlace;
-  if (now + choice.first_part * kLastMoment < request.deadline)
+  if (now + choice.fastest * kLastMoment < request.deadline)
     return Verdict::kWait;
   return loss <= gain * kLastChance ? Verdict::kPlace : Verdict::kRefuse;
 }
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -217,6 +217,8 @@
     double cost = 0;
     double harm = 0;
     absl::Duration first_part = absl::InfiniteDuration();
+    /** The least `first_part` of all arrangements that were weighed. */
+    absl::Duration fastest = absl::InfiniteDuration();
   };
 
   const EngineProfile* EngineOf(const std::string& service) const;
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -22,10 +22,10 @@
 /** How often the settings file is looked at for a change without a signal. */
 constexpr std::chrono::seconds kSettingsPoll(2);
 /** Longest wait of one watch at the store. */
-constexpr absl::Duration kWatch = absl::Seconds(10);
+constexpr absl::Duration kWatch = absl::Seconds(15);
 /** Parts of the bounds that changes are gathered for. */
-constexpr double kGatherConfiguration = 0.1;
-constexpr double kGatherUpstreams = 0.15;
+constexpr double kGatherConfiguration = 0.2;
+constexpr double kGatherUpstreams = 0.25;
 
 std::optional<GatewaySettings> LoadSettings(
     const std::string& path,
