--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -70,6 +70,8 @@
 /** Cost of a recent fault, as a part of a request's value. */
 constexpr double kFaultCost = 0.3;
 constexpr absl::Duration kFullPause = absl::Milliseconds(100);
+/** How often work without an end is looked for. */
+constexpr absl::Duration kExpiryInterval = absl::Milliseconds(500);
 /** Least time to ask again after a refusal. */
 constexpr absl::Duration kRetryAfter = absl::Milliseconds(500);
 
@@ -665,8 +667,22 @@
   return keys;
 }
 
+void FleetScheduler::ExpireRunning(absl::Time now) {
+  std::vector<WorkKey> expired;
+  for (const auto& [key, placement] : running_) {
+    if (placement.request.deadline + kExpiryInterval <= now)
+      expired.push_back(key);
+  }
+  for (WorkKey key : expired)
+    Forget(key);
+}
+
 std::vector<ScheduleDecision> FleetScheduler::Run(absl::Time now) {
   std::vector<ScheduleDecision> decisions;
+  if (now >= next_expiry_) {
+    next_expiry_ = now + kExpiryInterval;
+    ExpireRunning(now);
+  }
   if (waiting_.empty())
     return decisions;
   for (WorkKey key : InOrder(now)) {
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -273,12 +273,15 @@
   void Place(const WorkRequest& request, const Choice& choice, absl::Time now);
   void RemoveLoads(WorkKey key, const Placement& placement);
   std::vector<WorkKey> InOrder(absl::Time now) const;
+  /** Drops what ran past its deadline and whose end was never told. */
+  void ExpireRunning(absl::Time now);
 
   /** Ordered, so that a run depends on nothing but its inputs. */
   std::map<UpstreamKey, UpstreamState> upstreams_;
   absl::flat_hash_map<std::string, EngineProfile> engines_;
   absl::flat_hash_map<WorkKey, WorkRequest> waiting_;
   absl::flat_hash_map<WorkKey, Placement> running_;
+  absl::Time next_expiry_ = absl::InfinitePast();
 };
 
 /** What a request is worth to its caller, relative to a tiny one: long prompts
--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -37,6 +37,8 @@
   configurationVersion @1 :UInt64;
   # Of hello: requests that run, also those that are left out.
   runningTotal @17 :UInt32;
+  # Live instances that the sender knows, itself included.
+  liveInstances @20 :UInt32;
   union {
     # "I am alive, and this is what I have running."
     hello @2 :List(Running);
--- a/modules/peers/placement.capnp.h
+++ b/modules/peers/placement.capnp.h
@@ -505,6 +505,8 @@
 
   inline  ::uint32_t getRunningTotal() const;
 
+  inline  ::uint32_t getLiveInstances() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -591,6 +593,9 @@
   inline  ::uint32_t getRunningTotal();
   inline void setRunningTotal( ::uint32_t value);
 
+  inline  ::uint32_t getLiveInstances();
+  inline void setLiveInstances( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1535,6 +1540,20 @@
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Datagram::Reader::getLiveInstances() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::Builder::getLiveInstances() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setLiveInstances( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Datagram::Assign::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -16,7 +16,7 @@
 
 /** Most list entries of a datagram; keeps it within kMaxDatagramBytes. */
 constexpr size_t kMaxRunningTold = 8;
-constexpr size_t kMaxMembersTold = 120;
+constexpr size_t kMaxMembersTold = 64;
 constexpr size_t kMaxAvoidTold = 4;
 /** Words that a received message may make the reader visit. */
 constexpr uint64_t kMaxReadWords = 4096;
@@ -218,6 +218,7 @@
   auto datagram = builder.initRoot<wire::Datagram>();
   datagram.setSender(message.sender);
   datagram.setConfigurationVersion(message.configuration_version);
+  datagram.setLiveInstances(static_cast<uint32_t>(message.live_instances));
   std::visit(ContentWriter{datagram}, message.content);
   const auto words = capnp::messageToFlatArray(builder);
   const auto bytes = words.asBytes();
@@ -240,6 +241,7 @@
     PeerMessage message{
         .sender = datagram.getSender(),
         .configuration_version = datagram.getConfigurationVersion(),
+        .live_instances = datagram.getLiveInstances(),
         .content = GoodbyeMessage{}};
     if (ReadContent(datagram, &message))
       result = std::move(message);
--- a/modules/peers/placement_message.h
+++ b/modules/peers/placement_message.h
@@ -80,6 +80,8 @@
   InstanceIp sender = 0;
   /** Version of the configuration that the sender has; 0 for none. */
   uint64_t configuration_version = 0;
+  /** Live instances that the sender knows, itself included. */
+  size_t live_instances = 1;
   std::variant<HelloMessage,
                WelcomeMessage,
                SubmitMessage,
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -16,6 +16,10 @@
 constexpr absl::Duration kHelloInterval = absl::Milliseconds(500);
 /** Instances that are told what runs here: the scheduler and the next one. */
 constexpr size_t kTold = 2;
+/** Instances that one answer to a hello names, and the candidates among them.
+ */
+constexpr size_t kMembersTold = 24;
+constexpr size_t kCandidatesTold = 8;
 /** Every so many hellos one also goes to a seed, so that parts of the fleet
     that lost each other meet again. */
 constexpr uint64_t kSeedEvery = 4;
@@ -89,6 +93,7 @@
 void PlacementNode::Send(InstanceIp to, PeerMessage message) {
   message.sender = options_.self;
   message.configuration_version = configuration_version_;
+  message.live_instances = live_here_;
   transport_->Send(to, message);
 }
 
@@ -188,6 +193,8 @@
     return;
   }
   roster_.OnHeardDirectly(message.sender, now);
+  if (std::holds_alternative<WelcomeMessage>(message.content))
+    OnLiveCount(message.live_instances, now);
   if (message.configuration_version > configuration_version_)
     listener_->OnNewerConfiguration(message.configuration_version);
   if (const auto* hello = std::get_if<HelloMessage>(&message.content)) {
@@ -231,10 +238,28 @@
   }
   if (told.size() == hello.total)
     ForgetUnlisted(sender, told);
-  Send(sender, {.content = WelcomeMessage{roster_.Members(now)}});
+  Send(sender, {.content = WelcomeMessage{MembersToTell(now)}});
   RunScheduler(now);
 }
 
+std::vector<InstanceRoster::Member> PlacementNode::MembersToTell(
+    absl::Time now) {
+  const std::vector<InstanceRoster::Member> all = roster_.Members(now);
+  if (all.size() <= kMembersTold)
+    return all;
+  // All have to know the same candidates; the others are told in turn.
+  const std::vector<InstanceIp> first =
+      roster_.SchedulerOrder(now, kCandidatesTold);
+  std::vector<InstanceRoster::Member> told;
+  for (const InstanceRoster::Member& member : all) {
+    if (std::find(first.begin(), first.end(), member.ip) != first.end())
+      told.push_back(member);
+  }
+  while (told.size() < kMembersTold)
+    told.push_back(all[next_told_++ % all.size()]);
+  return told;
+}
+
 void PlacementNode::ForgetUnlisted(InstanceIp sender,
                                    const std::vector<WorkKey>& listed) {
   for (WorkKey key : scheduler_.KeysOf(sender)) {
@@ -295,6 +320,20 @@
   }
 }
 
+void PlacementNode::OnLiveCount(size_t count, absl::Time now) {
+  if (count < live_told_ && now - live_told_at_ < InstanceRoster::kGoneAfter)
+    return;
+  live_told_ = count;
+  live_told_at_ = now;
+}
+
+size_t PlacementNode::LiveInstances(absl::Time now) const {
+  const size_t here = roster_.LiveCount(now);
+  if (now - live_told_at_ >= InstanceRoster::kGoneAfter)
+    return here;
+  return std::max(here, live_told_);
+}
+
 void PlacementNode::Tick(absl::Time now) {
   std::vector<uint64_t> again;
   for (const auto& [sequence, job] : jobs_) {
@@ -338,7 +377,13 @@
 void PlacementNode::SayHellos(absl::Time now) {
   next_hello_ = now + kHelloInterval;
   ++hello_count_;
-  std::vector<InstanceIp> targets = roster_.SchedulerOrder(now, kTold);
+  live_here_ = roster_.LiveCount(now);
+  absl::erase_if(assigned_, [this](const auto& entry) {
+    return !scheduler_.IsRunning(entry.first);
+  });
+  // The second choice is told half as often.
+  std::vector<InstanceIp> targets =
+      roster_.SchedulerOrder(now, hello_count_ % 2 == 0 ? kTold : 1);
   const std::vector<InstanceIp>& seeds = options_.seeds;
   if (!seeds.empty()) {
     if (roster_.LiveCount(now) < kFewInstances)
--- a/modules/peers/placement_node.h
+++ b/modules/peers/placement_node.h
@@ -85,7 +85,9 @@
 
   /** Whether requests wait, so that Tick is to be called every kTick. */
   bool IsBusy() const;
-  size_t LiveInstances(absl::Time now) const { return roster_.LiveCount(now); }
+  /** Live instances, this one included, as far as this one or the scheduler
+      knows. */
+  size_t LiveInstances(absl::Time now) const;
   const FleetScheduler& scheduler() const { return scheduler_; }
 
  private:
@@ -114,6 +116,8 @@
   void OnWaits(InstanceIp sender, const WaitsMessage& waits);
   void OnRemoteDecision(InstanceIp sender, const DecisionMessage& message);
   void SayHellos(absl::Time now);
+  std::vector<InstanceRoster::Member> MembersToTell(absl::Time now);
+  void OnLiveCount(size_t count, absl::Time now);
   TravellingWork ToTravel(const WorkRequest& request, absl::Time now) const;
   WorkRequest FromTravel(InstanceIp owner,
                          const TravellingWork& work,
@@ -136,6 +140,12 @@
   absl::flat_hash_map<WorkKey, Assignment> assigned_;
   absl::Time next_hello_ = absl::InfinitePast();
   uint64_t hello_count_ = 0;
+  size_t next_told_ = 0;
+  /** Live instances by this one's roster at its last hello. */
+  size_t live_here_ = 1;
+  /** The largest count that a scheduler told lately. */
+  size_t live_told_ = 1;
+  absl::Time live_told_at_ = absl::InfinitePast();
 };
 
 }  // namespace chicory
--- /dev/null
+++ b/tests/logic/fleet_scheduler_test.cc
@@ -0,0 +1,290 @@
+#include "modules/decisions/fleet_scheduler.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chicory {
+namespace {
+
+constexpr int64_t kEngineMemory = 315000;
+
+EngineProfile Engine() {
+  return {.slots = 16,
+          .memory_tokens = kEngineMemory,
+          .step_ms = 0.85,
+          .per_writer_ms = 0.00425,
+          .per_context_k_ms = 0.00285,
+          .read_per_ms = 177,
+          .per_million_pairs_ms = 0.184,
+          .chunk_tokens = 2048,
+          .steps_per_pass = 51};
+}
+
+/** A scheduler of `engines` engines and three plain upstreams, in virtual time.
+ */
+class Bench {
+ public:
+  explicit Bench(int engines) {
+    for (int i = 1; i <= engines; ++i)
+      upstreams_.push_back({UpstreamKey(i), "engines", 16});
+    for (int i = 101; i <= 103; ++i)
+      upstreams_.push_back({UpstreamKey(i), "desk", 6});
+    scheduler.SetUpstreams(upstreams_);
+    scheduler.SetEngine("engines", Engine());
+  }
+
+  /** Submits a prompt and returns its key. */
+  WorkKey Prompt(int64_t tokens,
+                 absl::Duration target,
+                 absl::Duration gap,
+                 std::vector<UpstreamKey> avoid = {}) {
+    const WorkKey key{1, ++sequence_};
+    scheduler.Submit({.key = key,
+                      .service = "engines",
+                      .prompt_tokens = tokens,
+                      .output_tokens = 800,
+                      .due = now + target,
+                      .deadline = now + absl::Seconds(15),
+                      .event_gap = gap,
+                      .avoid = std::move(avoid)});
+    return key;
+  }
+  WorkKey Short(std::vector<UpstreamKey> avoid = {}) {
+    return Prompt(5000, absl::Milliseconds(300), absl::Milliseconds(250),
+                  std::move(avoid));
+  }
+  WorkKey Long(int64_t tokens) {
+    return Prompt(tokens, absl::Seconds(3), absl::Seconds(1));
+  }
+  WorkKey Plain(absl::Duration deadline = absl::Seconds(4)) {
+    const WorkKey key{1, ++sequence_};
+    scheduler.Submit({.key = key,
+                      .service = "desk",
+                      .due = now + absl::Milliseconds(300),
+                      .deadline = now + deadline});
+    return key;
+  }
+
+  /** Decisions of one run, by key. */
+  std::map<WorkKey, ScheduleDecision> Run() {
+    std::map<WorkKey, ScheduleDecision> decisions;
+    for (const ScheduleDecision& decision : scheduler.Run(now))
+      decisions[decision.key] = decision;
+    return decisions;
+  }
+
+  /** Places a prompt and lets it answer. */
+  ScheduleDecision PlaceAndAnswer(WorkKey key) {
+    const ScheduleDecision decision = Run().at(key);
+    scheduler.OnFirstPart(key, now);
+    return decision;
+  }
+
+  FleetScheduler scheduler;
+  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+
+ private:
+  std::vector<SchedulerUpstream> upstreams_;
+  uint64_t sequence_ = 0;
+};
+
+std::set<UpstreamKey> All(const ScheduleDecision& decision) {
+  std::set<UpstreamKey> all(decision.helpers.begin(), decision.helpers.end());
+  all.insert(decision.upstream);
+  return all;
+}
+
+// Pattern: a steady stream of short prompts beside rare long ones.
+TEST_CASE("short prompts share few engines, long ones take the others") {
+  Bench bench(14);
+  std::set<UpstreamKey> short_engines;
+  for (int i = 0; i < 8; ++i) {
+    short_engines.insert(bench.PlaceAndAnswer(bench.Short()).upstream);
+    bench.now += absl::Milliseconds(150);
+  }
+  CHECK(short_engines.size() <= 3);
+  const WorkKey key = bench.Long(154000);
+  const ScheduleDecision decision = bench.Run().at(key);
+  CHECK(decision.expected < absl::Seconds(3));
+  for (UpstreamKey engine : All(decision))
+    CHECK(short_engines.count(engine) == 0);
+}
+
+TEST_CASE("a long prompt is read by several engines when one would be late") {
+  struct Case {
+    int64_t tokens;
+    size_t least;
+    size_t most;
+  };
+  for (const Case& c : std::vector<Case>{
+           {5000, 1, 1}, {45000, 1, 4}, {154000, 2, 14}, {280000, 4, 14}}) {
+    INFO(c.tokens);
+    Bench bench(14);
+    const WorkKey key = bench.Long(c.tokens);
+    const ScheduleDecision decision = bench.Run().at(key);
+    CHECK(All(decision).size() >= c.least);
+    CHECK(All(decision).size() <= c.most);
+    CHECK(All(decision).size() == decision.helpers.size() + 1);
+    CHECK(decision.memory.empty());
+  }
+}
+
+TEST_CASE("what one engine cannot hold is set aside at its helpers") {
+  for (const int64_t tokens : {320000, 400000, 700000}) {
+    INFO(tokens);
+    Bench bench(14);
+    const WorkKey key = bench.Long(tokens);
+    std::map<WorkKey, ScheduleDecision> decisions;
+    for (int i = 0; i < 1000 && decisions.count(key) == 0; ++i) {
+      decisions = bench.Run();
+      bench.now += absl::Milliseconds(20);
+    }
+    REQUIRE(decisions.count(key) == 1);
+    const ScheduleDecision& decision = decisions.at(key);
+    REQUIRE(decision.kind == ScheduleDecision::Kind::kAssign);
+    int64_t shared = 0;
+    for (const MemoryShare& share : decision.memory) {
+      CHECK(std::count(decision.helpers.begin(), decision.helpers.end(),
+                       share.upstream) == 1);
+      CHECK(share.tokens <= kEngineMemory);
+      shared += share.tokens;
+    }
+    CHECK(shared + kEngineMemory >= tokens + 800);
+  }
+}
+
+// Pattern: prompts that overlap on engines which turn to the newest part first.
+TEST_CASE("a second long prompt does not interrupt one that is nearly read") {
+  Bench bench(14);
+  const WorkKey first = bench.Long(154000);
+  const ScheduleDecision first_decision = bench.Run().at(first);
+  REQUIRE(All(first_decision).size() < 12);
+  bench.now += first_decision.expected - absl::Milliseconds(100);
+  const WorkKey second = bench.Long(60000);
+  const ScheduleDecision second_decision = bench.Run().at(second);
+  for (UpstreamKey engine : All(second_decision))
+    CHECK(All(first_decision).count(engine) == 0);
+}
+
+// Pattern: everything comes at once; what is late everywhere has to wait here.
+TEST_CASE("prompts beyond the fleet's speed wait or are refused in time") {
+  Bench bench(4);
+  std::vector<WorkKey> keys;
+  for (int i = 0; i < 30; ++i)
+    keys.push_back(bench.Long(154000));
+  std::map<WorkKey, ScheduleDecision> decided;
+  const absl::Time begin = bench.now;
+  while (bench.now < begin + absl::Seconds(16)) {
+    for (const auto& [key, decision] : bench.Run()) {
+      CHECK(decided.emplace(key, decision).second);
+      if (decision.kind == ScheduleDecision::Kind::kRefuse)
+        CHECK(decision.retry_after > absl::ZeroDuration());
+    }
+    bench.now += absl::Milliseconds(20);
+  }
+  CHECK(decided.size() == keys.size());
+  CHECK(bench.scheduler.waiting() == 0);
+}
+
+TEST_CASE("an upstream that fails loses its share and gets it back") {
+  Bench bench(3);
+  for (int i = 0; i < 4; ++i) {
+    const WorkKey key = bench.Short({2, 3});
+    const auto decisions = bench.Run();
+    if (decisions.count(key) == 0)
+      break;
+    REQUIRE(decisions.at(key).upstream == 1);
+    bench.scheduler.OnEnded(key, SendResult::kFault, 0, bench.now);
+  }
+  const WorkKey shunned = bench.Short({2, 3});
+  CHECK(bench.Run().count(shunned) == 0);
+  bench.now += absl::Seconds(2);
+  CHECK(bench.scheduler.IsWaiting(shunned));
+  CHECK(bench.Run().count(shunned) == 1);
+}
+
+TEST_CASE("another upstream is blamed when the answer names it") {
+  Bench bench(2);
+  for (int i = 0; i < 4; ++i) {
+    const WorkKey key = bench.Short({2});
+    const auto decisions = bench.Run();
+    REQUIRE(decisions.count(key) == 1);
+    bench.scheduler.OnEnded(key, SendResult::kFault, 2, bench.now);
+  }
+  const WorkKey key = bench.Short({1});
+  CHECK(bench.Run().count(key) == 0);
+}
+
+// Pattern: few, equally loaded upstreams; one must not get all.
+TEST_CASE("plain requests are spread and bounded") {
+  Bench bench(1);
+  std::map<UpstreamKey, int> counts;
+  for (int i = 0; i < 30; ++i) {
+    const WorkKey key = bench.Plain();
+    const ScheduleDecision decision = bench.Run().at(key);
+    ++counts[decision.upstream];
+    bench.scheduler.OnEnded(key, SendResult::kDone, 0, bench.now);
+    bench.now += absl::Milliseconds(50);
+  }
+  for (UpstreamKey key : {101, 102, 103})
+    CHECK(counts[key] == 10);
+  for (int i = 0; i < 40; ++i)
+    bench.Plain(absl::Seconds(1));
+  CHECK(bench.Run().size() ==
+        27);  // 3 upstreams, 6 slots and half as much more
+  bench.now += absl::Seconds(2);
+  for (const auto& [key, decision] : bench.Run())
+    CHECK(decision.kind == ScheduleDecision::Kind::kRefuse);
+  CHECK(bench.scheduler.waiting() == 0);
+}
+
+TEST_CASE("upstreams that are taken away get nothing more") {
+  Bench bench(2);
+  bench.scheduler.SetUpstreams({{2, "engines", 16}});
+  for (int i = 0; i < 5; ++i)
+    CHECK(bench.PlaceAndAnswer(bench.Short()).upstream == 2);
+}
+
+TEST_CASE("work that was placed elsewhere counts after it is adopted") {
+  Bench bench(2);
+  for (uint64_t i = 0; i < 16; ++i) {
+    bench.scheduler.Adopt(
+        {.request = {.key = {9, i},
+                     .service = "engines",
+                     .prompt_tokens = 5000,
+                     .output_tokens = 500,
+                     .due = bench.now,
+                     .deadline = bench.now + absl::Seconds(9)},
+         .upstream = 1,
+         .answering = true},
+        bench.now);
+  }
+  CHECK(bench.scheduler.RunningAt(1) == 16);
+  CHECK(bench.PlaceAndAnswer(bench.Short()).upstream == 2);
+  for (WorkKey key : bench.scheduler.KeysOf(9))
+    bench.scheduler.Forget(key);
+  CHECK(bench.scheduler.RunningAt(1) == 0);
+}
+
+TEST_CASE("reading time follows the published speed") {
+  struct Case {
+    int64_t tokens;
+    double milliseconds;
+  };
+  for (const Case& c : std::vector<Case>{
+           {5000, 30.5}, {45000, 440.5}, {154000, 3052}, {700000, 49035}}) {
+    INFO(c.tokens);
+    CHECK(absl::ToDoubleMilliseconds(ReadTime(Engine(), c.tokens)) ==
+          Approx(c.milliseconds).epsilon(0.01));
+  }
+  CHECK(PassTime(Engine(), 0, 0) == absl::Milliseconds(0.85));
+  CHECK(absl::ToDoubleMilliseconds(PassTime(Engine(), 16, 80000)) ==
+        Approx(58.4).epsilon(0.02));
+}
+
+}  // namespace
+}  // namespace chicory
--- /dev/null
+++ b/tests/logic/gateway_parts_test.cc
@@ -0,0 +1,183 @@
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "modules/core/event_log.h"
+#include "modules/decisions/retry_window.h"
+#include "modules/net/socket_options.h"
+#include "modules/routing/upstream_directory.h"
+
+namespace chicory {
+namespace {
+
+constexpr double kRatio = 0.2;
+constexpr double kSlack = 236;
+constexpr absl::Duration kWindow = absl::Seconds(10);
+
+// Pattern: callers repeat at once and often while most sends fail.
+TEST_CASE("repeated sends of all instances stay within the shared budget") {
+  for (const int instances : {20, 111, 340}) {
+    INFO(instances);
+    std::vector<std::unique_ptr<RetryWindow>> windows;
+    for (int i = 0; i < instances; ++i) {
+      windows.push_back(std::make_unique<RetryWindow>(RetryWindow::Options{
+          .ratio = kRatio, .slack = kSlack, .window = kWindow}));
+    }
+    std::mt19937 random(3);
+    absl::Time now = absl::UnixEpoch();
+    std::vector<absl::Time> requests;
+    std::vector<absl::Time> repeats;
+    for (int step = 0; step < 6000; ++step) {
+      now += absl::Milliseconds(5);
+      // Unevenly spread over the instances.
+      const size_t index =
+          std::min<size_t>(random() % instances, random() % instances);
+      windows[index]->OnRequest("s", now);
+      requests.push_back(now);
+      for (int repeat = 0; repeat < 3; ++repeat) {
+        if (windows[index]->Spend("s", instances, now))
+          repeats.push_back(now);
+      }
+      const auto in_window = [&](const std::vector<absl::Time>& times) {
+        return times.end() -
+               std::lower_bound(times.begin(), times.end(), now - kWindow);
+      };
+      if (step % 100 == 0) {
+        CHECK(static_cast<double>(in_window(repeats)) <=
+              kRatio * static_cast<double>(in_window(requests)) + kSlack);
+      }
+    }
+    CHECK(!repeats.empty());
+  }
+}
+
+TEST_CASE("an instance that believes itself alone for a while stays bounded") {
+  RetryWindow window({.ratio = kRatio, .slack = kSlack, .window = kWindow});
+  int spent = 0;
+  for (int i = 0; i < 1000; ++i)
+    spent += window.Spend("s", 1, absl::UnixEpoch());
+  CHECK(spent <= kSlack);
+  CHECK(window.Spent("s", absl::UnixEpoch() + absl::Seconds(11)) == 0);
+}
+
+UpstreamRecord Record(const std::string& id,
+                      UpstreamState state = UpstreamState::kReady) {
+  return {.id = id,
+          .service = "s",
+          .address = "10.0.0.1:80",
+          .slots = 4,
+          .state = state};
+}
+
+TEST_CASE("registrations that lapse in an outage are kept for a while") {
+  struct Case {
+    const char* name;
+    bool after_outage;
+    absl::Duration wait;
+    bool known;
+  };
+  const std::vector<Case> cases = {
+      {"gone at once", false, absl::ZeroDuration(), false},
+      {"kept", true, absl::Milliseconds(1000), true},
+      {"stayed missing", true, absl::Milliseconds(1600), false},
+  };
+  for (const bool by_list : {true, false}) {
+    for (const Case& c : cases) {
+      INFO(c.name << (by_list ? " by list" : " by event"));
+      absl::Time now = absl::UnixEpoch();
+      UpstreamDirectory directory;
+      directory.Replace({Record("a"), Record("b")}, false, now);
+      if (by_list)
+        directory.Replace({Record("a")}, c.after_outage, now);
+      else
+        directory.Remove("b", c.after_outage, now);
+      directory.Expire(now + c.wait);
+      CHECK((directory.FindReady(UpstreamDirectory::KeyOf("b")) != nullptr) ==
+            c.known);
+      CHECK(directory.FindReady(UpstreamDirectory::KeyOf("a")) != nullptr);
+    }
+  }
+}
+
+TEST_CASE("an upstream that comes back in time is not dropped") {
+  absl::Time now = absl::UnixEpoch();
+  UpstreamDirectory directory;
+  directory.Replace({Record("a")}, false, now);
+  directory.Replace({}, true, now);
+  directory.Put(Record("a"));
+  CHECK_FALSE(directory.Expire(now + absl::Minutes(1)));
+  CHECK(directory.Ready().size() == 1);
+}
+
+TEST_CASE("draining upstreams get nothing new") {
+  UpstreamDirectory directory;
+  directory.Put(Record("a"));
+  directory.Put(Record("a", UpstreamState::kDraining));
+  CHECK(directory.FindReady(UpstreamDirectory::KeyOf("a")) == nullptr);
+  CHECK(directory.Ready().empty());
+  CHECK(directory.KeyOfAddress("10.0.0.1:80") == UpstreamDirectory::KeyOf("a"));
+  CHECK(directory.KeyOfAddress("10.0.0.2:80") == 0);
+}
+
+TEST_CASE("a log whose reader has stopped does not block") {
+  int ends[2];
+  REQUIRE(::pipe(ends) == 0);
+  EventLog log({.descriptor = ends[1]});
+  const std::string text(400, 'x');
+  for (int i = 0; i < 100000; ++i)
+    log.Write(i % 2 == 0 ? "even" : "odd", {{"text", text}});
+  CHECK(log.dropped() > 0);
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
+TEST_CASE("lines of one event are bounded in a second and quoted") {
+  int ends[2];
+  REQUIRE(::pipe(ends) == 0);
+  ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+  EventLog log({.descriptor = ends[1]});
+  log.Write("first", {{"a", "x y"}, {"b", 3}, {"c", ""}});
+  for (int i = 0; i < 5000; ++i)
+    log.Write("e", {});
+  std::string text(1 << 16, '\0');
+  const ssize_t count = ::read(ends[0], text.data(), text.size());
+  REQUIRE(count > 0);
+  text.resize(static_cast<size_t>(count));
+  CHECK(absl::StrContains(text, "event=first a=\"x y\" b=3 c=\"\"\n"));
+  // A second may begin in between.
+  const auto lines = std::count(text.begin(), text.end(), '\n');
+  CHECK(lines <= 2 * EventLog::kMaxLinesPerSecond + 10);
+  CHECK(log.dropped() >= 5000 - 2 * EventLog::kMaxLinesPerSecond);
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
+TEST_CASE("addresses are read exactly") {
+  struct Case {
+    const char* text;
+    bool ok;
+  };
+  for (const Case& c : std::vector<Case>{{"10.1.0.40:8227", true},
+                                         {"0.0.0.0:0", true},
+                                         {"10.1.0.40", false},
+                                         {"10.1.0.40:70000", false},
+                                         {"10.1.0:80", false},
+                                         {"host:80", false},
+                                         {"10.1.0.40:-1", false},
+                                         {"", false}}) {
+    INFO(c.text);
+    const auto endpoint = ParseEndpoint(c.text);
+    CHECK(endpoint.has_value() == c.ok);
+    if (endpoint)
+      CHECK(EndpointText(*endpoint) == c.text);
+  }
+}
+
+}  // namespace
+}  // namespace chicory
--- /dev/null
+++ b/tests/logic/http_message_test.cc
@@ -0,0 +1,227 @@
+#include "modules/net/http_message.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "modules/net/event_stream.h"
+
+namespace chicory {
+namespace {
+
+struct RequestCase {
+  const char* name;
+  std::string bytes;
+  ParseState state;
+  int error_status;
+  std::string body;
+  /** Bytes that belong to a next request. */
+  size_t left;
+};
+
+std::vector<RequestCase> RequestCases() {
+  const std::string head = "POST /a/b?c=%20d HTTP/1.1\r\nHost: h\r\n";
+  return {
+      {"no body", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", ParseState::kComplete,
+       0, "", 0},
+      {"length", head + "Content-Length: 5\r\n\r\nhello", ParseState::kComplete,
+       0, "hello", 0},
+      {"chunks",
+       head +
+           "Transfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n",
+       ParseState::kComplete, 0, "hello", 0},
+      {"next request stays", head + "Content-Length: 2\r\n\r\nhiGET /",
+       ParseState::kComplete, 0, "hi", 5},
+      {"half a body", head + "Content-Length: 5\r\n\r\nhel",
+       ParseState::kNeedMore, 0, "", 0},
+      {"two lengths",
+       head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi!",
+       ParseState::kBad, 400, "", 0},
+      {"length and chunks",
+       head +
+           "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       ParseState::kBad, 400, "", 0},
+      {"chunks and length",
+       head +
+           "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n0\r\n\r\n",
+       ParseState::kBad, 400, "", 0},
+      {"negative length", head + "Content-Length: -1\r\n\r\n", ParseState::kBad,
+       400, "", 0},
+      {"space before colon", head + "Content-Length : 1\r\n\r\nx",
+       ParseState::kBad, 400, "", 0},
+      {"no version", "GET /a\r\n\r\n", ParseState::kBad, 400, "", 0},
+      {"body over the limit", head + "Content-Length: 9999\r\n\r\n",
+       ParseState::kBad, 413, "", 0},
+      {"head over the limit",
+       head + "X: " + std::string(5000, 'x') + "\r\n\r\n", ParseState::kBad,
+       431, "", 0},
+      {"not HTTP", std::string("\x16\x03\x01\x02\x00\x01", 6), ParseState::kBad,
+       400, "", 0},
+  };
+}
+
+HttpRequestParser::Options SmallLimits() {
+  return {.max_header_bytes = 4096, .max_body_bytes = 4096};
+}
+
+TEST_CASE("requests are read whole, bounded and without smuggling") {
+  for (const RequestCase& c : RequestCases()) {
+    for (const bool bytewise : {false, true}) {
+      INFO(c.name << (bytewise ? ", byte by byte" : ""));
+      HttpRequestParser parser(SmallLimits());
+      std::string unread;
+      size_t used = 0;
+      const size_t step = bytewise ? 1 : c.bytes.size();
+      for (size_t i = 0;
+           i < c.bytes.size() && parser.state() == ParseState::kNeedMore;
+           i += step) {
+        unread += c.bytes.substr(i, step);
+        const size_t taken = parser.Feed(unread);
+        unread.erase(0, taken);
+        used += taken;
+      }
+      REQUIRE(parser.state() == c.state);
+      if (c.state == ParseState::kBad)
+        CHECK(parser.error_status() == c.error_status);
+      if (c.state != ParseState::kComplete)
+        continue;
+      if (!bytewise)
+        CHECK(c.bytes.size() - used == c.left);
+      CHECK(parser.Take().body == c.body);
+    }
+  }
+}
+
+TEST_CASE("the target and unknown header fields are kept as they were sent") {
+  HttpRequestParser parser(SmallLimits());
+  parser.Feed(
+      "POST /a%2Fb?c=%20d HTTP/1.1\r\nHost: h\r\nX-Odd: a , b\r\n"
+      "Content-Length: 0\r\n\r\n");
+  const HttpRequest request = parser.Take();
+  CHECK(request.target == "/a%2Fb?c=%20d");
+  CHECK(request.path() == "/a%2Fb");
+  CHECK(request.headers.Find("x-odd") == "a , b");
+  CHECK_FALSE(request.headers.Has("y"));
+  // A missing field is an empty text, not a null view.
+  CHECK(request.headers.Find("y").data() != nullptr);
+}
+
+struct ResponseCase {
+  const char* name;
+  std::string bytes;
+  bool connection_ends;
+  ParseState state;
+  int status;
+  std::string body;
+};
+
+std::vector<ResponseCase> ResponseCases() {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  return {
+      {"length", ok + "Content-Length: 2\r\n\r\nhi", false,
+       ParseState::kComplete, 200, "hi"},
+      {"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+       false, ParseState::kComplete, 200, "hi"},
+      {"interim first",
+       "HTTP/1.1 100 Continue\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nhi",
+       false, ParseState::kComplete, 200, "hi"},
+      {"ends with its connection", ok + "\r\nhi", true, ParseState::kComplete,
+       200, "hi"},
+      {"cut in a length", ok + "Content-Length: 5\r\n\r\nhi", true,
+       ParseState::kBad, 200, "hi"},
+      {"cut between chunks",
+       ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", true,
+       ParseState::kBad, 200, "hi"},
+      {"cut in the head", "HTTP/1.1 200", true, ParseState::kBad, 0, ""},
+      {"nothing at all", "", true, ParseState::kBad, 0, ""},
+      {"garbage", "\x01\x02garbage\r\n\r\n", false, ParseState::kBad, 0, ""},
+  };
+}
+
+TEST_CASE("responses are complete only when their end was seen") {
+  for (const ResponseCase& c : ResponseCases()) {
+    INFO(c.name);
+    HttpResponseParser parser(/*head_only=*/false);
+    parser.Feed(c.bytes);
+    if (c.connection_ends)
+      parser.FeedEnd();
+    CHECK(parser.state() == c.state);
+    if (c.status == 0)
+      continue;
+    CHECK(parser.head().status == c.status);
+    CHECK(parser.TakeBody() == c.body);
+  }
+}
+
+TEST_CASE("parsers survive spoilt bytes, seeds 1 to 400") {
+  std::vector<std::string> seeds;
+  for (const RequestCase& c : RequestCases())
+    seeds.push_back(c.bytes);
+  for (const ResponseCase& c : ResponseCases())
+    seeds.push_back(c.bytes);
+  for (unsigned seed = 1; seed <= 400; ++seed) {
+    std::mt19937 random(seed);
+    std::string bytes = seeds[random() % seeds.size()];
+    for (unsigned i = random() % 6; i > 0 && !bytes.empty(); --i)
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    bytes += seeds[random() % seeds.size()];
+    HttpRequestParser request(SmallLimits());
+    HttpResponseParser response(false);
+    CHECK(request.Feed(bytes) <= bytes.size());
+    CHECK(response.Feed(bytes) <= bytes.size());
+    if (request.state() == ParseState::kComplete)
+      CHECK(request.Take().body.size() <= 4096);
+    response.FeedEnd();
+    CHECK(response.state() != ParseState::kNeedMore);
+  }
+}
+
+TEST_CASE("streams are cut into whole events") {
+  struct Case {
+    const char* name;
+    std::string bytes;
+    std::string whole;
+    size_t pending;
+    std::string last_id;
+    int events;
+  };
+  const std::vector<Case> cases = {
+      {"one", "id: 1\ndata: a\n\n", "id: 1\ndata: a\n\n", 0, "1", 1},
+      {"one and a half", "id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n\n", 8,
+       "1", 1},
+      {"line ends of two bytes", "id:7\r\ndata: a\r\n\r\n",
+       "id:7\r\ndata: a\r\n\r\n", 0, "7", 1},
+      {"no id", "data: a\n\n", "data: a\n\n", 0, "", 1},
+      {"half a line end", "id: 3\ndata: a\n", "", 14, "", 0},
+      {"two", "id: 1\n\nid: 2\n\n", "id: 1\n\nid: 2\n\n", 0, "2", 2},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    EventStreamSplitter bytewise;
+    std::string joined;
+    for (char byte : c.bytes) {
+      bytewise.Add(absl::string_view(&byte, 1));
+      joined += bytewise.TakeEvents();
+    }
+    CHECK(joined == c.whole);
+    EventStreamSplitter splitter;
+    splitter.Add(c.bytes);
+    CHECK(splitter.TakeEvents() == c.whole);
+    CHECK(splitter.pending_bytes() == c.pending);
+    CHECK(splitter.last_event_id() == c.last_id);
+    CHECK(splitter.events() == c.events);
+  }
+}
+
+TEST_CASE("fields of one connection are not forwarded") {
+  CHECK(IsHopByHop("Transfer-Encoding", ""));
+  CHECK(IsHopByHop("keep-alive", ""));
+  CHECK(IsHopByHop("X-Mine", "close, x-mine"));
+  CHECK_FALSE(IsHopByHop("X-Mine", "close"));
+  CHECK_FALSE(IsHopByHop("Content-Type", ""));
+}
+
+}  // namespace
+}  // namespace chicory
--- /dev/null
+++ b/tests/logic/placement_node_test.cc
@@ -0,0 +1,298 @@
+#include "modules/peers/placement_node.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace chicory {
+namespace {
+
+constexpr absl::Duration kDelay = absl::Milliseconds(1);
+constexpr absl::Duration kStep = absl::Milliseconds(5);
+
+/** Instances that exchange datagrams in virtual time, with losses, freezes and
+    deaths. */
+class Fleet {
+ public:
+  struct Member : PlacementNode::Listener {
+    Member(Fleet* fleet, InstanceIp ip, std::vector<InstanceIp> seeds)
+        : fleet(fleet),
+          node({.self = ip,
+                .seeds = std::move(seeds),
+                .first_sequence = (uint64_t{ip} << 32) + fleet->starts_++},
+               &fleet->transport_,
+               this) {
+      node.SetUpstreams(fleet->upstreams_);
+    }
+    void OnDecision(const ScheduleDecision& decision,
+                    InstanceIp scheduler) override {
+      decisions[decision.key] = decision;
+      schedulers.insert(scheduler);
+    }
+    void OnNewerConfiguration(uint64_t version) override { newer = version; }
+
+    Fleet* fleet;
+    PlacementNode node;
+    std::map<WorkKey, ScheduleDecision> decisions;
+    std::set<InstanceIp> schedulers;
+    uint64_t newer = 0;
+    bool is_frozen = false;
+  };
+
+  Fleet(int count, int upstreams, double loss) : transport_(this), loss_(loss) {
+    for (int i = 1; i <= upstreams; ++i)
+      upstreams_.push_back({UpstreamKey(i), "desk", 6});
+    for (int i = 1; i <= count; ++i)
+      Start(static_cast<InstanceIp>(i));
+  }
+
+  void Start(InstanceIp ip) {
+    members[ip] =
+        std::make_unique<Member>(this, ip, std::vector<InstanceIp>{1, 2, 3});
+  }
+
+  WorkKey Submit(InstanceIp ip, absl::Duration deadline = absl::Seconds(4)) {
+    return members.at(ip)->node.Submit({.service = "desk",
+                                        .due = now + absl::Milliseconds(300),
+                                        .deadline = now + deadline},
+                                       now);
+  }
+  bool IsDecided(WorkKey key) const {
+    return members.at(key.owner)->decisions.count(key) != 0;
+  }
+  void End(WorkKey key) {
+    members.at(key.owner)->node.OnEnded(key, SendResult::kDone, 0, now);
+  }
+
+  void Run(absl::Duration length) {
+    const absl::Time end = now + length;
+    while (now < end) {
+      now += kStep;
+      while (!flying_.empty() && flying_.front().first <= now) {
+        auto [to, bytes] = std::move(flying_.front().second);
+        flying_.pop();
+        auto found = members.find(to);
+        if (found == members.end() || found->second->is_frozen)
+          continue;
+        const auto message = DecodePeerMessage(bytes);
+        REQUIRE(message.has_value());
+        found->second->node.OnMessage(*message, now);
+      }
+      for (auto& [ip, member] : members) {
+        if (!member->is_frozen)
+          member->node.Tick(now);
+      }
+    }
+  }
+
+  std::map<InstanceIp, std::unique_ptr<Member>> members;
+  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  int64_t datagrams = 0;
+  int64_t bytes_sent = 0;
+  size_t largest = 0;
+
+ private:
+  class Transport : public PlacementNode::Transport {
+   public:
+    explicit Transport(Fleet* fleet) : fleet_(fleet) {}
+    void Send(InstanceIp to, const PeerMessage& message) override {
+      const std::string bytes = EncodePeerMessage(message);
+      ++fleet_->datagrams;
+      fleet_->bytes_sent += static_cast<int64_t>(bytes.size());
+      fleet_->largest = std::max(fleet_->largest, bytes.size());
+      if (std::uniform_real_distribution<double>(0, 1)(fleet_->random_) <
+          fleet_->loss_)
+        return;
+      fleet_->flying_.push({fleet_->now + kDelay, {to, bytes}});
+    }
+
+   private:
+    Fleet* fleet_;
+  };
+
+  Transport transport_;
+  double loss_;
+  uint64_t starts_ = 0;
+  std::mt19937 random_{7};
+  std::vector<SchedulerUpstream> upstreams_;
+  std::queue<std::pair<absl::Time, std::pair<InstanceIp, std::string>>> flying_;
+};
+
+TEST_CASE("all instances agree on one scheduler and meet through seeds") {
+  for (const int count : {1, 2, 20, 111, 340}) {
+    INFO(count);
+    Fleet fleet(count, 3, 0);
+    fleet.Run(absl::Seconds(4));
+    std::set<InstanceIp> schedulers;
+    for (auto& [ip, member] : fleet.members) {
+      const WorkKey key = fleet.Submit(ip);
+      fleet.Run(absl::Milliseconds(10));
+      CHECK(fleet.IsDecided(key));
+      fleet.End(key);
+      schedulers.insert(member->schedulers.begin(), member->schedulers.end());
+    }
+    CHECK(schedulers.size() == 1);
+    CHECK(fleet.largest <= kMaxDatagramBytes);
+  }
+}
+
+TEST_CASE("control traffic of an instance stays within 4 KB a second") {
+  constexpr double kMaxBytesPerSecond = 4096;
+  for (const int count : {20, 111, 340}) {
+    INFO(count);
+    Fleet fleet(count, 3, 0);
+    fleet.Run(absl::Seconds(5));
+    fleet.bytes_sent = 0;
+    fleet.Run(absl::Seconds(10));
+    CHECK(static_cast<double>(fleet.bytes_sent) / 10 / count <
+          kMaxBytesPerSecond);
+  }
+}
+
+TEST_CASE("a request is placed although the scheduler dies or freezes") {
+  struct Case {
+    const char* name;
+    bool dies;
+    double loss;
+  };
+  for (const Case& c :
+       std::vector<Case>{{"dies", true, 0},
+                         {"freezes", false, 0},
+                         {"dies, one in ten lost", true, 0.1}}) {
+    INFO(c.name);
+    Fleet fleet(20, 3, c.loss);
+    fleet.Run(absl::Seconds(4));
+    const WorkKey probe = fleet.Submit(5);
+    fleet.Run(absl::Milliseconds(400));
+    REQUIRE(fleet.IsDecided(probe));
+    const InstanceIp scheduler = *fleet.members.at(5)->schedulers.begin();
+    if (c.dies)
+      fleet.members.erase(scheduler);
+    else
+      fleet.members.at(scheduler)->is_frozen = true;
+    std::vector<WorkKey> keys;
+    for (InstanceIp ip = 1; ip <= 20; ++ip) {
+      if (ip != scheduler)
+        keys.push_back(fleet.Submit(ip));
+    }
+    fleet.Run(absl::Milliseconds(500));
+    for (WorkKey key : keys) {
+      if (!fleet.IsDecided(key) && c.loss > 0)
+        fleet.Run(absl::Milliseconds(300));
+      CHECK(fleet.IsDecided(key));
+    }
+  }
+}
+
+TEST_CASE(
+    "every request is decided once although one in five datagrams is lost") {
+  Fleet fleet(20, 6, 0.2);
+  fleet.Run(absl::Seconds(5));
+  std::vector<WorkKey> open;
+  int decided = 0;
+  for (int round = 0; round < 100; ++round) {
+    open.push_back(fleet.Submit(static_cast<InstanceIp>(1 + round % 20)));
+    fleet.Run(absl::Milliseconds(40));
+    std::vector<WorkKey> still;
+    for (WorkKey key : open) {
+      if (!fleet.IsDecided(key)) {
+        still.push_back(key);
+        continue;
+      }
+      ++decided;
+      fleet.End(key);
+    }
+    open = still;
+  }
+  fleet.Run(absl::Seconds(2));
+  for (WorkKey key : open) {
+    CHECK(fleet.IsDecided(key));
+    fleet.End(key);
+  }
+  // No scheduler keeps work that its owner has ended.
+  fleet.Run(absl::Seconds(4));
+  for (auto& [ip, member] : fleet.members)
+    CHECK(member->node.scheduler().running() == 0);
+}
+
+TEST_CASE("an instance alone schedules for itself") {
+  Fleet fleet(1, 3, 0);
+  const WorkKey key = fleet.Submit(1);
+  CHECK(fleet.IsDecided(key));
+}
+
+TEST_CASE("an instance that restarts does not keep its old work reserved") {
+  Fleet fleet(5, 1, 0);
+  fleet.Run(absl::Seconds(4));
+  std::vector<WorkKey> keys;
+  for (int i = 0; i < 9; ++i)
+    keys.push_back(fleet.Submit(4));
+  fleet.Run(absl::Milliseconds(50));
+  for (WorkKey key : keys)
+    CHECK(fleet.IsDecided(key));
+  const WorkKey waits = fleet.Submit(5);
+  fleet.Run(absl::Milliseconds(50));
+  CHECK_FALSE(fleet.IsDecided(waits));
+  fleet.Start(4);
+  fleet.Run(absl::Seconds(2));
+  CHECK(fleet.IsDecided(waits));
+}
+
+TEST_CASE("a newer configuration elsewhere is noticed") {
+  Fleet fleet(20, 1, 0);
+  fleet.members.at(7)->node.SetConfigurationVersion(9);
+  fleet.Run(absl::Seconds(4));
+  int told = 0;
+  for (auto& [ip, member] : fleet.members)
+    told += member->newer == 9;
+  CHECK(told >= 1);
+}
+
+TEST_CASE("datagrams that are none of ours are ignored") {
+  CHECK_FALSE(DecodePeerMessage("").has_value());
+  CHECK_FALSE(DecodePeerMessage("12345678").has_value());
+  const std::string good = EncodePeerMessage(
+      {.sender = 1,
+       .content = SubmitMessage{{.sequence = 3, .service = "desk"}}});
+  REQUIRE(DecodePeerMessage(good).has_value());
+  for (unsigned seed = 1; seed <= 500; ++seed) {
+    std::mt19937 random(seed);
+    std::string bytes = good;
+    for (unsigned i = 1 + random() % 5; i > 0; --i)
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    bytes.resize(random() % (bytes.size() + 1));
+    (void)DecodePeerMessage(bytes);
+  }
+}
+
+TEST_CASE("messages keep what they say") {
+  ScheduleDecision decision{.key = {.sequence = 5},
+                            .upstream = 7,
+                            .helpers = {8, 9},
+                            .memory = {{.upstream = 9, .tokens = 1000}},
+                            .expected = absl::Milliseconds(40)};
+  const auto read = DecodePeerMessage(
+      EncodePeerMessage({.sender = 3,
+                         .configuration_version = 4,
+                         .content = DecisionMessage{decision}}));
+  REQUIRE(read.has_value());
+  CHECK(read->sender == 3);
+  CHECK(read->configuration_version == 4);
+  const ScheduleDecision& got =
+      std::get<DecisionMessage>(read->content).decision;
+  CHECK(got.upstream == 7);
+  CHECK(got.helpers == decision.helpers);
+  REQUIRE(got.memory.size() == 1);
+  CHECK(got.memory[0].tokens == 1000);
+  CHECK(got.expected == absl::Milliseconds(40));
+}
+
+}  // namespace
+}  // namespace chicory
--- /dev/null
+++ b/tests/logic/platform_test.cc
@@ -0,0 +1,274 @@
+#include <catch2/catch.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "platform/documents.h"
+#include "platform/header_codec.h"
+
+namespace chicory {
+namespace {
+
+HttpRequest RequestWith(
+    const std::vector<std::pair<std::string, std::string>>& fields) {
+  HttpRequest request{.method = "POST", .target = "/a/b?q=1", .body = "hello"};
+  for (const auto& [name, value] : fields)
+    request.headers.Add(name, value);
+  return request;
+}
+
+TEST_CASE("a caller's request is read from its header fields") {
+  const HeaderCodec codec;
+  SECTION("all fields") {
+    const CallerRequest caller =
+        codec.ReadRequest(RequestWith({{"Request-Id", "9c41"},
+                                       {"Deadline-Ms", "1500"},
+                                       {"Authorization", "Bearer k1"},
+                                       {"Token-Count", "1460,80"},
+                                       {"Length-Hint", "60"}}));
+    CHECK(caller.id == "9c41");
+    CHECK(caller.patience == absl::Milliseconds(1500));
+    CHECK(caller.key == "k1");
+    CHECK(caller.prompt_tokens == 1460);
+    CHECK(caller.max_output_tokens == 80);
+    CHECK(caller.expected_output_tokens == 60);
+  }
+  // A request without a token count once ended the process.
+  SECTION("none") {
+    const CallerRequest caller = codec.ReadRequest(RequestWith({}));
+    CHECK(caller.id.empty());
+    CHECK(caller.patience == absl::InfiniteDuration());
+    CHECK(caller.key.empty());
+    CHECK(caller.prompt_tokens == 0);
+  }
+  SECTION("spoilt values") {
+    const CallerRequest caller =
+        codec.ReadRequest(RequestWith({{"Deadline-Ms", "-5"},
+                                       {"Token-Count", "many,,x"},
+                                       {"Length-Hint", "1e99"},
+                                       {"Authorization", "Basic k1"}}));
+    CHECK(caller.patience == absl::InfiniteDuration());
+    CHECK(caller.prompt_tokens == 0);
+    CHECK(caller.max_output_tokens == 0);
+    CHECK(caller.key.empty());
+  }
+}
+
+TEST_CASE("an upstream gets the request with this project's own fields") {
+  const HeaderCodec codec;
+  const HttpRequest request = RequestWith({{"Host", "h.example"},
+                                           {"Request-Id", "9c41"},
+                                           {"Tenant", "forged"},
+                                           {"Expect-Instance", "forged"},
+                                           {"Helpers", "forged"},
+                                           {"Authorization", "Bearer k1"},
+                                           {"Deadline-Ms", "9000"},
+                                           {"Connection", "keep-alive, X-Hop"},
+                                           {"X-Hop", "1"},
+                                           {"Content-Length", "5"},
+                                           {"Last-Event-Id", "3"}});
+  const std::string head = codec.UpstreamHead(
+      request, {.upstream_id = "i-1",
+                .account = "hule",
+                .time_left = absl::Milliseconds(700),
+                .resume_after = "12",
+                .helpers = {{"10.0.0.1:80", "m1"}, {"10.0.0.2:80", ""}}});
+  CHECK(absl::StartsWith(head, "POST /a/b?q=1 HTTP/1.1\r\n"));
+  CHECK(absl::EndsWith(head, "\r\n\r\n"));
+  for (const char* line :
+       {"Host: h.example", "Request-Id: 9c41", "Tenant: hule",
+        "Expect-Instance: i-1", "Deadline-Ms: 700", "Content-Length: 5",
+        "Last-Event-Id: 12", "Helpers: 10.0.0.1:80/m1,10.0.0.2:80"}) {
+    INFO(line);
+    CHECK(absl::StrContains(head, std::string("\r\n") + line + "\r\n"));
+  }
+  for (const char* text : {"forged", "k1", "X-Hop", "9000", "Id: 3"}) {
+    INFO(text);
+    CHECK_FALSE(absl::StrContains(head, text));
+  }
+}
+
+TEST_CASE("an upstream's answer is judged by its head") {
+  struct Case {
+    const char* name;
+    int status;
+    std::vector<std::pair<std::string, std::string>> fields;
+    bool not_run;
+    bool matches;
+    bool is_signed;
+  };
+  const std::vector<Case> cases = {
+      {"success",
+       200,
+       {{"Request-Id", "1"}, {"Response-Stamp", "s"}},
+       false,
+       true,
+       true},
+      {"unsigned", 200, {{"Request-Id", "1"}}, false, true, false},
+      {"another request's",
+       200,
+       {{"Request-Id", "2"}, {"Response-Stamp", "s"}},
+       false,
+       false,
+       true},
+      {"no id", 200, {{"Response-Stamp", "s"}}, false, false, true},
+      {"encoded",
+       200,
+       {{"Request-Id", "1"},
+        {"Response-Stamp", "s"},
+        {"Content-Encoding", "x"}},
+       false,
+       true,
+       false},
+      {"full", 503, {{"Not-Executed", "1"}}, true, true, false},
+      {"moved", 421, {}, true, true, false},
+      {"own error",
+       500,
+       {{"Request-Id", "1"}, {"Response-Stamp", "s"}},
+       false,
+       true,
+       true},
+      {"refused without a promise",
+       503,
+       {{"Request-Id", "1"}},
+       false,
+       true,
+       false},
+  };
+  const HeaderCodec codec;
+  for (const Case& c : cases) {
+    INFO(c.name);
+    HttpResponseHead head{.status = c.status};
+    for (const auto& [name, value] : c.fields)
+      head.headers.Add(name, value);
+    const UpstreamVerdict verdict = codec.Judge(head, "1");
+    CHECK(verdict.not_run == c.not_run);
+    CHECK(verdict.matches == c.matches);
+    CHECK(verdict.is_signed == c.is_signed);
+  }
+}
+
+constexpr char kConfiguration[] = R"({"version":7,"routes":[
+  {"name":"r1","host":"a.example","path-prefix":"/x/","kind":"streaming",
+   "timeout-ms":10000,"target-latency-ms":300,"priority":1,
+   "traffic-split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+   "max-attempts":2,"anonymous":false,"stream-resume":true,"gap-aim-ms":250},
+  {"name":"r2","host":"a.example","path-prefix":"/x/y/","kind":"idempotent",
+   "timeout-ms":2000,"service":"s2","anonymous":true}],
+ "services":[{"name":"s1","max-connections":831,"engine":{"slots":16,
+   "kv-capacity":315000,"stride":51,"step_ms":0.85,"per_seq_ms":0.00425,
+   "context_per_k":0.00285,"read_per_s":177000.0,"pairs_per_m":0.184,
+   "chunk":2048}},{"name":"s2","max-connections":244}],
+ "limits":{"max-header-bytes":16384,"idle-timeout-ms":15000},
+ "tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":0},
+            {"name":"t2","api-keys":["k3"]}],"unknown":{"a":1}})";
+
+TEST_CASE("the operators' configuration becomes a routing table") {
+  const auto decoded =
+      Capture([] { return DecodeConfiguration(kConfiguration); });
+  REQUIRE(decoded.ok);
+  const RoutingTable table(decoded.value);
+  CHECK(table.version() == 7);
+  const Route* route = table.Match("A.example:8080", "/x/z");
+  REQUIRE(route != nullptr);
+  CHECK(route->name == "r1");
+  CHECK(route->MayRunAgain());
+  CHECK(route->event_gap == absl::Milliseconds(250));
+  CHECK(table.Match("a.example", "/x/y/z")->name == "r2");
+  CHECK(table.Match("a.example", "/x") == nullptr);
+  CHECK(table.Match("b.example", "/x/z") == nullptr);
+  CHECK(PickTarget(*route, 0.89) == "s1");
+  CHECK(PickTarget(*route, 0.91) == "s2");
+  CHECK(table.AccountOfKey("k2")->name == "t1");
+  CHECK(table.AccountOfKey("k2")->priority == 0);
+  CHECK_FALSE(table.AccountOfKey("k3")->priority.has_value());
+  CHECK(table.AccountOfKey("k4") == nullptr);
+  CHECK(table.FindService("s1")->engine->read_per_ms == Approx(177));
+  CHECK_FALSE(table.FindService("s2")->engine.has_value());
+  CHECK(table.limits().max_header_bytes == 16384);
+  CHECK(table.limits().idle_timeout == absl::Seconds(15));
+}
+
+TEST_CASE("documents that cannot be read are refused, not guessed") {
+  for (const char* json :
+       {"", "null", "[]", "{}", R"({"version":"7"})", R"({"version":7.5})",
+        R"({"version":7,"routes":[{"name":"r"}]})"}) {
+    INFO(json);
+    CHECK_FALSE(Capture([&] { return DecodeConfiguration(json); }).ok);
+  }
+  for (const char* json : {"", "{", "{}", R"({"current-rev":"x"})"}) {
+    INFO(json);
+    CHECK_FALSE(Capture([&] { return DecodePage(json); }).ok);
+  }
+}
+
+TEST_CASE("registrations of others' making name no upstream") {
+  struct Case {
+    const char* json;
+    bool usable;
+    UpstreamState state;
+  };
+  const std::vector<Case> cases = {
+      {R"({"service":"s","address":"10.0.0.1:80","slots":4,"state":"ready"})",
+       true, UpstreamState::kReady},
+      {R"({"service":"s","address":"10.0.0.1:80","slots":4,"state":"draining"})",
+       true, UpstreamState::kDraining},
+      {R"({"service":"s","address":"10.0.0.1:80","slots":4,"state":"odd"})",
+       false, UpstreamState::kReady},
+      {R"({"service":"s","address":"10.0.0.1","slots":4,"state":"ready"})",
+       false, UpstreamState::kReady},
+      {R"({"service":7,"address":"10.0.0.1:80","slots":4,"state":"ready"})",
+       false, UpstreamState::kReady},
+      {R"({"service":"s","address":"10.0.0.1:80","slots":"4","state":"ready"})",
+       false, UpstreamState::kReady},
+      {R"({"service":"s","address":"host:80","slots":4,"state":"ready"})",
+       false, UpstreamState::kReady},
+      {R"("text")", false, UpstreamState::kReady},
+      {"\xff\xfe", false, UpstreamState::kReady},
+  };
+  for (const Case& c : cases) {
+    INFO(c.json);
+    const auto record = DecodeUpstream("i-1", c.json);
+    REQUIRE(record.has_value() == c.usable);
+    if (record)
+      CHECK(record->state == c.state);
+  }
+}
+
+TEST_CASE("documents survive spoilt bytes, seeds 1 to 300") {
+  for (unsigned seed = 1; seed <= 300; ++seed) {
+    std::mt19937 random(seed);
+    std::string json = kConfiguration;
+    for (unsigned i = 1 + random() % 8; i > 0; --i)
+      json[random() % json.size()] = static_cast<char>(random());
+    const auto decoded = Capture([&] { return DecodeConfiguration(json); });
+    if (decoded.ok)
+      CHECK(decoded.value.routes.size() <= 2);
+    (void)Capture([&] { return DecodePage(json); });
+    (void)DecodeUpstream("i", json);
+  }
+}
+
+TEST_CASE("pages of a list and events of a watch") {
+  const auto page = Capture([] {
+    return DecodePage(R"({"items":[{"metadata":{"name":"a"},"spec":{"x":1}}],)"
+                      R"("has-more":true,"current-rev":9})");
+  });
+  REQUIRE(page.ok);
+  CHECK(page.value.has_more);
+  CHECK(page.value.revision == 9);
+  CHECK(page.value.items.at(0).name == "a");
+  const auto events = Capture([] {
+    return DecodePage(
+        R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a"}}},)"
+        R"({"deleted":false,"object":{"metadata":{"name":"b",)"
+        R"("deleting":true},"spec":{}}}],"current-rev":12})");
+  });
+  REQUIRE(events.ok);
+  CHECK(events.value.items.at(0).deleted);
+  CHECK(events.value.items.at(1).deleted);
+}
+
+}  // namespace
+}  // namespace chicory
