Process tests of the gateway on a stand-in of the platform

Ruled out: cpp-httplib for the stand-in: it cannot break off a stream, keep a watch or stay silent at will. They found: an upstream that had failed was shunned even when all of its service had, so that a call waited 1.5 s for nothing; a broken stream with no untried upstream left was held to its time-out (5 s, now under 2 s); completed streams did not clear crash counts. Not covered: a crash is counted also when one failing upstream resets the same request three times.

--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -194,8 +194,8 @@
       state->second.faults_at = now;
       break;
     case SendResult::kFull:
-      state->second.suspended_until =
-          std::max(state->second.suspended_until, now + kFullPause);
+      state->second.full_until =
+          std::max(state->second.full_until, now + kFullPause);
       break;
     case SendResult::kFault:
       AddFault(blamed, 1, now);
@@ -265,12 +265,22 @@
     state.suspended_until = now + kSuspension;
 }
 
-bool FleetScheduler::IsUsable(const UpstreamState& upstream,
-                              const WorkRequest& request,
-                              absl::Time now) const {
-  if (!upstream.eligible || upstream.info.service != request.service)
-    return false;
-  return upstream.suspended_until <= now;
+std::vector<FleetScheduler::UpstreamState*> FleetScheduler::Usable(
+    const WorkRequest& request,
+    absl::Time now) {
+  std::vector<UpstreamState*> sound;
+  std::vector<UpstreamState*> suspended;
+  for (auto& [key, state] : upstreams_) {
+    if (!state.eligible || state.info.service != request.service ||
+        state.full_until > now)
+      continue;
+    if (state.suspended_until > now)
+      suspended.push_back(&state);
+    else
+      sound.push_back(&state);
+  }
+  // When all fail, the failures say little about any of them.
+  return sound.empty() ? suspended : sound;
 }
 
 FleetScheduler::Estimate FleetScheduler::EstimateRead(
@@ -489,15 +499,14 @@
     const EngineProfile& engine,
     const WorkRequest& request,
     absl::Time now) {
-  std::vector<UpstreamState*> usable;
-  for (auto& [key, state] : upstreams_) {
-    if (!IsUsable(state, request, now))
-      continue;
-    if (std::find(request.avoid.begin(), request.avoid.end(), key) !=
-        request.avoid.end())
-      continue;
-    usable.push_back(&state);
-  }
+  std::vector<UpstreamState*> usable = Usable(request, now);
+  const auto was_tried = [&](const UpstreamState* state) {
+    return std::find(request.avoid.begin(), request.avoid.end(),
+                     state->info.key) != request.avoid.end();
+  };
+  // One that failed before is better than none.
+  if (!std::all_of(usable.begin(), usable.end(), was_tried))
+    std::erase_if(usable, was_tried);
   const bool may_split = ReadTime(engine, request.prompt_tokens) > kSplitFrom;
   std::vector<Choice> choices;
   for (size_t parts : kPartCounts) {
@@ -537,22 +546,20 @@
                                                    absl::Time now) {
   Choice best;
   std::tuple<bool, double, absl::Time> best_rank;
-  for (auto& [key, state] : upstreams_) {
-    if (!IsUsable(state, request, now))
-      continue;
-    const double slots = std::max(state.info.slots, 1);
-    const double running = static_cast<double>(state.loads.size());
+  for (UpstreamState* state : Usable(request, now)) {
+    const double slots = std::max(state->info.slots, 1);
+    const double running = static_cast<double>(state->loads.size());
     if (running >= slots * (1 + kPlainOverflow))
       continue;
     const bool tried = std::find(request.avoid.begin(), request.avoid.end(),
-                                 key) != request.avoid.end();
-    const double load = running / slots + FaultsNow(state, now);
+                                 state->info.key) != request.avoid.end();
+    const double load = running / slots + FaultsNow(*state, now);
     const std::tuple<bool, double, absl::Time> rank(tried, load,
-                                                    state.last_placed);
+                                                    state->last_placed);
     if (!best.upstreams.empty() && best_rank <= rank)
       continue;
     best_rank = rank;
-    best.upstreams = {&state};
+    best.upstreams = {state};
     best.first_part = absl::ZeroDuration();
   }
   return best;
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -176,7 +176,10 @@
     /** Recent faults, fading with kFaultHalfLife. */
     double faults = 0;
     absl::Time faults_at = absl::InfinitePast();
+    /** Left alone for its faults until then, if others can serve. */
     absl::Time suspended_until = absl::InfinitePast();
+    /** It said that it was full. */
+    absl::Time full_until = absl::InfinitePast();
   };
   struct Placement {
     WorkRequest request;
@@ -222,9 +225,9 @@
   };
 
   const EngineProfile* EngineOf(const std::string& service) const;
-  bool IsUsable(const UpstreamState& upstream,
-                const WorkRequest& request,
-                absl::Time now) const;
+  /** Upstreams of the request's service that may get it now. */
+  std::vector<UpstreamState*> Usable(const WorkRequest& request,
+                                     absl::Time now);
   double FaultsNow(const UpstreamState& upstream, absl::Time now) const;
   void AddFault(UpstreamKey key, double amount, absl::Time now);
   Estimate EstimateRead(const EngineProfile& engine,
--- a/modules/gateway/request_run.cc
+++ b/modules/gateway/request_run.cc
@@ -363,6 +363,7 @@
   // The released connection, and with it the parser, may serve another request
   // from within EndSend.
   const int status = parser.head().status;
+  state_->crashes.OnCompleted(fingerprint_, SteadyNow());
   ReleaseConnection();
   EndSend(SendResult::kDone, 0);
   sink_->EndStream();
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -152,6 +152,14 @@
                         {"callers_port", gateway.callers_port()},
                         {"ready_port", gateway.ready_port()},
                         {"operators_port", gateway.operators_port()}});
+  const auto address = [](Endpoint listen, uint16_t port) {
+    return EndpointText({.ip = listen.ip, .port = port});
+  };
+  PrintListening(
+      {{"callers", address(settings.gateway.callers, gateway.callers_port())},
+       {"ready", address(settings.gateway.ready, gateway.ready_port())},
+       {"operators",
+        address(settings.gateway.operators, gateway.operators_port())}});
   loop.run();
   return static_cast<int>(ExitCode::kOk);
 }
--- /dev/null
+++ b/stand_ins/platform_main.cc
@@ -0,0 +1,203 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "programs/program.h"
+#include "stand_ins/platform_store.h"
+#include "stand_ins/platform_upstream.h"
+
+namespace chicory {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kMaxConnections = 1000;
+
+SectionRule SettingsRule() {
+  SectionRule rule{"settings", false, "Settings of the platform stand-in.",
+                   CommonSettings()};
+  rule.keys.push_back({"engines", ValueType::kInteger, "upstreams", false, "3",
+                       0, 100, "", "Upstreams of the service `engines`."});
+  rule.keys.push_back({"desks", ValueType::kInteger, "upstreams", false, "2", 0,
+                       100, "", "Upstreams of the service `desk`."});
+  return rule;
+}
+
+/** The store and the upstreams of one platform in one process, with a port on
+    which tests change both. */
+class PlatformStandIn : public HttpServer::Site {
+ public:
+  PlatformStandIn(boost::asio::io_context& loop, int engines, int desks)
+      : loop_(loop),
+        store_(loop),
+        store_server_(loop, &store_, kMaxConnections),
+        control_server_(loop, this, kMaxConnections) {
+    for (int i = 1; i <= engines; ++i)
+      AddUpstream("engines", absl::StrCat("engine-", i));
+    for (int i = 1; i <= desks; ++i)
+      AddUpstream("desk", absl::StrCat("desk-", i));
+  }
+
+  Result<void> Start() {
+    const Endpoint any = *ParseEndpoint("127.0.0.1:0");
+    BOOST_LEAF_CHECK(store_server_.Listen(any));
+    BOOST_LEAF_CHECK(control_server_.Listen(any));
+    for (auto& [name, upstream] : upstreams_) {
+      BOOST_LEAF_CHECK(upstream.server->Listen(any));
+      Register(name, "ready");
+    }
+    return {};
+  }
+
+  void Print() const {
+    PrintListening(
+        {{"store", absl::StrCat("127.0.0.1:", store_server_.port())},
+         {"control", absl::StrCat("127.0.0.1:", control_server_.port())}});
+  }
+
+  std::shared_ptr<HttpHandler> NewHandler() override {
+    return std::make_shared<Control>(this);
+  }
+  HttpServer::Limits limits() const override { return {}; }
+
+ private:
+  struct Upstream {
+    std::string service;
+    std::unique_ptr<PlatformUpstream> site;
+    std::unique_ptr<HttpServer> server;
+  };
+
+  /** A call of the test itself. */
+  class Control : public HttpHandler {
+   public:
+    explicit Control(PlatformStandIn* owner) : owner_(owner) {}
+    void Start(HttpRequest request, AnswerSink* sink) override {
+      const auto [status, body] = owner_->OnControl(request);
+      sink->SendWhole(status, {}, body);
+    }
+    void OnCallerLeft() override {}
+
+   private:
+    PlatformStandIn* owner_;
+  };
+
+  void AddUpstream(const std::string& service, const std::string& name) {
+    Upstream& upstream = upstreams_[name];
+    upstream.service = service;
+    upstream.site = std::make_unique<PlatformUpstream>(loop_, name, &book_);
+    upstream.server = std::make_unique<HttpServer>(loop_, upstream.site.get(),
+                                                   kMaxConnections);
+  }
+
+  void Register(const std::string& name, const std::string& state) {
+    const Upstream& upstream = upstreams_.at(name);
+    store_.Put(
+        "servers", name,
+        Json{{"service", upstream.service},
+             {"address", absl::StrCat("127.0.0.1:", upstream.server->port())},
+             {"zone", "dc1"},
+             {"slots", 8},
+             {"state", state},
+             {"sequence", 1}}
+            .dump());
+  }
+
+  std::pair<int, std::string> OnControl(const HttpRequest& request) {
+    const Json body = Json::parse(request.body, nullptr, false);
+    const std::string path(request.path());
+    if (path == "/book") {
+      return {200, Json{{"runs", book_.runs},
+                        {"left", book_.left},
+                        {"heads", book_.heads},
+                        {"calls", store_.calls()}}
+                       .dump()};
+    }
+    if (path == "/config") {
+      store_.Put("config", "main", request.body);
+      return {200, ""};
+    }
+    if (!body.is_object())
+      return {400, ""};
+    if (path == "/store")
+      return OnStore(body.value("mode", "ok"));
+    return OnUpstream(body);
+  }
+
+  std::pair<int, std::string> OnStore(const std::string& mode) {
+    if (mode == "compact")
+      store_.ForgetHistory();
+    else if (mode == "down")
+      store_.SetMode(StoreMode::kDown);
+    else if (mode == "busy")
+      store_.SetMode(StoreMode::kBusy);
+    else if (mode == "silent")
+      store_.SetMode(StoreMode::kSilent);
+    else if (mode == "cut")
+      store_.SetMode(StoreMode::kCut);
+    else
+      store_.SetMode(StoreMode::kOk);
+    return {200, ""};
+  }
+
+  std::pair<int, std::string> OnUpstream(const Json& body) {
+    const std::string name = body.value("name", "");
+    auto found = upstreams_.find(name);
+    if (found == upstreams_.end())
+      return {404, ""};
+    if (body.contains("mode"))
+      found->second.site->SetMode(UpstreamModeOf(body.value("mode", "ok")));
+    if (body.contains("pace_ms"))
+      found->second.site->SetPace(body.value("pace_ms", 20));
+    const std::string state = body.value("state", "");
+    if (state == "gone")
+      store_.Remove("servers", name);
+    else if (!state.empty())
+      Register(name, state);
+    return {200, ""};
+  }
+
+  boost::asio::io_context& loop_;
+  UpstreamRecordBook book_;
+  PlatformStore store_;
+  HttpServer store_server_;
+  HttpServer control_server_;
+  std::map<std::string, Upstream> upstreams_;
+};
+
+int Run(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  int exit_code = 0;
+  const auto settings =
+      StartProgram(argc, argv, "stand_in_platform",
+                   "Store and upstreams of the users' platform, for tests.",
+                   SettingsRule(), &exit_code);
+  if (!settings)
+    return exit_code;
+  boost::asio::io_context loop(1);
+  PlatformStandIn platform(loop, static_cast<int>(settings->integer("engines")),
+                           static_cast<int>(settings->integer("desks")));
+  const auto started = Capture([&] { return platform.Start(); });
+  if (!started.ok) {
+    std::cerr << "stand_in_platform: " << started.error.message << "\n";
+    return static_cast<int>(ExitCode::kUnavailable);
+  }
+  boost::asio::signal_set signals(loop, SIGTERM, SIGINT);
+  signals.async_wait(
+      [&](const boost::system::error_code&, int) { loop.stop(); });
+  platform.Print();
+  loop.run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace chicory
+
+int main(int argc, char** argv) {
+  return chicory::Run(argc, argv);
+}
--- /dev/null
+++ b/stand_ins/platform_store.cc
@@ -0,0 +1,226 @@
+#include "stand_ins/platform_store.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+namespace chicory {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+constexpr int kTooMany = 429;
+constexpr int kUnavailable = 503;
+
+/** The value of `name` in the query of `target`; empty when there is none. */
+std::string QueryValue(const std::string& target, const std::string& name) {
+  const size_t begin = target.find('?');
+  if (begin == std::string::npos)
+    return {};
+  const std::string wanted = name + "=";
+  for (absl::string_view part :
+       absl::StrSplit(absl::string_view(target).substr(begin + 1), '&')) {
+    if (absl::StartsWith(part, wanted))
+      return std::string(part.substr(wanted.size()));
+  }
+  return {};
+}
+
+Json ObjectJson(const std::string& name,
+                const std::string& spec,
+                uint64_t revision) {
+  return {{"metadata", {{"name", name}, {"revision", revision}}},
+          {"spec", Json::parse(spec, nullptr, false)}};
+}
+
+}  // namespace
+
+/** One call: a list, or a watch that may wait. */
+class PlatformStore::Call : public HttpHandler,
+                            public std::enable_shared_from_this<Call> {
+ public:
+  explicit Call(PlatformStore* store) : store_(store), timer_(store->loop_) {}
+  ~Call() override { store_->watches_.erase(this); }
+
+  void Start(HttpRequest request, AnswerSink* sink) override {
+    sink_ = sink;
+    ++store_->calls_;
+    kind_ = std::string(request.path().substr(std::string("/objects/").size()));
+    switch (store_->mode_) {
+      case StoreMode::kSilent:
+        return;
+      case StoreMode::kDown:
+        sink_->SendWhole(kUnavailable, {}, "{}");
+        return;
+      case StoreMode::kBusy:
+        sink_->SendWhole(kTooMany, {}, "{}");
+        return;
+      case StoreMode::kCut:
+        sink_->Abort();
+        return;
+      case StoreMode::kOk:
+        break;
+    }
+    const std::string watch = QueryValue(request.target, "watch");
+    if (watch.empty()) {
+      sink_->SendWhole(
+          kOk, {}, store_->List(kind_, QueryValue(request.target, "after")));
+      return;
+    }
+    uint64_t wait_ms = 0;
+    if (!absl::SimpleAtoi(watch, &revision_) ||
+        !absl::SimpleAtoi(QueryValue(request.target, "wait-ms"), &wait_ms)) {
+      sink_->SendWhole(400, {}, "{}");
+      return;
+    }
+    if (revision_ < store_->history_from_) {
+      sink_->SendWhole(kGone, {}, "{}");
+      return;
+    }
+    if (store_->HasChanged(kind_, revision_)) {
+      Answer();
+      return;
+    }
+    store_->watches_.insert(this);
+    timer_.expires_after(std::chrono::milliseconds(wait_ms));
+    timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (!error && self->store_->watches_.count(self.get()) != 0)
+            self->Answer();
+        });
+  }
+
+  void OnCallerLeft() override {
+    store_->watches_.erase(this);
+    timer_.cancel();
+  }
+
+  /** Answers when there is something new. */
+  void Look() {
+    if (store_->HasChanged(kind_, revision_))
+      Answer();
+  }
+
+  void Cut() {
+    const auto self = shared_from_this();
+    store_->watches_.erase(this);
+    timer_.cancel();
+    sink_->Abort();
+  }
+
+ private:
+  void Answer() {
+    store_->watches_.erase(this);
+    timer_.cancel();
+    sink_->SendWhole(kOk, {}, store_->Events(kind_, revision_));
+  }
+
+  PlatformStore* store_;
+  boost::asio::steady_timer timer_;
+  AnswerSink* sink_ = nullptr;
+  std::string kind_;
+  uint64_t revision_ = 0;
+};
+
+std::shared_ptr<HttpHandler> PlatformStore::NewHandler() {
+  return std::make_shared<Call>(this);
+}
+
+void PlatformStore::Put(const std::string& kind,
+                        const std::string& name,
+                        const std::string& spec) {
+  kinds_[kind][name] = {.spec = spec, .revision = ++revision_};
+  Wake();
+}
+
+void PlatformStore::Remove(const std::string& kind, const std::string& name) {
+  kinds_[kind][name] = {
+      .spec = "null", .revision = ++revision_, .deleted = true};
+  Wake();
+}
+
+void PlatformStore::Wake() {
+  if (mode_ != StoreMode::kOk)
+    return;
+  const std::vector<Call*> waiting(watches_.begin(), watches_.end());
+  for (Call* call : waiting)
+    call->Look();
+}
+
+void PlatformStore::SetMode(StoreMode mode) {
+  mode_ = mode;
+  if (mode == StoreMode::kOk || mode == StoreMode::kSilent) {
+    Wake();
+    return;
+  }
+  const std::vector<Call*> waiting(watches_.begin(), watches_.end());
+  for (Call* call : waiting)
+    call->Cut();
+}
+
+void PlatformStore::ForgetHistory() {
+  history_from_ = revision_ + 1;
+  const std::vector<Call*> waiting(watches_.begin(), watches_.end());
+  for (Call* call : waiting)
+    call->Cut();
+  ++revision_;
+}
+
+bool PlatformStore::HasChanged(const std::string& kind,
+                               uint64_t revision) const {
+  auto found = kinds_.find(kind);
+  if (found == kinds_.end())
+    return false;
+  for (const auto& [name, object] : found->second) {
+    if (object.revision > revision)
+      return true;
+  }
+  return false;
+}
+
+std::string PlatformStore::Events(const std::string& kind,
+                                  uint64_t revision) const {
+  Json events = Json::array();
+  auto found = kinds_.find(kind);
+  if (found != kinds_.end()) {
+    for (const auto& [name, object] : found->second) {
+      if (object.revision <= revision)
+        continue;
+      events.push_back(
+          {{"deleted", object.deleted},
+           {"object", ObjectJson(name, object.spec, object.revision)}});
+    }
+  }
+  return Json{{"events", events}, {"current-rev", revision_}}.dump();
+}
+
+std::string PlatformStore::List(const std::string& kind,
+                                const std::string& after) const {
+  Json items = Json::array();
+  bool has_more = false;
+  auto found = kinds_.find(kind);
+  if (found != kinds_.end()) {
+    for (const auto& [name, object] : found->second) {
+      if (object.deleted || name <= after)
+        continue;
+      if (items.size() == kPage) {
+        has_more = true;
+        break;
+      }
+      items.push_back(ObjectJson(name, object.spec, object.revision));
+    }
+  }
+  return Json{
+      {"items", items}, {"has-more", has_more}, {"current-rev", revision_}}
+      .dump();
+}
+
+}  // namespace chicory
--- /dev/null
+++ b/tests/process/gateway_lib.sh
@@ -0,0 +1,75 @@
+# Shared by the tests of the gateway: the platform's stand-in and gateways as
+# real processes. Source it.
+. "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
+HOST='Host: a.example'
+TOKENS='Token-Count: 500,50'
+
+# platform [SETTINGS...]: starts the stand-in and gives it a configuration.
+platform() {
+  fleet_begin
+  start platform stand_in_platform "$@"
+  STORE=$(address platform store)
+  CONTROL=$(address platform control)
+  configure 1
+}
+control() { curl -s -m 5 -X POST -d "$2" "http://$CONTROL/$1"; }
+store_mode() { control store "{\"mode\":\"$1\"}"; }
+upstream() { control upstream "{\"name\":\"$1\",$2}"; }
+book() { curl -s -m 5 "http://$CONTROL/book"; }
+# runs ID: how often upstreams began to run a request.
+runs() { book | tr ',{}' '\n\n\n' | sed -n "s/^\"$1\":\([0-9]*\)\$/\1/p" | head -1 | grep . || echo 0; }
+
+# configure VERSION [EXTRA ROUTES]: puts a configuration.
+configure() {
+  control config '{"version":'"$1"',"routes":['"${2:-}"'
+    {"name":"stream","host":"a.example","path-prefix":"/s/","kind":"streaming","timeout-ms":5000,"target-latency-ms":300,"gap-aim-ms":250,"service":"engines","max-attempts":3,"stream-resume":true,"anonymous":true},
+    {"name":"once","host":"a.example","path-prefix":"/once/","kind":"non_idempotent","timeout-ms":'"${TIMEOUT_MS:-2000}"',"target-latency-ms":300,"service":"desk","max-attempts":2,"anonymous":true},
+    {"name":"again","host":"a.example","path-prefix":"/again/","kind":"idempotent","timeout-ms":'"${TIMEOUT_MS:-2000}"',"target-latency-ms":300,"service":"desk","max-attempts":3,"anonymous":true},
+    {"name":"keyed","host":"a.example","path-prefix":"/keyed/","kind":"idempotent","timeout-ms":2000,"target-latency-ms":300,"service":"desk","max-attempts":2}],
+    "services":[{"name":"engines","max-connections":100,"engine":{"slots":8,"kv-capacity":315000,"stride":51,"step_ms":0.85,"per_seq_ms":0.004,"context_per_k":0.003,"read_per_s":177000,"pairs_per_m":0.18,"chunk":2048}},
+    {"name":"desk","max-connections":100}],
+    "limits":{"max-header-bytes":8192,"max-body-bytes":100000,"header-timeout-ms":1000,"idle-timeout-ms":4000},
+    "tenants":[{"name":"walkers","api-keys":['"${KEYS:-\"k1\"}"']}]}'
+}
+
+# gateway NAME [SETTINGS...]: starts a gateway and waits until it is ready.
+gateway() {
+  launch "$@"
+  wait_for 10 is_ready "$1" || problem "$1 is not ready"
+}
+launch() {
+  local name=$1
+  shift
+  cat >"$FLEET/$name.yaml" <<YAML
+settings:
+  instance: $name
+  data_centre: dc1
+  callers_listen: ${IP:-127.0.0.1}:0
+  ready_listen: ${IP:-127.0.0.1}:0
+  operators_listen: ${IP:-127.0.0.1}:0
+  peers_listen: ${IP:-127.0.0.1}:${PEER_PORT:-0}
+  seeds: [${SEEDS:-}]
+  store: $STORE
+  stop_within: 6s
+YAML
+  start "$name" chicory_gateway --config "$FLEET/$name.yaml" "$@"
+}
+is_ready() { curl -sf -m 1 "http://$(address "$1" ready)/ready"; }
+is_not_ready() { ! is_ready "$1"; }
+# call GATEWAY PATH [CURL OPTIONS...]: prints the answer and its status.
+call() {
+  local gateway=$1 path=$2
+  shift 2
+  curl -s -m 8 -w '\nstatus=%{http_code}\n' -H "$HOST" "$@" "http://$(address "$gateway" callers)$path"
+}
+# raw GATEWAY BYTES: sends bytes as they are and prints the first answer line.
+raw() {
+  local at
+  at=$(address "$1" callers)
+  exec 9<>"/dev/tcp/${at%:*}/${at#*:}"
+  printf "$2" >&9
+  timeout 3 head -1 <&9
+  exec 9<&- 9>&-
+}
+# log_of GATEWAY EVENT: its lines of one event.
+log_of() { grep -a " event=$2 " "$FLEET/$1.out"; }
--- /dev/null
+++ b/tests/process/gateway_requests.sh
@@ -0,0 +1,99 @@
+# One gateway before the platform's stand-in: what becomes of requests when
+# upstreams misbehave, and of bytes that are no proper request.
+. "$(dirname "$0")/gateway_lib.sh"
+platform --set engines=2 --set desks=2
+gateway g1
+
+say "a calm stream, a call and a lookup"
+expect stream "$(call g1 /s/a -H 'Request-Id: s1' -H "$TOKENS" -d prompt)" 'token4'
+expect call "$(call g1 /once/a -H 'Request-Id: o1' -d booking)" 'ran POST /once/a booking'
+expect lookup "$(call g1 '/again/a?x=%20y' -H 'Request-Id: l1')" 'ran GET /again/a\?x=%20y'
+
+say "routes and keys"
+expect "no route" "$(call g1 /none/a)" 'status=404'
+expect "another host" "$(HOST='Host: b.example' call g1 /again/a)" 'status=404'
+expect "no key" "$(call g1 /keyed/a)" 'status=401'
+expect "a key" "$(call g1 /keyed/a -H 'Request-Id: k1' -H 'Authorization: Bearer k1' -H 'Tenant: forged')" 'status=200'
+expect "the account is told" "$(book)" 'Tenant: walkers'
+grep -q 'Bearer\|forged' <<<"$(book)" && problem "a key or a forged account reached an upstream"
+
+say "a call that may not be repeated"
+for mode in reset mute error unsigned foreign break; do
+  upstream desk-1 "\"mode\":\"$mode\""
+  upstream desk-2 "\"mode\":\"$mode\""
+  answer=$(call g1 /once/a -H "Request-Id: once-$mode" -d booking)
+  expect "$mode: runs" "$(runs "once-$mode")" '^1$'
+  expect "$mode: never called not run" "$answer" 'status=50[024]'
+done
+upstream desk-1 '"mode":"full"'
+upstream desk-2 '"mode":"full"'
+expect "full: a promise" "$(call g1 /once/a -i -H 'Request-Id: once-full' -d booking)" 'Retry-After'
+expect "full: not run" "$(runs once-full)" '^0$'
+upstream desk-2 '"mode":"ok"'
+expect "one full: the other runs it" "$(call g1 /once/a -H 'Request-Id: once-other' -d booking)" 'status=200'
+expect "one full: once" "$(runs once-other)" '^1$'
+
+say "a lookup goes on at another upstream"
+for mode in reset error unsigned foreign break; do
+  sleep 2 # for the upstream to get its share back
+  upstream desk-1 "\"mode\":\"$mode\""
+  expect "$mode" "$(call g1 /again/a -H "Request-Id: again-$mode")" 'status=200'
+done
+upstream desk-1 '"mode":"ok"'
+
+say "a stream goes on after its last whole event"
+upstream engine-1 '"mode":"break"'
+expect "broken stream" "$(call g1 /s/a -H 'Request-Id: s2' -H "$TOKENS" -d prompt | grep -c '^data: token')" '^5$'
+upstream engine-2 '"mode":"break"'
+sleep 2
+begin=$(date +%s%N)
+answer=$(call g1 /s/a -H 'Request-Id: s3' -H "$TOKENS" -d prompt)
+took=$((($(date +%s%N) - begin) / 1000000))
+[ "$took" -lt 2000 ] || problem "a stream that cannot go on was held for $took ms"
+grep -q token4 <<<"$answer" && problem "a stream without an upstream was completed"
+upstream engine-1 '"mode":"ok"'
+upstream engine-2 '"mode":"ok"'
+
+say "the caller leaves, and the upstream hears of it"
+upstream engine-1 '"pace_ms":400'
+upstream engine-2 '"pace_ms":400'
+left() { book | sed 's/.*"left":\([0-9]*\).*/\1/'; }
+before=$(left)
+has_left() { [ "$(left)" -gt "$before" ]; }
+curl -s -m 0.6 -H "$HOST" -H 'Request-Id: s4' -H "$TOKENS" -d another "http://$(address g1 callers)/s/a" >/dev/null
+wait_for 2 has_left || problem "the upstream still works"
+upstream engine-1 '"pace_ms":20'
+upstream engine-2 '"pace_ms":20'
+
+say "the final answer comes at the route's time or the caller's"
+upstream desk-1 '"mode":"mute"'
+upstream desk-2 '"mode":"mute"'
+begin=$(date +%s%N)
+expect "the caller's time" "$(call g1 /once/a -H 'Request-Id: t1' -H 'Deadline-Ms: 400' -d x)" 'status=504'
+took=$((($(date +%s%N) - begin) / 1000000))
+[ "$took" -lt 1200 ] || problem "answered after $took ms"
+expect "the route's time" "$(call g1 /once/a -H 'Request-Id: t2' -d x)" 'status=504'
+upstream desk-1 '"mode":"ok"'
+upstream desk-2 '"mode":"ok"'
+
+say "bytes that are no proper request"
+expect "two lengths" "$(raw g1 'POST /again/a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi!')" ' 400 '
+expect "length and chunks" "$(raw g1 'POST /again/a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n0\r\n\r\n')" ' 400 '
+expect "garbage" "$(raw g1 '\x16\x03\x01 hello\r\n\r\n')" ' 400 '
+expect "a head too large" "$(raw g1 "GET /again/a HTTP/1.1\r\nX: $(head -c 9000 /dev/zero | tr '\0' x)\r\n\r\n")" ' 431 '
+expect "a body too large" "$(call g1 /again/a -H 'Content-Length: 200000' -d x)" 'status=413'
+expect "a head that never ends" "$(raw g1 'GET /again/a HTTP/1.1\r\nHost:')" ' 408 '
+expect "chunks" "$(call g1 /again/a -H 'Request-Id: c1' -H 'Transfer-Encoding: chunked' -d chunked)" 'ran POST /again/a chunked'
+expect "two requests at once" "$(
+  at=$(address g1 callers)
+  exec 9<>"/dev/tcp/${at%:*}/${at#*:}"
+  printf 'GET /again/a HTTP/1.1\r\nHost: a.example\r\nRequest-Id: p1\r\n\r\nGET /again/b HTTP/1.1\r\nHost: a.example\r\nRequest-Id: p2\r\nConnection: close\r\n\r\n' >&9
+  timeout 3 cat <&9 | grep -c 'ran GET'
+)" '^2$'
+
+say "from a request's id to its cause"
+expect admitted "$(log_of g1 request_admitted)" 'request=once-reset route=once service=desk'
+expect failed "$(log_of g1 send_failed)" 'request=once-reset .*reason=connection_broken not_run=0'
+expect ended "$(log_of g1 request_ended)" 'request=once-reset status=502 reason=connection_broken'
+expect metrics "$(curl -s "http://$(address g1 operators)/metrics")" 'chicory_requests_total'
+finish
