Recent faults do not make a request wait

Ruled out: the suspension; it is passed over when no other upstream is left. Change: faults weigh in the choice of upstreams, not in the choice of the moment.

--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -485,10 +485,10 @@
     faults += FaultsNow(*candidate.estimate.upstream, now);
   }
   const Estimate& lead = candidates.front().estimate;
-  choice.cost = choice.harm +
+  choice.fault_cost = std::min(faults, 2.0) * kFaultCost * value;
+  choice.cost = choice.harm + choice.fault_cost +
                 Risk(choice.first_part, request.due - now) * value * kLateLoss +
                 Risk(lead.pass, request.event_gap) * value * kLateLoss / 4 +
-                std::min(faults, 2.0) * kFaultCost * value +
                 kPartCost * static_cast<double>(parts);
   if (parts == 1)
     choice.cost -= kPackingBonus * lead.writers;
@@ -606,8 +606,9 @@
   if (!is_late) {
     // While there is time, a better moment may come.
     const bool has_time = now + choice.first_part * 1.3 < request.due;
-    return has_time && choice.cost > kWaitAbove * value ? Verdict::kWait
-                                                        : Verdict::kPlace;
+    return has_time && choice.cost - choice.fault_cost > kWaitAbove * value
+               ? Verdict::kWait
+               : Verdict::kPlace;
   }
   if (loss <= gain)
     return Verdict::kPlace;
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -219,6 +219,8 @@
     std::vector<MemoryShare> memory;
     double cost = 0;
     double harm = 0;
+    /** Part of `cost` for recent faults, which waiting does not lower. */
+    double fault_cost = 0;
     absl::Duration first_part = absl::InfiniteDuration();
     /** The least `first_part` of all arrangements that were weighed. */
     absl::Duration fastest = absl::InfiniteDuration();
