A scheduling decision costs a fraction of the processor time

Each arrangement of a prompt weighed each stream of each engine anew, and each waiting prompt was weighed at each message. Change: an engine is summed up once a request, streams with equal pauses together, in plain numbers; waiting prompts are weighed every 20 to 100 ms.

--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -18,9 +18,9 @@
 /** Tokens of prompt and answer that double a request's value. */
 constexpr double kTokensPerValue = 8000;
 /** Time between the upstream and the caller, both ways and in queues. */
-constexpr absl::Duration kTransit = absl::Milliseconds(12);
+constexpr double kTransitMs = 12;
 /** Numbers of engines that a prompt may be read by. */
-constexpr std::array<size_t, 9> kPartCounts = {1, 2, 3, 4, 6, 8, 10, 13, 16};
+constexpr std::array<size_t, 8> kPartCounts = {1, 2, 3, 4, 6, 9, 13, 16};
 /** A prompt that one engine reads faster is not split. */
 constexpr absl::Duration kSplitFrom = absl::Milliseconds(60);
 /** Cost of each further engine that takes part, in value. */
@@ -35,12 +35,12 @@
 constexpr double kPackingBonus = 0.006;
 /** Share of its memory that an engine's requests may be expected to fill. */
 constexpr double kMemoryShare = 0.95;
-/** Part of its value that a request loses with each second in which the engine
-    that is to answer it reads for others. */
-constexpr double kDelayCost = 0.05;
+/** Part of its value that a request loses with each millisecond in which an
+   engine that reads it reads for others. */
+constexpr double kDelayCostPerMs = 0.05 / 1000;
 /** Callers leave a stream after a pause of this length or of so many times the
     pause that is still on time, whichever is longer. */
-constexpr absl::Duration kLeastPatience = absl::Seconds(2);
+constexpr double kLeastPatienceMs = 2000;
 constexpr double kPatienceGaps = 8;
 /** Engines set memory aside in blocks. */
 constexpr int64_t kMemoryBlock = 16;
@@ -69,23 +69,35 @@
 constexpr absl::Duration kSuspension = absl::Milliseconds(1500);
 /** Cost of a recent fault, as a part of a request's value. */
 constexpr double kFaultCost = 0.3;
+/** More recent faults than this cost no more. */
+constexpr double kMostFaults = 2;
+/** Part of a request's value that a long first pause of its own costs. */
+constexpr double kOwnGapLoss = kLateLoss / 4;
 constexpr absl::Duration kFullPause = absl::Milliseconds(100);
+/** Waiting prompts are weighed again after this share of the time left. */
+constexpr double kLookShare = 0.01;
+constexpr absl::Duration kLeastLook = absl::Milliseconds(20);
+constexpr absl::Duration kMostLook = absl::Milliseconds(100);
 /** How often work without an end is looked for. */
 constexpr absl::Duration kExpiryInterval = absl::Milliseconds(500);
 /** Least time to ask again after a refusal. */
 constexpr absl::Duration kRetryAfter = absl::Milliseconds(500);
 
-/** Probability that something estimated as `time` exceeds `limit`. */
-double Risk(absl::Duration time, absl::Duration limit) {
-  if (limit == absl::InfiniteDuration())
-    return 0;
-  if (limit <= absl::ZeroDuration())
+/** Probability that something estimated as `time_ms` exceeds `limit_ms`. */
+double Risk(double time_ms, double limit_ms) {
+  if (limit_ms <= 0)
     return 1;
-  const double share = absl::FDivDuration(time, limit);
+  const double share = time_ms / limit_ms;
   return std::clamp((share - kSafeShare) / (kCertainShare - kSafeShare), 0.0,
                     1.0);
 }
 
+/** How long a waiting prompt is left before it is weighed again. */
+absl::Duration LookInterval(const WorkRequest& request, absl::Time now) {
+  return std::clamp((request.deadline - now) * kLookShare, kLeastLook,
+                    kMostLook);
+}
+
 }  // namespace
 
 double RequestValue(int64_t prompt_tokens, int64_t output_tokens) {
@@ -115,7 +127,7 @@
 void FleetScheduler::Submit(const WorkRequest& request) {
   if (running_.contains(request.key))
     return;
-  waiting_.emplace(request.key, request);
+  waiting_.emplace(request.key, Waiting{.request = request});
 }
 
 void FleetScheduler::Adopt(const RunningWork& work, absl::Time now) {
@@ -283,116 +295,116 @@
   return sound.empty() ? suspended : sound;
 }
 
-FleetScheduler::Estimate FleetScheduler::EstimateRead(
-    const EngineProfile& engine,
-    UpstreamState* upstream,
-    absl::Duration read,
-    PartRole role,
-    absl::Time now) const {
+FleetScheduler::EngineView FleetScheduler::ViewOf(const EngineProfile& engine,
+                                                  UpstreamState* upstream,
+                                                  absl::Time now) const {
+  EngineView view{.upstream = upstream,
+                  .pace = upstream->pace,
+                  .faults = FaultsNow(*upstream, now)};
   int64_t context = 0;
-  int writers = 0;
-  int requests = 0;
-  for (const Load& load : upstream->loads) {
-    if (load.is_part)
-      continue;
-    ++requests;
-    if (!load.answering)
-      continue;
-    ++writers;
-    context += load.tokens;
-  }
-  const absl::Duration base =
-      PassTime(engine, writers, context) * upstream->pace;
-  const absl::Duration backlog =
-      std::max(upstream->read_until - now, absl::ZeroDuration());
-  const absl::Duration own_read = read * upstream->pace;
-  absl::Duration begin =
-      role == PartRole::kLead ? backlog : absl::ZeroDuration();
-  // A pass with writers reads all that is there before a next one begins.
-  if (writers > 0)
-    begin = std::max(backlog, base / 2);
-  Estimate estimate{.upstream = upstream,
-                    .first_part = begin + own_read + base + kTransit,
-                    .pass = base + backlog + own_read,
-                    .writers = requests};
-  const absl::Duration pass_before = base + backlog;
+  int64_t held = 0;
   for (const Load& load : upstream->loads) {
+    held += load.tokens;
+    view.requests += load.is_part ? 0 : 1;
     if (!load.answering) {
-      estimate.harm += DelayHarm(load, own_read, now);
+      view.unread.push_back(&load);
       continue;
     }
     if (load.is_part)
       continue;
+    ++view.writers;
+    context += load.tokens;
+    auto group = std::find_if(
+        view.gaps.begin(), view.gaps.end(),
+        [&](const GapGroup& known) { return known.gap_ms == load.gap_ms; });
+    if (group == view.gaps.end())
+      view.gaps.push_back({.gap_ms = load.gap_ms, .value = load.value});
+    else
+      group->value += load.value;
+  }
+  view.base_ms =
+      absl::ToDoubleMilliseconds(PassTime(engine, view.writers, context)) *
+      view.pace;
+  view.backlog_ms =
+      std::max(absl::ToDoubleMilliseconds(upstream->read_until - now), 0.0);
+  view.has_slot = view.requests < upstream->info.slots;
+  const int64_t memory = static_cast<int64_t>(
+      kMemoryShare * static_cast<double>(engine.memory_tokens));
+  view.free_tokens = std::max<int64_t>(memory - held, 0);
+  return view;
+}
+
+FleetScheduler::Estimate FleetScheduler::EstimateRead(const EngineView& view,
+                                                      double read_ms,
+                                                      absl::Time now) {
+  const double own_ms = read_ms * view.pace;
+  double lead_begin = view.backlog_ms;
+  double helper_begin = 0;
+  // A pass with writers reads all that is there before a next one begins.
+  if (view.writers > 0)
+    lead_begin = helper_begin = std::max(view.backlog_ms, view.base_ms / 2);
+  const double after = own_ms + view.base_ms + kTransitMs;
+  const double pass_before = view.base_ms + view.backlog_ms;
+  Estimate estimate{.pass_ms = pass_before + own_ms,
+                    .lead_ms = lead_begin + after,
+                    .helper_ms = helper_begin + after};
+  for (const Load* load : view.unread)
+    estimate.harm += DelayHarm(*load, own_ms, now);
+  for (const GapGroup& group : view.gaps) {
     const double late =
-        Risk(estimate.pass, load.event_gap) - Risk(pass_before, load.event_gap);
-    const absl::Duration patience =
-        std::max(kLeastPatience, load.event_gap * kPatienceGaps);
+        Risk(estimate.pass_ms, group.gap_ms) - Risk(pass_before, group.gap_ms);
+    const double patience =
+        std::max(kLeastPatienceMs, group.gap_ms * kPatienceGaps);
     const double left =
-        Risk(estimate.pass, patience) - Risk(pass_before, patience);
-    estimate.harm += load.value * (late * kLateLoss + left * (1 - kLateLoss));
+        Risk(estimate.pass_ms, patience) - Risk(pass_before, patience);
+    estimate.harm += group.value * (late * kLateLoss + left * (1 - kLateLoss));
   }
   return estimate;
 }
 
 double FleetScheduler::DelayHarm(const Load& load,
-                                 absl::Duration delay,
+                                 double delay_ms,
                                  absl::Time now) {
-  const absl::Duration wait =
-      std::max(load.expected - now, absl::ZeroDuration());
-  double harm = kDelayCost * absl::ToDoubleSeconds(delay);
-  if (load.due > now) {
-    harm += kLateLoss *
-            (Risk(wait + delay, load.due - now) - Risk(wait, load.due - now));
-  }
-  harm += (1 - kLateLoss) * (Risk(wait + delay, load.deadline - now) -
-                             Risk(wait, load.deadline - now));
+  const double wait =
+      std::max(absl::ToDoubleMilliseconds(load.expected - now), 0.0);
+  const double due = absl::ToDoubleMilliseconds(load.due - now);
+  const double deadline = absl::ToDoubleMilliseconds(load.deadline - now);
+  double harm = kDelayCostPerMs * delay_ms;
+  if (due > 0)
+    harm += kLateLoss * (Risk(wait + delay_ms, due) - Risk(wait, due));
+  harm += (1 - kLateLoss) *
+          (Risk(wait + delay_ms, deadline) - Risk(wait, deadline));
   return harm * load.value;
 }
 
 std::vector<FleetScheduler::Candidate> FleetScheduler::RankCandidates(
-    const EngineProfile& engine,
     const WorkRequest& request,
-    const std::vector<UpstreamState*>& usable,
+    const std::vector<EngineView>& views,
+    double read_ms,
     size_t parts,
-    absl::Time now) const {
+    absl::Time now) {
   const double value =
       RequestValue(request.prompt_tokens, request.output_tokens);
-  const absl::Duration read =
-      ReadTime(engine, request.prompt_tokens) / static_cast<double>(parts);
   const int64_t needed = request.prompt_tokens + request.output_tokens;
-  const int64_t memory = static_cast<int64_t>(
-      kMemoryShare * static_cast<double>(engine.memory_tokens));
+  const double due_ms = absl::ToDoubleMilliseconds(request.due - now);
   std::vector<Candidate> candidates;
-  for (UpstreamState* upstream : usable) {
-    int64_t held = 0;
-    int count = 0;
-    for (const Load& load : upstream->loads) {
-      held += load.tokens;
-      count += load.is_part ? 0 : 1;
-    }
-    Candidate candidate{.has_slot = count < upstream->info.slots,
-                        .free_tokens = std::max<int64_t>(memory - held, 0)};
-    const bool could_lead =
-        candidate.has_slot && (parts > 1 || candidate.free_tokens >= needed);
-    if (!could_lead && parts == 1)
+  for (const EngineView& view : views) {
+    const bool can_be_only = view.has_slot && view.free_tokens >= needed;
+    if (parts == 1 && !can_be_only)
       continue;
-    const double fault_cost =
-        std::min(FaultsNow(*upstream, now), 2.0) * kFaultCost * value;
-    const auto cost = [&](const Estimate& estimate) {
-      return estimate.harm + fault_cost +
-             Risk(estimate.first_part, request.due - now) * value * kLateLoss;
-    };
-    candidate.as_lead =
-        EstimateRead(engine, upstream, read, PartRole::kLead, now);
-    candidate.cost_as_lead = cost(candidate.as_lead);
+    Candidate candidate{.view = &view,
+                        .estimate = EstimateRead(view, read_ms, now)};
+    const Estimate& estimate = candidate.estimate;
+    const double shared =
+        estimate.harm + std::min(view.faults, kMostFaults) * kFaultCost * value;
+    candidate.cost_as_lead =
+        shared + Risk(estimate.lead_ms, due_ms) * value * kLateLoss;
     if (parts == 1) {
-      candidate.cost_as_lead -= kPackingBonus * candidate.as_lead.writers;
-      candidate.estimate = candidate.as_lead;
+      candidate.cost_as_lead -= kPackingBonus * view.requests;
       candidate.cost = candidate.cost_as_lead;
     } else {
-      candidate.estimate =
-          EstimateRead(engine, upstream, read, PartRole::kHelper, now);
-      candidate.cost = cost(candidate.estimate);
+      candidate.cost =
+          shared + Risk(estimate.helper_ms, due_ms) * value * kLateLoss;
     }
     candidates.push_back(candidate);
   }
@@ -405,12 +417,9 @@
 bool FleetScheduler::PutLeadFirst(std::vector<Candidate>* candidates,
                                   size_t parts,
                                   int64_t needed) {
-  const auto can_hold = [needed](const Candidate& candidate) {
-    return candidate.has_slot && candidate.free_tokens >= needed;
-  };
   auto lead = candidates->end();
   for (auto it = candidates->begin(); it != candidates->end(); ++it) {
-    if (!can_hold(*it))
+    if (!it->view->has_slot || it->view->free_tokens < needed)
       continue;
     if (lead == candidates->end() || it->cost_as_lead < lead->cost_as_lead)
       lead = it;
@@ -418,15 +427,14 @@
   if (lead == candidates->end()) {
     // None holds it alone: the one with most room among the cheapest.
     const auto end = candidates->begin() + std::min(parts, candidates->size());
-    lead = std::max_element(candidates->begin(), end,
-                            [](const Candidate& a, const Candidate& b) {
-                              return std::pair(a.has_slot, a.free_tokens) <
-                                     std::pair(b.has_slot, b.free_tokens);
-                            });
-    if (lead == end || !lead->has_slot)
+    lead = std::max_element(
+        candidates->begin(), end, [](const Candidate& a, const Candidate& b) {
+          return std::pair(a.view->has_slot, a.view->free_tokens) <
+                 std::pair(b.view->has_slot, b.view->free_tokens);
+        });
+    if (lead == end || !lead->view->has_slot)
       return false;
   }
-  lead->estimate = lead->as_lead;
   std::rotate(candidates->begin(), lead, lead + 1);
   return true;
 }
@@ -434,64 +442,68 @@
 bool FleetScheduler::ShareMemory(const std::vector<Candidate>& parts,
                                  int64_t needed,
                                  std::vector<MemoryShare>* memory) {
-  int64_t missing = needed - parts.front().free_tokens;
+  int64_t missing = needed - parts.front().view->free_tokens;
   if (missing <= 0)
     return true;
   missing += missing / kMemoryMarginDivisor + kMemoryBlock;
-  std::vector<const Candidate*> holders;
+  std::vector<const EngineView*> holders;
   for (size_t i = 1; i < parts.size(); ++i)
-    holders.push_back(&parts[i]);
+    holders.push_back(parts[i].view);
   std::stable_sort(holders.begin(), holders.end(),
-                   [](const Candidate* a, const Candidate* b) {
+                   [](const EngineView* a, const EngineView* b) {
                      return a->free_tokens > b->free_tokens;
                    });
-  for (const Candidate* holder : holders) {
+  for (const EngineView* holder : holders) {
     if (missing <= 0)
       break;
     const int64_t share = std::min(missing, holder->free_tokens);
     if (share < kMemoryBlock)
       break;
     memory->push_back(
-        {.upstream = holder->estimate.upstream->info.key, .tokens = share});
+        {.upstream = holder->upstream->info.key, .tokens = share});
     missing -= share;
   }
   return missing <= 0;
 }
 
 FleetScheduler::Choice FleetScheduler::ChooseParts(
-    const EngineProfile& engine,
     const WorkRequest& request,
-    const std::vector<UpstreamState*>& usable,
+    const std::vector<EngineView>& views,
+    double read_ms,
     size_t parts,
-    absl::Time now) const {
+    absl::Time now) {
   const double value =
       RequestValue(request.prompt_tokens, request.output_tokens);
   const int64_t needed = request.prompt_tokens + request.output_tokens;
-  std::vector<Candidate> candidates =
-      RankCandidates(engine, request, usable, parts, now);
+  std::vector<Candidate> candidates = RankCandidates(
+      request, views, read_ms / static_cast<double>(parts), parts, now);
   Choice choice;
   if (candidates.size() < parts || !PutLeadFirst(&candidates, parts, needed))
     return choice;
   candidates.resize(parts);
   if (!ShareMemory(candidates, needed, &choice.memory))
     return choice;
-  choice.first_part = absl::ZeroDuration();
+  double first_ms = 0;
   double faults = 0;
   for (const Candidate& candidate : candidates) {
-    choice.upstreams.push_back(candidate.estimate.upstream);
-    choice.first_part =
-        std::max(choice.first_part, candidate.estimate.first_part);
+    const bool leads = choice.upstreams.empty();
+    choice.upstreams.push_back(candidate.view->upstream);
+    first_ms = std::max(first_ms, leads ? candidate.estimate.lead_ms
+                                        : candidate.estimate.helper_ms);
     choice.harm += candidate.estimate.harm;
-    faults += FaultsNow(*candidate.estimate.upstream, now);
+    faults += candidate.view->faults;
   }
-  const Estimate& lead = candidates.front().estimate;
-  choice.fault_cost = std::min(faults, 2.0) * kFaultCost * value;
+  const Candidate& lead = candidates.front();
+  const double due_ms = absl::ToDoubleMilliseconds(request.due - now);
+  const double gap_ms = absl::ToDoubleMilliseconds(request.event_gap);
+  choice.first_part = absl::Milliseconds(first_ms);
+  choice.fault_cost = std::min(faults, kMostFaults) * kFaultCost * value;
   choice.cost = choice.harm + choice.fault_cost +
-                Risk(choice.first_part, request.due - now) * value * kLateLoss +
-                Risk(lead.pass, request.event_gap) * value * kLateLoss / 4 +
+                Risk(first_ms, due_ms) * value * kLateLoss +
+                Risk(lead.estimate.pass_ms, gap_ms) * value * kOwnGapLoss +
                 kPartCost * static_cast<double>(parts);
   if (parts == 1)
-    choice.cost -= kPackingBonus * lead.writers;
+    choice.cost -= kPackingBonus * lead.view->requests;
   return choice;
 }
 
@@ -508,11 +520,16 @@
   if (!std::all_of(usable.begin(), usable.end(), was_tried))
     std::erase_if(usable, was_tried);
   const bool may_split = ReadTime(engine, request.prompt_tokens) > kSplitFrom;
+  std::vector<EngineView> views;
+  for (UpstreamState* upstream : usable)
+    views.push_back(ViewOf(engine, upstream, now));
+  const double read_ms =
+      absl::ToDoubleMilliseconds(ReadTime(engine, request.prompt_tokens));
   std::vector<Choice> choices;
   for (size_t parts : kPartCounts) {
     if (parts > 1 && (!may_split || parts > usable.size()))
       break;
-    Choice choice = ChooseParts(engine, request, usable, parts, now);
+    Choice choice = ChooseParts(request, views, read_ms, parts, now);
     if (choice.upstreams.empty())
       continue;
     choices.push_back(std::move(choice));
@@ -576,7 +593,8 @@
     ++engines;
     owed += std::max(state.read_until - now, absl::ZeroDuration());
   }
-  for (const auto& [key, other] : waiting_) {
+  for (const auto& [key, entry] : waiting_) {
+    const WorkRequest& other = entry.request;
     if (key == request.key || other.service != request.service ||
         other.due < now)
       continue;
@@ -648,7 +666,7 @@
          .due = request.due,
          .deadline = request.deadline,
          .expected = now + choice.first_part,
-         .event_gap = request.event_gap,
+         .gap_ms = absl::ToDoubleMilliseconds(request.event_gap),
          .value = RequestValue(request.prompt_tokens, request.output_tokens)});
     state.read_until = std::max(state.read_until, now) + read * state.pace;
     state.last_placed = now;
@@ -659,7 +677,10 @@
 std::vector<WorkKey> FleetScheduler::InOrder(absl::Time now) const {
   using Rank = std::tuple<bool, int, absl::Time, WorkKey>;
   std::vector<Rank> ranks;
-  for (const auto& [key, request] : waiting_) {
+  for (const auto& [key, entry] : waiting_) {
+    const WorkRequest& request = entry.request;
+    if (entry.next_look > now)
+      continue;
     const EngineProfile* engine = EngineOf(request.service);
     const absl::Duration read =
         engine ? ReadTime(*engine, request.prompt_tokens) /
@@ -694,7 +715,7 @@
   if (waiting_.empty())
     return decisions;
   for (WorkKey key : InOrder(now)) {
-    const WorkRequest request = waiting_.at(key);
+    const WorkRequest request = waiting_.at(key).request;
     const EngineProfile* engine = EngineOf(request.service);
     const bool is_prompt = engine != nullptr && request.prompt_tokens > 0;
     if (request.deadline <= now) {
@@ -710,8 +731,11 @@
                                     ? ReadTime(*engine, request.prompt_tokens)
                                     : absl::ZeroDuration();
     const Verdict verdict = Judge(request, choice, read, now);
-    if (verdict == Verdict::kWait)
+    if (verdict == Verdict::kWait) {
+      if (is_prompt)
+        waiting_.at(key).next_look = now + LookInterval(request, now);
       continue;
+    }
     if (verdict == Verdict::kRefuse) {
       waiting_.erase(key);
       decisions.push_back({.kind = ScheduleDecision::Kind::kRefuse,
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -162,7 +162,7 @@
     absl::Time deadline;
     /** When the request's first part was expected, delays since included. */
     absl::Time expected;
-    absl::Duration event_gap;
+    double gap_ms = 0;
     double value = 0;
   };
   struct UpstreamState {
@@ -186,32 +186,46 @@
     std::vector<UpstreamKey> upstreams;
     bool answering = false;
   };
-  /** How an engine takes part in a prompt. */
-  enum class PartRole {
-    /** It reads its part after all that it reads for others, and writes the
-        answer. */
-    kLead,
-    /** It reads its part at once; what it was reading goes on afterwards. */
-    kHelper,
+  /** Streams at one engine that bear the same pause. */
+  struct GapGroup {
+    double gap_ms = 0;
+    /** Sum over the streams. */
+    double value = 0;
   };
-  /** What placing a read of some length on one engine would do. */
-  struct Estimate {
+  /** An engine as it is now, in milliseconds, for the arrangements of one
+      request. */
+  struct EngineView {
     UpstreamState* upstream = nullptr;
+    /** A pass without reading. */
+    double base_ms = 0;
+    /** Reading that is owed. */
+    double backlog_ms = 0;
+    double pace = 1;
+    double faults = 0;
+    int writers = 0;
+    int requests = 0;
+    bool has_slot = false;
+    /** Tokens that its memory can still take. */
+    int64_t free_tokens = 0;
+    std::vector<GapGroup> gaps;
+    std::vector<const Load*> unread;
+  };
+  /** What one engine's part in a prompt would do. */
+  struct Estimate {
     /** Value that others there would lose. */
     double harm = 0;
-    absl::Duration first_part;
-    absl::Duration pass;
-    int writers = 0;
+    double pass_ms = 0;
+    /** Until it has read its part after all that it reads for others, and
+        writes the answer. */
+    double lead_ms = 0;
+    /** Until it has read its part, which it turns to at once. */
+    double helper_ms = 0;
   };
   struct Candidate {
-    /** With the role of a helper, or as the only one. */
+    const EngineView* view = nullptr;
     Estimate estimate;
     double cost = 0;
-    Estimate as_lead;
     double cost_as_lead = 0;
-    bool has_slot = false;
-    /** Tokens that its memory can still take. */
-    int64_t free_tokens = 0;
   };
   struct Choice {
     /** The one that answers comes first. */
@@ -232,17 +246,22 @@
                                      absl::Time now);
   double FaultsNow(const UpstreamState& upstream, absl::Time now) const;
   void AddFault(UpstreamKey key, double amount, absl::Time now);
-  Estimate EstimateRead(const EngineProfile& engine,
-                        UpstreamState* upstream,
-                        absl::Duration read,
-                        PartRole role,
-                        absl::Time now) const;
-  std::vector<Candidate> RankCandidates(
-      const EngineProfile& engine,
+  EngineView ViewOf(const EngineProfile& engine,
+                    UpstreamState* upstream,
+                    absl::Time now) const;
+  static Estimate EstimateRead(const EngineView& view,
+                               double read_ms,
+                               absl::Time now);
+  /** What `load` loses in value when the engine that reads it turns to another
+      read first. */
+  static double DelayHarm(const Load& load, double delay_ms, absl::Time now);
+  /** Candidates for one of `parts` parts, the cheapest first. */
+  static std::vector<Candidate> RankCandidates(
       const WorkRequest& request,
-      const std::vector<UpstreamState*>& usable,
+      const std::vector<EngineView>& views,
+      double read_ms,
       size_t parts,
-      absl::Time now) const;
+      absl::Time now);
   /** Puts the candidate that answers first; false when none can. */
   static bool PutLeadFirst(std::vector<Candidate>* candidates,
                            size_t parts,
@@ -252,16 +271,11 @@
   static bool ShareMemory(const std::vector<Candidate>& parts,
                           int64_t needed,
                           std::vector<MemoryShare>* memory);
-  /** What `load` loses in value when the engine that reads it turns to another
-      read first. */
-  static double DelayHarm(const Load& load,
-                          absl::Duration delay,
-                          absl::Time now);
-  Choice ChooseParts(const EngineProfile& engine,
-                     const WorkRequest& request,
-                     const std::vector<UpstreamState*>& usable,
-                     size_t parts,
-                     absl::Time now) const;
+  static Choice ChooseParts(const WorkRequest& request,
+                            const std::vector<EngineView>& views,
+                            double read_ms,
+                            size_t parts,
+                            absl::Time now);
   Choice ChooseEngines(const EngineProfile& engine,
                        const WorkRequest& request,
                        absl::Time now);
@@ -284,7 +298,13 @@
   /** Ordered, so that a run depends on nothing but its inputs. */
   std::map<UpstreamKey, UpstreamState> upstreams_;
   absl::flat_hash_map<std::string, EngineProfile> engines_;
-  absl::flat_hash_map<WorkKey, WorkRequest> waiting_;
+  /** A request without an upstream yet. */
+  struct Waiting {
+    WorkRequest request;
+    /** When it is worth looking at again. */
+    absl::Time next_look = absl::InfinitePast();
+  };
+  absl::flat_hash_map<WorkKey, Waiting> waiting_;
   absl::flat_hash_map<WorkKey, Placement> running_;
   absl::Time next_expiry_ = absl::InfinitePast();
 };
