Instances that come back do not crowd one engine; leaving ones schedule for nobody

While instances were stopped in turn, requests waited up to 100 ms: a stopping scheduler said goodbye and was taken back at its next hello. Change: each scheduler slightly prefers engines of its own choice; instances greet ten times a second for their first two seconds; datagrams of a leaving instance say so, and it asks the next. Three tests, all red before.

--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <tuple>
 
+#include "modules/core/hashing.h"
+
 namespace chicory {
 
 namespace {
@@ -33,6 +35,9 @@
 constexpr double kLateReserve = 1.5;
 /** Advantage of an engine for each stream that already writes there. */
 constexpr double kPackingBonus = 0.006;
+/** The most that a scheduler's own preference costs: less than the advantage of
+    an engine with streams. */
+constexpr double kPreferenceCost = 0.004;
 /** Share of its memory that an engine's requests may be expected to fill. */
 constexpr double kMemoryShare = 0.95;
 /** Part of its value that a request loses with each millisecond in which an
@@ -92,6 +97,14 @@
                     1.0);
 }
 
+double PreferenceOf(UpstreamKey key, uint64_t seed) {
+  const std::array<uint64_t, 2> pair = {key, seed};
+  const uint64_t hash = StableHash(std::string_view(
+      reinterpret_cast<const char*>(pair.data()), sizeof(pair)));
+  constexpr double kSteps = 1024;
+  return kPreferenceCost * static_cast<double>(hash % 1024) / kSteps;
+}
+
 /** How long a waiting prompt is left before it is weighed again. */
 absl::Duration LookInterval(const WorkRequest& request, absl::Time now) {
   return std::clamp((request.deadline - now) * kLookShare, kLeastLook,
@@ -112,6 +125,7 @@
   for (const SchedulerUpstream& upstream : upstreams) {
     UpstreamState& state = upstreams_[upstream.key];
     state.info = upstream;
+    state.preference = PreferenceOf(upstream.key, preference_seed_);
     state.eligible = true;
   }
   std::erase_if(upstreams_, [](const auto& entry) {
@@ -300,7 +314,8 @@
                                                   absl::Time now) const {
   EngineView view{.upstream = upstream,
                   .pace = upstream->pace,
-                  .faults = FaultsNow(*upstream, now)};
+                  .faults = FaultsNow(*upstream, now),
+                  .preference = upstream->preference};
   int64_t context = 0;
   int64_t held = 0;
   for (const Load& load : upstream->loads) {
@@ -396,7 +411,8 @@
                         .estimate = EstimateRead(view, read_ms, now)};
     const Estimate& estimate = candidate.estimate;
     const double shared =
-        estimate.harm + std::min(view.faults, kMostFaults) * kFaultCost * value;
+        estimate.harm + view.preference +
+        std::min(view.faults, kMostFaults) * kFaultCost * value;
     candidate.cost_as_lead =
         shared + Risk(estimate.lead_ms, due_ms) * value * kLateLoss;
     if (parts == 1) {
@@ -562,7 +578,7 @@
 FleetScheduler::Choice FleetScheduler::ChoosePlain(const WorkRequest& request,
                                                    absl::Time now) {
   Choice best;
-  std::tuple<bool, double, absl::Time> best_rank;
+  std::tuple<bool, double, absl::Time, double> best_rank;
   for (UpstreamState* state : Usable(request, now)) {
     const double slots = std::max(state->info.slots, 1);
     const double running = static_cast<double>(state->loads.size());
@@ -571,8 +587,8 @@
     const bool tried = std::find(request.avoid.begin(), request.avoid.end(),
                                  state->info.key) != request.avoid.end();
     const double load = running / slots + FaultsNow(*state, now);
-    const std::tuple<bool, double, absl::Time> rank(tried, load,
-                                                    state->last_placed);
+    const std::tuple<bool, double, absl::Time, double> rank(
+        tried, load, state->last_placed, state->preference);
     if (!best.upstreams.empty() && best_rank <= rank)
       continue;
     best_rank = rank;
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -118,6 +118,10 @@
  public:
   /** Replaces the upstreams that may get new work. Work at others goes on. */
   void SetUpstreams(const std::vector<SchedulerUpstream>& upstreams);
+  /** Makes schedulers with different seeds begin with different upstreams where
+      all are equal, so that those that do not know of each other do not all
+      choose the same one. */
+  void SetPreference(uint64_t seed) { preference_seed_ = seed; }
   /** Sets the published speed of a service's engines. */
   void SetEngine(const std::string& service, const EngineProfile& engine);
 
@@ -168,6 +172,8 @@
   struct UpstreamState {
     SchedulerUpstream info;
     bool eligible = true;
+    /** Cost between 0 and kPreferenceCost that differs between schedulers. */
+    double preference = 0;
     std::vector<Load> loads;
     /** When the prompts read there now are expected to be read. */
     absl::Time read_until = absl::InfinitePast();
@@ -202,6 +208,7 @@
     double backlog_ms = 0;
     double pace = 1;
     double faults = 0;
+    double preference = 0;
     int writers = 0;
     int requests = 0;
     bool has_slot = false;
@@ -306,6 +313,7 @@
   };
   absl::flat_hash_map<WorkKey, Waiting> waiting_;
   absl::flat_hash_map<WorkKey, Placement> running_;
+  uint64_t preference_seed_ = 0;
   absl::Time next_expiry_ = absl::InfinitePast();
 };
 
--- a/modules/net/http_message.cc
+++ b/modules/net/http_message.cc
@@ -191,6 +191,11 @@
 void HttpResponseParser::FeedEnd() {
   if (state_ != ParseState::kNeedMore)
     return;
+  if (!started_) {
+    // The library's parser may not be ended before its first byte.
+    state_ = ParseState::kBad;
+    return;
+  }
   boost::beast::error_code error;
   impl_->parser->put_eof(error);
   const bool whole = !error && has_head_ && impl_->parser->is_done();
--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -39,6 +39,8 @@
   runningTotal @17 :UInt32;
   # Live instances that the sender knows, itself included.
   liveInstances @20 :UInt32;
+  # The sender is leaving and schedules for nobody.
+  leaving @21 :Bool;
   union {
     # "I am alive, and this is what I have running."
     hello @2 :List(Running);
--- a/modules/peers/placement.capnp.h
+++ b/modules/peers/placement.capnp.h
@@ -507,6 +507,8 @@
 
   inline  ::uint32_t getLiveInstances() const;
 
+  inline bool getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -596,6 +598,9 @@
   inline  ::uint32_t getLiveInstances();
   inline void setLiveInstances( ::uint32_t value);
 
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1554,6 +1559,20 @@
       ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Datagram::Assign::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -219,6 +219,7 @@
   datagram.setSender(message.sender);
   datagram.setConfigurationVersion(message.configuration_version);
   datagram.setLiveInstances(static_cast<uint32_t>(message.live_instances));
+  datagram.setLeaving(message.leaving);
   std::visit(ContentWriter{datagram}, message.content);
   const auto words = capnp::messageToFlatArray(builder);
   const auto bytes = words.asBytes();
@@ -242,6 +243,7 @@
         .sender = datagram.getSender(),
         .configuration_version = datagram.getConfigurationVersion(),
         .live_instances = datagram.getLiveInstances(),
+        .leaving = datagram.getLeaving(),
         .content = GoodbyeMessage{}};
     if (ReadContent(datagram, &message))
       result = std::move(message);
--- a/modules/peers/placement_message.h
+++ b/modules/peers/placement_message.h
@@ -82,6 +82,8 @@
   uint64_t configuration_version = 0;
   /** Live instances that the sender knows, itself included. */
   size_t live_instances = 1;
+  /** The sender is leaving and schedules for nobody. */
+  bool leaving = false;
   std::variant<HelloMessage,
                WelcomeMessage,
                SubmitMessage,
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -14,6 +14,10 @@
 /** A waiting request asks again this often, in case the answer was lost. */
 constexpr absl::Duration kWaitPoll = absl::Milliseconds(200);
 constexpr absl::Duration kHelloInterval = absl::Milliseconds(500);
+/** After its start an instance greets more often, until it has met the others.
+ */
+constexpr absl::Duration kMeeting = absl::Seconds(2);
+constexpr absl::Duration kMeetingInterval = absl::Milliseconds(100);
 /** Instances that are told what runs here: the scheduler and the next one. */
 constexpr size_t kTold = 2;
 /** Instances that one answer to a hello names, and the candidates among them.
@@ -35,7 +39,9 @@
       transport_(transport),
       listener_(listener),
       roster_(options_.self),
-      next_sequence_(options_.first_sequence) {}
+      next_sequence_(options_.first_sequence) {
+  scheduler_.SetPreference(options_.self);
+}
 
 void PlacementNode::SetSeeds(std::vector<InstanceIp> seeds) {
   options_.seeds = std::move(seeds);
@@ -94,6 +100,7 @@
   message.sender = options_.self;
   message.configuration_version = configuration_version_;
   message.live_instances = live_here_;
+  message.leaving = leaving_;
   transport_->Send(to, message);
 }
 
@@ -107,8 +114,16 @@
   return key;
 }
 
+InstanceIp PlacementNode::FirstScheduler(absl::Time now) const {
+  const std::vector<InstanceIp> order = roster_.SchedulerOrder(now, 2);
+  // An instance that is leaving takes the next one, if there is one.
+  if (leaving_ && order.front() == options_.self)
+    return order.back();
+  return order.front();
+}
+
 void PlacementNode::Ask(Job* job, absl::Time now) {
-  const InstanceIp scheduler = roster_.SchedulerOrder(now, 1).front();
+  const InstanceIp scheduler = FirstScheduler(now);
   if (job->scheduler != scheduler)
     job->unanswered = 0;
   job->scheduler = scheduler;
@@ -188,11 +203,12 @@
 void PlacementNode::OnMessage(const PeerMessage& message, absl::Time now) {
   if (message.sender == options_.self)
     return;
-  if (std::holds_alternative<GoodbyeMessage>(message.content)) {
+  if (message.leaving)
     roster_.Remove(message.sender);
+  else
+    roster_.OnHeardDirectly(message.sender, now);
+  if (std::holds_alternative<GoodbyeMessage>(message.content))
     return;
-  }
-  roster_.OnHeardDirectly(message.sender, now);
   if (std::holds_alternative<WelcomeMessage>(message.content))
     OnLiveCount(message.live_instances, now);
   if (message.configuration_version > configuration_version_)
@@ -281,6 +297,10 @@
 void PlacementNode::OnSubmit(InstanceIp sender,
                              const SubmitMessage& submit,
                              absl::Time now) {
+  if (leaving_) {
+    Send(sender, {.content = GoodbyeMessage{}});
+    return;
+  }
   const WorkRequest request = FromTravel(sender, submit.work, now);
   auto found = assigned_.find(request.key);
   if (found != assigned_.end()) {
@@ -375,7 +395,10 @@
 }
 
 void PlacementNode::SayHellos(absl::Time now) {
-  next_hello_ = now + kHelloInterval;
+  if (started_ == absl::InfinitePast())
+    started_ = now;
+  next_hello_ =
+      now + (now - started_ < kMeeting ? kMeetingInterval : kHelloInterval);
   ++hello_count_;
   live_here_ = roster_.LiveCount(now);
   absl::erase_if(assigned_, [this](const auto& entry) {
@@ -400,6 +423,7 @@
 }
 
 void PlacementNode::Leave(absl::Time now) {
+  leaving_ = true;
   for (const InstanceRoster::Member& member : roster_.Members(now))
     Send(member.ip, {.content = GoodbyeMessage{}});
 }
--- a/modules/peers/placement_node.h
+++ b/modules/peers/placement_node.h
@@ -103,6 +103,7 @@
     bool answering = false;
   };
 
+  InstanceIp FirstScheduler(absl::Time now) const;
   void Ask(Job* job, absl::Time now);
   void Send(InstanceIp to, PeerMessage message);
   void SendHello(InstanceIp to, absl::Time now);
@@ -140,6 +141,8 @@
   absl::flat_hash_map<WorkKey, Assignment> assigned_;
   absl::Time next_hello_ = absl::InfinitePast();
   uint64_t hello_count_ = 0;
+  absl::Time started_ = absl::InfinitePast();
+  bool leaving_ = false;
   size_t next_told_ = 0;
   /** Live instances by this one's roster at its last hello. */
   size_t live_here_ = 1;
--- a/tests/logic/placement_node_test.cc
+++ b/tests/logic/placement_node_test.cc
@@ -222,6 +222,54 @@
     CHECK(member->node.scheduler().running() == 0);
 }
 
+TEST_CASE("an instance that leaves schedules for nobody and is still served") {
+  Fleet fleet(10, 3, 0);
+  fleet.Run(absl::Seconds(4));
+  const WorkKey probe = fleet.Submit(5);
+  fleet.Run(absl::Milliseconds(20));
+  REQUIRE(fleet.IsDecided(probe));
+  const InstanceIp scheduler = *fleet.members.at(5)->schedulers.begin();
+  Fleet::Member& leaving = *fleet.members.at(scheduler);
+  leaving.node.Leave(fleet.now);
+  fleet.Run(absl::Seconds(1));
+  for (auto& [ip, member] : fleet.members) {
+    member->schedulers.clear();
+    const WorkKey key = fleet.Submit(ip);
+    fleet.Run(absl::Milliseconds(20));
+    CHECK(fleet.IsDecided(key));
+    CHECK(member->schedulers.count(scheduler) == 0);
+    fleet.End(key);
+  }
+}
+
+// Pattern: all instances come back at once and do not know each other yet.
+TEST_CASE("instances that know nobody do not all choose one upstream") {
+  std::map<UpstreamKey, int> chosen;
+  for (InstanceIp ip = 1; ip <= 20; ++ip) {
+    Fleet fleet(0, 14, 0);
+    fleet.Start(ip);
+    const WorkKey key = fleet.Submit(ip);
+    ++chosen[fleet.members.at(ip)->decisions.at(key).upstream];
+  }
+  CHECK(chosen.size() >= 6);
+  for (const auto& [upstream, count] : chosen)
+    CHECK(count <= 6);
+}
+
+TEST_CASE("instances that start together meet within half a second") {
+  Fleet fleet(20, 3, 0);
+  fleet.Run(absl::Milliseconds(500));
+  std::set<InstanceIp> schedulers;
+  for (auto& [ip, member] : fleet.members) {
+    const WorkKey key = fleet.Submit(ip);
+    fleet.Run(absl::Milliseconds(10));
+    CHECK(fleet.IsDecided(key));
+    fleet.End(key);
+    schedulers.insert(member->schedulers.begin(), member->schedulers.end());
+  }
+  CHECK(schedulers.size() == 1);
+}
+
 TEST_CASE("an instance alone schedules for itself") {
   Fleet fleet(1, 3, 0);
   const WorkKey key = fleet.Submit(1);
