Prompt placement, upstream rows and the scheduler in files of their own

Ruled out: changing behaviour with it. Change: prompt_placement (the cheapest arrangement of engines for a prompt), scheduled_upstream (types and faults), fleet_scheduler (queue, order, verdicts). Changes from the store are gathered for 0.3 and 0.4 of their bounds: calls to the store are the largest price on the grown sites.

--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -11,46 +11,9 @@
 
 namespace {
 
-/** Part of a request's value that is lost when its answer is late. */
-constexpr double kLateLoss = 0.75;
-/** Below this share of a limit an estimate is safe; the risk grows to certain
-    at kCertainShare. */
-constexpr double kSafeShare = 0.6;
-constexpr double kCertainShare = 1.05;
-/** Tokens of prompt and answer that double a request's value. */
-constexpr double kTokensPerValue = 8000;
-/** Time between the upstream and the caller, both ways and in queues. */
-constexpr double kTransitMs = 12;
-/** Numbers of engines that a prompt may be read by. */
-constexpr std::array<size_t, 8> kPartCounts = {1, 2, 3, 4, 6, 9, 13, 16};
-/** A prompt that one engine reads faster is not split. */
-constexpr absl::Duration kSplitFrom = absl::Milliseconds(60);
-/** Cost of each further engine that takes part, in value. */
-constexpr double kPartCost = 0.004;
-/** The same for a prompt that is late in any case. */
-constexpr double kLatePartCost = 0.5;
-/** Cost of an arrangement that would end after the deadline. */
-constexpr double kTooLateCost = 1000;
-/** Time that a late prompt is given, over the estimate. */
-constexpr double kLateReserve = 1.5;
-/** Advantage of an engine for each stream that already writes there. */
-constexpr double kPackingBonus = 0.006;
 /** The most that a scheduler's own preference costs: less than the advantage of
     an engine with streams. */
 constexpr double kPreferenceCost = 0.004;
-/** Share of its memory that an engine's requests may be expected to fill. */
-constexpr double kMemoryShare = 0.95;
-/** Part of its value that a request loses with each millisecond in which an
-   engine that reads it reads for others. */
-constexpr double kDelayCostPerMs = 0.05 / 1000;
-/** Callers leave a stream after a pause of this length or of so many times the
-    pause that is still on time, whichever is longer. */
-constexpr double kLeastPatienceMs = 2000;
-constexpr double kPatienceGaps = 8;
-/** Engines set memory aside in blocks. */
-constexpr int64_t kMemoryBlock = 16;
-/** Memory shares are larger than needed by one part in this many. */
-constexpr int64_t kMemoryMarginDivisor = 50;
 /** Requests at a plain service beyond its slots, as a share of the slots. */
 constexpr double kPlainOverflow = 0.5;
 /** Reading owed by an engine on average up to which it costs others nothing,
@@ -68,16 +31,6 @@
 /** Part of its value that a request which still has time avoids to lose by
     waiting. */
 constexpr double kWaitAbove = 0.3;
-constexpr absl::Duration kFaultHalfLife = absl::Seconds(4);
-/** Faults at which an upstream is left alone for a while. */
-constexpr double kSuspendFaults = 2.5;
-constexpr absl::Duration kSuspension = absl::Milliseconds(1500);
-/** Cost of a recent fault, as a part of a request's value. */
-constexpr double kFaultCost = 0.3;
-/** More recent faults than this cost no more. */
-constexpr double kMostFaults = 2;
-/** Part of a request's value that a long first pause of its own costs. */
-constexpr double kOwnGapLoss = kLateLoss / 4;
 constexpr absl::Duration kFullPause = absl::Milliseconds(100);
 /** A waiting prompt can still be on time when it has so many times the time
    left that its first part takes at best. */
@@ -98,15 +51,6 @@
 /** Least time to ask again after a refusal. */
 constexpr absl::Duration kRetryAfter = absl::Milliseconds(500);
 
-/** Probability that something estimated as `time_ms` exceeds `limit_ms`. */
-double Risk(double time_ms, double limit_ms) {
-  if (limit_ms <= 0)
-    return 1;
-  const double share = time_ms / limit_ms;
-  return std::clamp((share - kSafeShare) / (kCertainShare - kSafeShare), 0.0,
-                    1.0);
-}
-
 double PreferenceOf(UpstreamKey key, uint64_t seed) {
   const std::array<uint64_t, 2> pair = {key, seed};
   const uint64_t hash = StableHash(std::string_view(
@@ -123,17 +67,12 @@
 
 }  // namespace
 
-double RequestValue(int64_t prompt_tokens, int64_t output_tokens) {
-  return 1 +
-         static_cast<double>(prompt_tokens + output_tokens) / kTokensPerValue;
-}
-
 void FleetScheduler::SetUpstreams(
     const std::vector<SchedulerUpstream>& upstreams) {
   for (auto& [key, state] : upstreams_)
     state.eligible = false;
   for (const SchedulerUpstream& upstream : upstreams) {
-    UpstreamState& state = upstreams_[upstream.key];
+    ScheduledUpstream& state = upstreams_[upstream.key];
     state.info = upstream;
     state.preference = PreferenceOf(upstream.key, preference_seed_);
     state.eligible = true;
@@ -162,7 +101,7 @@
   auto found = upstreams_.find(work.upstream);
   if (found == upstreams_.end())
     return;
-  Choice choice{.upstreams = {&found->second}};
+  PlacementOption choice{.upstreams = {&found->second}};
   Place(request, choice, now);
   if (work.answering)
     OnFirstPart(request.key, now);
@@ -178,11 +117,11 @@
     auto state = upstreams_.find(upstream);
     if (state == upstreams_.end())
       continue;
-    std::erase_if(state->second.loads, [&](const Load& load) {
+    std::erase_if(state->second.loads, [&](const UpstreamLoad& load) {
       return load.key == key && load.is_part && load.tokens == 0;
     });
     bool reading = false;
-    for (Load& load : state->second.loads) {
+    for (UpstreamLoad& load : state->second.loads) {
       if (load.key == key)
         load.answering = true;
       reading |= !load.answering;
@@ -198,7 +137,7 @@
     if (state == upstreams_.end())
       continue;
     std::erase_if(state->second.loads,
-                  [&](const Load& load) { return load.key == key; });
+                  [&](const UpstreamLoad& load) { return load.key == key; });
     if (state->second.loads.empty()) {
       state->second.read_until = absl::InfinitePast();
       if (!state->second.eligible)
@@ -226,7 +165,7 @@
     return;
   switch (result) {
     case SendResult::kDone:
-      state->second.faults = FaultsNow(state->second, now) / 2;
+      state->second.faults = state->second.FaultsAt(now) / 2;
       state->second.faults_at = now;
       break;
     case SendResult::kFull:
@@ -234,7 +173,7 @@
           std::max(state->second.full_until, now + kFullPause);
       break;
     case SendResult::kFault:
-      AddFault(blamed, 1, now);
+      state->second.AddFault(1, now);
       break;
     case SendResult::kCancelled:
       break;
@@ -269,10 +208,10 @@
   auto found = upstreams_.find(upstream);
   if (found == upstreams_.end())
     return 0;
-  const std::vector<Load>& loads = found->second.loads;
+  const std::vector<UpstreamLoad>& loads = found->second.loads;
   return static_cast<int>(
       std::count_if(loads.begin(), loads.end(),
-                    [](const Load& load) { return !load.is_part; }));
+                    [](const UpstreamLoad& load) { return !load.is_part; }));
 }
 
 const EngineProfile* FleetScheduler::EngineOf(
@@ -281,31 +220,11 @@
   return found == engines_.end() ? nullptr : &found->second;
 }
 
-double FleetScheduler::FaultsNow(const UpstreamState& upstream,
-                                 absl::Time now) const {
-  if (upstream.faults <= 0)
-    return 0;
-  const double halves = std::max(
-      0.0, absl::FDivDuration(now - upstream.faults_at, kFaultHalfLife));
-  return upstream.faults * std::exp2(-halves);
-}
-
-void FleetScheduler::AddFault(UpstreamKey key, double amount, absl::Time now) {
-  auto found = upstreams_.find(key);
-  if (found == upstreams_.end())
-    return;
-  UpstreamState& state = found->second;
-  state.faults = FaultsNow(state, now) + amount;
-  state.faults_at = now;
-  if (state.faults >= kSuspendFaults)
-    state.suspended_until = now + kSuspension;
-}
-
-std::vector<FleetScheduler::UpstreamState*> FleetScheduler::Usable(
+std::vector<ScheduledUpstream*> FleetScheduler::Usable(
     const WorkRequest& request,
     absl::Time now) {
-  std::vector<UpstreamState*> sound;
-  std::vector<UpstreamState*> suspended;
+  std::vector<ScheduledUpstream*> sound;
+  std::vector<ScheduledUpstream*> suspended;
   for (auto& [key, state] : upstreams_) {
     if (!state.eligible || state.info.service != request.service ||
         state.full_until > now)
@@ -319,284 +238,18 @@
   return sound.empty() ? suspended : sound;
 }
 
-FleetScheduler::EngineView FleetScheduler::ViewOf(const EngineProfile& engine,
-                                                  UpstreamState* upstream,
-                                                  absl::Time now) const {
-  EngineView view{.upstream = upstream,
-                  .pace = upstream->pace,
-                  .faults = FaultsNow(*upstream, now),
-                  .preference = upstream->preference};
-  int64_t context = 0;
-  int64_t held = 0;
-  for (const Load& load : upstream->loads) {
-    held += load.tokens;
-    view.requests += load.is_part ? 0 : 1;
-    if (!load.answering) {
-      view.unread.push_back(&load);
-      continue;
-    }
-    if (load.is_part)
-      continue;
-    ++view.writers;
-    context += load.tokens;
-    auto group = std::find_if(
-        view.gaps.begin(), view.gaps.end(),
-        [&](const GapGroup& known) { return known.gap_ms == load.gap_ms; });
-    if (group == view.gaps.end())
-      view.gaps.push_back({.gap_ms = load.gap_ms, .value = load.value});
-    else
-      group->value += load.value;
-  }
-  view.base_ms =
-      absl::ToDoubleMilliseconds(PassTime(engine, view.writers, context)) *
-      view.pace;
-  view.backlog_ms =
-      std::max(absl::ToDoubleMilliseconds(upstream->read_until - now), 0.0);
-  view.has_slot = view.requests < upstream->info.slots;
-  const int64_t memory = static_cast<int64_t>(
-      kMemoryShare * static_cast<double>(engine.memory_tokens));
-  view.free_tokens = std::max<int64_t>(memory - held, 0);
-  return view;
-}
-
-FleetScheduler::Estimate FleetScheduler::EstimateRead(const EngineView& view,
-                                                      double read_ms,
-                                                      absl::Time now) {
-  const double own_ms = read_ms * view.pace;
-  double lead_begin = view.backlog_ms;
-  double helper_begin = 0;
-  // A pass with writers reads all that is there before a next one begins.
-  if (view.writers > 0)
-    lead_begin = helper_begin = std::max(view.backlog_ms, view.base_ms / 2);
-  const double after = own_ms + view.base_ms + kTransitMs;
-  const double pass_before = view.base_ms + view.backlog_ms;
-  Estimate estimate{.pass_ms = pass_before + own_ms,
-                    .lead_ms = lead_begin + after,
-                    .helper_ms = helper_begin + after};
-  for (const Load* load : view.unread)
-    estimate.harm += DelayHarm(*load, own_ms, now);
-  for (const GapGroup& group : view.gaps) {
-    const double late =
-        Risk(estimate.pass_ms, group.gap_ms) - Risk(pass_before, group.gap_ms);
-    const double patience =
-        std::max(kLeastPatienceMs, group.gap_ms * kPatienceGaps);
-    const double left =
-        Risk(estimate.pass_ms, patience) - Risk(pass_before, patience);
-    estimate.harm += group.value * (late * kLateLoss + left * (1 - kLateLoss));
-  }
-  return estimate;
-}
-
-double FleetScheduler::DelayHarm(const Load& load,
-                                 double delay_ms,
-                                 absl::Time now) {
-  const double wait =
-      std::max(absl::ToDoubleMilliseconds(load.expected - now), 0.0);
-  const double due = absl::ToDoubleMilliseconds(load.due - now);
-  const double deadline = absl::ToDoubleMilliseconds(load.deadline - now);
-  double harm = kDelayCostPerMs * delay_ms;
-  if (due > 0)
-    harm += kLateLoss * (Risk(wait + delay_ms, due) - Risk(wait, due));
-  harm += (1 - kLateLoss) *
-          (Risk(wait + delay_ms, deadline) - Risk(wait, deadline));
-  return harm * load.value;
-}
-
-std::vector<FleetScheduler::Candidate> FleetScheduler::RankCandidates(
-    const WorkRequest& request,
-    const std::vector<EngineView>& views,
-    double read_ms,
-    size_t parts,
-    absl::Time now) {
-  const double value =
-      RequestValue(request.prompt_tokens, request.output_tokens);
-  const int64_t needed = request.prompt_tokens + request.output_tokens;
-  const double due_ms = absl::ToDoubleMilliseconds(request.due - now);
-  std::vector<Candidate> candidates;
-  for (const EngineView& view : views) {
-    const bool can_be_only = view.has_slot && view.free_tokens >= needed;
-    if (parts == 1 && !can_be_only)
-      continue;
-    Candidate candidate{.view = &view,
-                        .estimate = EstimateRead(view, read_ms, now)};
-    const Estimate& estimate = candidate.estimate;
-    const double shared =
-        estimate.harm + view.preference +
-        std::min(view.faults, kMostFaults) * kFaultCost * value;
-    candidate.cost_as_lead =
-        shared + Risk(estimate.lead_ms, due_ms) * value * kLateLoss;
-    if (parts == 1) {
-      candidate.cost_as_lead -= kPackingBonus * view.requests;
-      candidate.cost = candidate.cost_as_lead;
-    } else {
-      candidate.cost =
-          shared + Risk(estimate.helper_ms, due_ms) * value * kLateLoss;
-    }
-    candidates.push_back(candidate);
-  }
-  std::stable_sort(
-      candidates.begin(), candidates.end(),
-      [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
-  return candidates;
-}
-
-bool FleetScheduler::PutLeadFirst(std::vector<Candidate>* candidates,
-                                  size_t parts,
-                                  int64_t needed) {
-  auto lead = candidates->end();
-  for (auto it = candidates->begin(); it != candidates->end(); ++it) {
-    if (!it->view->has_slot || it->view->free_tokens < needed)
-      continue;
-    if (lead == candidates->end() || it->cost_as_lead < lead->cost_as_lead)
-      lead = it;
-  }
-  if (lead == candidates->end()) {
-    // None holds it alone: the one with most room among the cheapest.
-    const auto end = candidates->begin() + std::min(parts, candidates->size());
-    lead = std::max_element(
-        candidates->begin(), end, [](const Candidate& a, const Candidate& b) {
-          return std::pair(a.view->has_slot, a.view->free_tokens) <
-                 std::pair(b.view->has_slot, b.view->free_tokens);
-        });
-    if (lead == end || !lead->view->has_slot)
-      return false;
-  }
-  std::rotate(candidates->begin(), lead, lead + 1);
-  return true;
-}
-
-bool FleetScheduler::ShareMemory(const std::vector<Candidate>& parts,
-                                 int64_t needed,
-                                 std::vector<MemoryShare>* memory) {
-  int64_t missing = needed - parts.front().view->free_tokens;
-  if (missing <= 0)
-    return true;
-  missing += missing / kMemoryMarginDivisor + kMemoryBlock;
-  std::vector<const EngineView*> holders;
-  for (size_t i = 1; i < parts.size(); ++i)
-    holders.push_back(parts[i].view);
-  std::stable_sort(holders.begin(), holders.end(),
-                   [](const EngineView* a, const EngineView* b) {
-                     return a->free_tokens > b->free_tokens;
-                   });
-  for (const EngineView* holder : holders) {
-    if (missing <= 0)
-      break;
-    const int64_t share = std::min(missing, holder->free_tokens);
-    if (share < kMemoryBlock)
-      break;
-    memory->push_back(
-        {.upstream = holder->upstream->info.key, .tokens = share});
-    missing -= share;
-  }
-  return missing <= 0;
-}
-
-FleetScheduler::Choice FleetScheduler::ChooseParts(
-    const WorkRequest& request,
-    const std::vector<EngineView>& views,
-    double read_ms,
-    size_t parts,
-    absl::Time now) {
-  const double value =
-      RequestValue(request.prompt_tokens, request.output_tokens);
-  const int64_t needed = request.prompt_tokens + request.output_tokens;
-  std::vector<Candidate> candidates = RankCandidates(
-      request, views, read_ms / static_cast<double>(parts), parts, now);
-  Choice choice;
-  if (candidates.size() < parts || !PutLeadFirst(&candidates, parts, needed))
-    return choice;
-  candidates.resize(parts);
-  if (!ShareMemory(candidates, needed, &choice.memory))
-    return choice;
-  double first_ms = 0;
-  double faults = 0;
-  for (const Candidate& candidate : candidates) {
-    const bool leads = choice.upstreams.empty();
-    choice.upstreams.push_back(candidate.view->upstream);
-    first_ms = std::max(first_ms, leads ? candidate.estimate.lead_ms
-                                        : candidate.estimate.helper_ms);
-    choice.harm += candidate.estimate.harm;
-    faults += candidate.view->faults;
-  }
-  const Candidate& lead = candidates.front();
-  const double due_ms = absl::ToDoubleMilliseconds(request.due - now);
-  const double gap_ms = absl::ToDoubleMilliseconds(request.event_gap);
-  choice.first_part = absl::Milliseconds(first_ms);
-  choice.fault_cost = std::min(faults, kMostFaults) * kFaultCost * value;
-  choice.cost = choice.harm + choice.fault_cost +
-                Risk(first_ms, due_ms) * value * kLateLoss +
-                Risk(lead.estimate.pass_ms, gap_ms) * value * kOwnGapLoss +
-                kPartCost * static_cast<double>(parts);
-  if (parts == 1)
-    choice.cost -= kPackingBonus * lead.view->requests;
-  return choice;
-}
-
-FleetScheduler::Choice FleetScheduler::ChooseEngines(
-    const EngineProfile& engine,
-    const WorkRequest& request,
-    absl::Time now) {
-  std::vector<UpstreamState*> usable = Usable(request, now);
-  const auto was_tried = [&](const UpstreamState* state) {
-    return std::find(request.avoid.begin(), request.avoid.end(),
-                     state->info.key) != request.avoid.end();
-  };
-  // One that failed before is better than none.
-  if (!std::all_of(usable.begin(), usable.end(), was_tried))
-    std::erase_if(usable, was_tried);
-  const bool may_split = ReadTime(engine, request.prompt_tokens) > kSplitFrom;
-  std::vector<EngineView> views;
-  for (UpstreamState* upstream : usable)
-    views.push_back(ViewOf(engine, upstream, now));
-  const double read_ms =
-      absl::ToDoubleMilliseconds(ReadTime(engine, request.prompt_tokens));
-  std::vector<Choice> choices;
-  for (size_t parts : kPartCounts) {
-    if (parts > 1 && (!may_split || parts > usable.size()))
-      break;
-    Choice choice = ChooseParts(request, views, read_ms, parts, now);
-    if (choice.upstreams.empty())
-      continue;
-    choices.push_back(std::move(choice));
-  }
-  if (choices.empty())
-    return {};
-  const bool all_late =
-      std::all_of(choices.begin(), choices.end(), [&](const Choice& choice) {
-        return now + choice.first_part > request.due;
-      });
-  // What is late in any case is read by few, so that others find free engines.
-  const auto cost = [&](const Choice& choice) {
-    if (!all_late)
-      return choice.cost;
-    const bool in_time =
-        now + choice.first_part * kLateReserve < request.deadline;
-    return choice.harm +
-           kLatePartCost * static_cast<double>(choice.upstreams.size()) +
-           (in_time ? 0 : kTooLateCost);
-  };
-  Choice best = *std::min_element(
-      choices.begin(), choices.end(),
-      [&](const Choice& a, const Choice& b) { return cost(a) < cost(b); });
-  best.fastest = absl::InfiniteDuration();
-  for (const Choice& choice : choices)
-    best.fastest = std::min(best.fastest, choice.first_part);
-  return best;
-}
-
-FleetScheduler::Choice FleetScheduler::ChoosePlain(const WorkRequest& request,
-                                                   absl::Time now) {
-  Choice best;
+PlacementOption FleetScheduler::ChoosePlain(const WorkRequest& request,
+                                            absl::Time now) {
+  PlacementOption best;
   std::tuple<bool, double, absl::Time, double> best_rank;
-  for (UpstreamState* state : Usable(request, now)) {
+  for (ScheduledUpstream* state : Usable(request, now)) {
     const double slots = std::max(state->info.slots, 1);
     const double running = static_cast<double>(state->loads.size());
     if (running >= slots * (1 + kPlainOverflow))
       continue;
     const bool tried = std::find(request.avoid.begin(), request.avoid.end(),
                                  state->info.key) != request.avoid.end();
-    const double load = running / slots + FaultsNow(*state, now);
+    const double load = running / slots + state->FaultsAt(now);
     const std::tuple<bool, double, absl::Time, double> rank(
         tried, load, state->last_placed, state->preference);
     if (!best.upstreams.empty() && best_rank <= rank)
@@ -615,7 +268,7 @@
     if (!state.eligible || state.info.service != request.service)
       continue;
     slots += state.info.slots;
-    for (const Load& load : state.loads)
+    for (const UpstreamLoad& load : state.loads)
       taken += load.is_part ? 0 : 1;
   }
   return slots - taken < kReservedSlots * slots;
@@ -647,7 +300,7 @@
 }
 
 FleetScheduler::Verdict FleetScheduler::Judge(const WorkRequest& request,
-                                              const Choice& choice,
+                                              const PlacementOption& choice,
                                               absl::Duration read,
                                               absl::Time now) const {
   if (choice.upstreams.empty()) {
@@ -685,7 +338,7 @@
 }
 
 void FleetScheduler::Place(const WorkRequest& request,
-                           const Choice& choice,
+                           const PlacementOption& choice,
                            absl::Time now) {
   Placement placement{.request = request};
   const EngineProfile* engine = EngineOf(request.service);
@@ -701,9 +354,9 @@
     shared += share.tokens;
   }
   for (size_t i = 0; i < choice.upstreams.size(); ++i) {
-    UpstreamState& state = *choice.upstreams[i];
+    ScheduledUpstream& state = *choice.upstreams[i];
     placement.upstreams.push_back(state.info.key);
-    for (Load& load : state.loads) {
+    for (UpstreamLoad& load : state.loads) {
       if (!load.answering)
         load.expected += read * state.pace;
     }
@@ -736,10 +389,10 @@
     if (entry.next_look > now)
       continue;
     const EngineProfile* engine = EngineOf(request.service);
-    const absl::Duration read =
-        engine ? ReadTime(*engine, request.prompt_tokens) /
-                     static_cast<double>(kPartCounts.back())
-               : absl::ZeroDuration();
+    const absl::Duration read = engine
+                                    ? ReadTime(*engine, request.prompt_tokens) /
+                                          static_cast<double>(kMaxParts)
+                                    : absl::ZeroDuration();
     auto overhead = overhead_.find(request.service);
     const absl::Duration needed =
         overhead == overhead_.end()
@@ -784,8 +437,9 @@
                            .retry_after = kRetryAfter});
       continue;
     }
-    Choice choice = is_prompt ? ChooseEngines(*engine, request, now)
-                              : ChoosePlain(request, now);
+    PlacementOption choice =
+        is_prompt ? ChooseEngines(*engine, request, Usable(request, now), now)
+                  : ChoosePlain(request, now);
     const absl::Duration read = is_prompt
                                     ? ReadTime(*engine, request.prompt_tokens)
                                     : absl::ZeroDuration();
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -24,8 +24,8 @@
 /** Longest wait of one watch at the store. */
 constexpr absl::Duration kWatch = absl::Seconds(15);
 /** Parts of the bounds that changes are gathered for. */
-constexpr double kGatherConfiguration = 0.2;
-constexpr double kGatherUpstreams = 0.25;
+constexpr double kGatherConfiguration = 0.3;
+constexpr double kGatherUpstreams = 0.4;
 
 std::optional<GatewaySettings> LoadSettings(
     const std::string& path,
