--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -100,8 +100,7 @@
                  const WireCodec& codec,
                  EventLog& log,
                  GatewaySource* source)
-    : loop_(loop),
-      options_(std::move(options)),
+    : options_(std::move(options)),
       source_(source),
       log_(log),
       placement_({.self = options_.peers.ip,
@@ -223,12 +222,10 @@
               EncodePeerMessage(message));
 }
 
-void Gateway::OnDecision(const ScheduleDecision& decision,
-                         InstanceIp scheduler) {
+void Gateway::OnDecision(const ScheduleDecision& decision, InstanceIp) {
   auto found = state_.runs.find(decision.key);
   if (found == state_.runs.end())
     return;
-  (void)scheduler;
   found->second->OnDecision(decision);
 }
 
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -88,7 +88,6 @@
   void HastenTick();
   void ContinueStop();
 
-  boost::asio::io_context& loop_;
   Options options_;
   GatewaySource* source_;
   EventLog& log_;
