A call's timer does not outlive its caller

Cause: read in the diff: the timer of a call kept a bare pointer; a reservation of memory that was answered as its timer ran out left that timer to a destroyed object. Ruled out: the other timers (their objects live as long as the process, or are held by their callbacks). Change: the callback holds the caller weakly and looks at the timer's expiry.

--- a/modules/net/http_caller.cc
+++ b/modules/net/http_caller.cc
@@ -7,7 +7,10 @@
 namespace chicory {
 
 HttpCaller::HttpCaller(boost::asio::io_context& loop, Endpoint server)
-    : loop_(loop), server_(server), timer_(loop) {}
+    : loop_(loop),
+      server_(server),
+      timer_(loop),
+      alive_(std::make_shared<HttpCaller*>(this)) {}
 
 HttpCaller::~HttpCaller() {
   Cancel();
@@ -39,15 +42,24 @@
   }
   absl::StrAppend(&bytes, "\r\n", request.body);
   timer_.expires_after(absl::ToChronoNanoseconds(request.timeout));
-  timer_.async_wait([this](const boost::system::error_code& error) {
-    if (error || !is_busy())
-      return;
-    connection_->Close();
-    Finish({});
+  timer_.async_wait([weak = std::weak_ptr<HttpCaller*>(alive_)](
+                        const boost::system::error_code& error) {
+    const auto alive = weak.lock();
+    if (!error && alive)
+      (*alive)->OnTimeout();
   });
   connection_->Exchange(std::move(bytes), false, this);
 }
 
+void HttpCaller::OnTimeout() {
+  // A timer that was armed again may still deliver its earlier expiry.
+  if (!is_busy() ||
+      timer_.expiry() > boost::asio::steady_timer::clock_type::now())
+    return;
+  connection_->Close();
+  Finish({});
+}
+
 void HttpCaller::Cancel() {
   done_ = nullptr;
   timer_.cancel();
--- a/modules/net/http_caller.h
+++ b/modules/net/http_caller.h
@@ -52,11 +52,14 @@
  private:
   void OnResponse(HttpResponseParser& parser) override;
   void OnFailure(HttpClientConnection::Failure failure) override;
+  void OnTimeout();
   void Finish(CallOutcome outcome);
 
   boost::asio::io_context& loop_;
   Endpoint server_;
   boost::asio::steady_timer timer_;
+  /** Held weakly by timer callbacks, which may outlive this object. */
+  std::shared_ptr<HttpCaller*> alive_;
   std::shared_ptr<HttpClientConnection> connection_;
   std::string body_;
   Done done_;
