--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -31,6 +31,9 @@
 /** Part of its value that a request which still has time avoids to lose by
     waiting. */
 constexpr double kWaitAbove = 0.3;
+/** A request has time to spare when it has so many times the time left that its
+    first part takes. */
+constexpr double kTimeToSpare = 1.3;
 constexpr absl::Duration kFullPause = absl::Milliseconds(100);
 /** A waiting prompt can still be on time when it has so many times the time
    left that its first part takes at best. */
@@ -48,8 +51,9 @@
 constexpr absl::Duration kMostLook = absl::Milliseconds(100);
 /** How often work without an end is looked for. */
 constexpr absl::Duration kExpiryInterval = absl::Milliseconds(500);
-/** Least time to ask again after a refusal. */
-constexpr absl::Duration kRetryAfter = absl::Milliseconds(500);
+/** Bounds on the time after which a refused request is worth another try. */
+constexpr absl::Duration kLeastRetryAfter = absl::Milliseconds(500);
+constexpr absl::Duration kMostRetryAfter = absl::Seconds(3);
 
 double PreferenceOf(UpstreamKey key, uint64_t seed) {
   const std::array<uint64_t, 2> pair = {key, seed};
@@ -67,6 +71,12 @@
 
 }  // namespace
 
+const char* RefusalCauseName(RefusalCause cause) {
+  static constexpr const char* kNames[] = {"deadline_over", "no_slots",
+                                           "costs_others"};
+  return kNames[static_cast<int>(cause)];
+}
+
 void FleetScheduler::SetUpstreams(
     const std::vector<SchedulerUpstream>& upstreams) {
   for (auto& [key, state] : upstreams_)
@@ -274,9 +284,11 @@
   return slots - taken < kReservedSlots * slots;
 }
 
-double FleetScheduler::ReadPrice(const WorkRequest& request,
-                                 absl::Time now) const {
-  const EngineProfile& engine = *EngineOf(request.service);
+absl::Duration FleetScheduler::OwedReading(const WorkRequest& request,
+                                           absl::Time now) const {
+  const EngineProfile* engine = EngineOf(request.service);
+  if (!engine)
+    return absl::ZeroDuration();
   absl::Duration owed;
   double engines = 0;
   for (const auto& [key, state] : upstreams_) {
@@ -290,51 +302,56 @@
     if (key == request.key || other.service != request.service ||
         other.due < now)
       continue;
-    owed += ReadTime(engine, other.prompt_tokens);
+    owed += ReadTime(*engine, other.prompt_tokens);
   }
-  if (engines == 0)
-    return 0;
-  const double share = absl::FDivDuration(owed / engines - kFreeBacklog,
-                                          kFullBacklog - kFreeBacklog);
+  return engines == 0 ? absl::ZeroDuration() : owed / engines;
+}
+
+double FleetScheduler::ReadPrice(const WorkRequest& request,
+                                 absl::Time now) const {
+  const double share = absl::FDivDuration(
+      OwedReading(request, now) - kFreeBacklog, kFullBacklog - kFreeBacklog);
   return kFullReadPrice * std::clamp(share, 0.0, 1.0);
 }
 
-FleetScheduler::Verdict FleetScheduler::Judge(const WorkRequest& request,
-                                              const PlacementOption& choice,
-                                              absl::Duration read,
-                                              absl::Time now) const {
+FleetScheduler::Judgement FleetScheduler::Judge(const WorkRequest& request,
+                                                const PlacementOption& choice,
+                                                absl::Duration read,
+                                                absl::Time now) const {
+  constexpr Judgement kPlaceIt{.verdict = Verdict::kPlace};
+  constexpr Judgement kWaitOn{.verdict = Verdict::kWait};
+  constexpr Judgement kNoPlace{.verdict = Verdict::kRefuse,
+                               .cause = RefusalCause::kNoSlots};
+  constexpr Judgement kTooDear{.verdict = Verdict::kRefuse,
+                               .cause = RefusalCause::kCostsOthers};
+  const absl::Time patience =
+      request.due + (request.deadline - request.due) * kLatePatience;
   if (choice.upstreams.empty()) {
-    const absl::Time patience =
-        request.due + (request.deadline - request.due) * kLatePatience;
     const bool is_hopeless = read > absl::ZeroDuration() && now >= patience &&
                              IsShortOfSlots(request);
-    return is_hopeless ? Verdict::kRefuse : Verdict::kWait;
+    return is_hopeless ? kNoPlace : kWaitOn;
   }
   if (read == absl::ZeroDuration())
-    return Verdict::kPlace;
+    return kPlaceIt;
   const double value =
       RequestValue(request.prompt_tokens, request.output_tokens);
-  const double loss =
-      choice.harm + ReadPrice(request, now) * absl::ToDoubleMilliseconds(read);
-  const bool is_late = now + choice.first_part > request.due;
-  const double gain = is_late ? value * (1 - kLateLoss) : value;
-  if (!is_late) {
+  if (now + choice.first_part <= request.due) {
     // While there is time, a better moment may come.
-    const bool has_time = now + choice.first_part * 1.3 < request.due;
+    const bool has_time = now + choice.first_part * kTimeToSpare < request.due;
     return has_time && choice.cost - choice.fault_cost > kWaitAbove * value
-               ? Verdict::kWait
-               : Verdict::kPlace;
-  }
-  if (IsShortOfSlots(request)) {
-    const absl::Time patience =
-        request.due + (request.deadline - request.due) * kLatePatience;
-    return now < patience ? Verdict::kWait : Verdict::kRefuse;
+               ? kWaitOn
+               : kPlaceIt;
   }
+  if (IsShortOfSlots(request))
+    return now < patience ? kWaitOn : kNoPlace;
+  const double loss =
+      choice.harm + ReadPrice(request, now) * absl::ToDoubleMilliseconds(read);
+  const double gain = value * (1 - kLateLoss);
   if (loss <= gain)
-    return Verdict::kPlace;
+    return kPlaceIt;
   if (now + choice.fastest * kLastMoment < request.deadline)
-    return Verdict::kWait;
-  return loss <= gain * kLastChance ? Verdict::kPlace : Verdict::kRefuse;
+    return kWaitOn;
+  return loss <= gain * kLastChance ? kPlaceIt : kTooDear;
 }
 
 void FleetScheduler::Place(const WorkRequest& request,
@@ -418,6 +435,52 @@
     Forget(key);
 }
 
+ScheduleDecision FleetScheduler::Refuse(WorkKey key,
+                                        RefusalCause cause,
+                                        absl::Time now) {
+  const WorkRequest request = waiting_.at(key).request;
+  waiting_.erase(key);
+  return {.kind = ScheduleDecision::Kind::kRefuse,
+          .key = key,
+          .cause = cause,
+          .retry_after = std::clamp(OwedReading(request, now), kLeastRetryAfter,
+                                    kMostRetryAfter)};
+}
+
+std::optional<ScheduleDecision> FleetScheduler::Decide(WorkKey key,
+                                                       absl::Time now) {
+  const WorkRequest request = waiting_.at(key).request;
+  if (request.deadline <= now)
+    return Refuse(key, RefusalCause::kDeadlineOver, now);
+  const EngineProfile* engine =
+      request.prompt_tokens > 0 ? EngineOf(request.service) : nullptr;
+  const absl::Duration read =
+      engine ? ReadTime(*engine, request.prompt_tokens) : absl::ZeroDuration();
+  const PlacementOption choice =
+      engine ? ChooseEngines(*engine, request, Usable(request, now), now)
+             : ChoosePlain(request, now);
+  const Judgement judgement = Judge(request, choice, read, now);
+  switch (judgement.verdict) {
+    case Verdict::kWait:
+      if (engine)
+        waiting_.at(key).next_look = now + LookInterval(request, now);
+      return std::nullopt;
+    case Verdict::kRefuse:
+      return Refuse(key, judgement.cause, now);
+    case Verdict::kPlace:
+      break;
+  }
+  Place(request, choice, now);
+  waiting_.erase(key);
+  ScheduleDecision decision{.key = key,
+                            .upstream = choice.upstreams.front()->info.key,
+                            .memory = choice.memory,
+                            .expected = choice.first_part};
+  for (size_t i = 1; i < choice.upstreams.size(); ++i)
+    decision.helpers.push_back(choice.upstreams[i]->info.key);
+  return decision;
+}
+
 std::vector<ScheduleDecision> FleetScheduler::Run(absl::Time now) {
   std::vector<ScheduleDecision> decisions;
   if (now >= next_expiry_) {
@@ -427,44 +490,8 @@
   if (waiting_.empty())
     return decisions;
   for (WorkKey key : InOrder(now)) {
-    const WorkRequest request = waiting_.at(key).request;
-    const EngineProfile* engine = EngineOf(request.service);
-    const bool is_prompt = engine != nullptr && request.prompt_tokens > 0;
-    if (request.deadline <= now) {
-      waiting_.erase(key);
-      decisions.push_back({.kind = ScheduleDecision::Kind::kRefuse,
-                           .key = key,
-                           .retry_after = kRetryAfter});
-      continue;
-    }
-    PlacementOption choice =
-        is_prompt ? ChooseEngines(*engine, request, Usable(request, now), now)
-                  : ChoosePlain(request, now);
-    const absl::Duration read = is_prompt
-                                    ? ReadTime(*engine, request.prompt_tokens)
-                                    : absl::ZeroDuration();
-    const Verdict verdict = Judge(request, choice, read, now);
-    if (verdict == Verdict::kWait) {
-      if (is_prompt)
-        waiting_.at(key).next_look = now + LookInterval(request, now);
-      continue;
-    }
-    if (verdict == Verdict::kRefuse) {
-      waiting_.erase(key);
-      decisions.push_back({.kind = ScheduleDecision::Kind::kRefuse,
-                           .key = key,
-                           .retry_after = kRetryAfter});
-      continue;
-    }
-    Place(request, choice, now);
-    waiting_.erase(key);
-    ScheduleDecision decision{.key = key,
-                              .upstream = choice.upstreams.front()->info.key,
-                              .expected = choice.first_part};
-    for (size_t i = 1; i < choice.upstreams.size(); ++i)
-      decision.helpers.push_back(choice.upstreams[i]->info.key);
-    decision.memory = choice.memory;
-    decisions.push_back(std::move(decision));
+    if (auto decision = Decide(key, now))
+      decisions.push_back(*std::move(decision));
   }
   return decisions;
 }
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,6 +27,18 @@
   kCancelled,
 };
 
+/** Why a request is refused. */
+enum class RefusalCause {
+  /** Its deadline passed while it waited. */
+  kDeadlineOver,
+  /** Too few places are free for prompts that are late already. */
+  kNoSlots,
+  /** Every arrangement costs others more than it gains. */
+  kCostsOthers,
+};
+/** The cause's name in logs. */
+const char* RefusalCauseName(RefusalCause cause);
+
 /** What the scheduler decided. */
 struct ScheduleDecision {
   enum class Kind { kAssign, kRefuse };
@@ -36,7 +49,8 @@
   std::vector<UpstreamKey> helpers;
   /** Memory at helpers for what `upstream` cannot hold by itself. */
   std::vector<MemoryShare> memory;
-  /** For refusals: when it is worth asking again. */
+  /** For refusals: why, and when it is worth asking again. */
+  RefusalCause cause = RefusalCause::kDeadlineOver;
   absl::Duration retry_after = absl::ZeroDuration();
   /** Estimated time to the first part of the answer. */
   absl::Duration expected = absl::ZeroDuration();
@@ -115,13 +129,23 @@
   PlacementOption ChoosePlain(const WorkRequest& request, absl::Time now);
   /** What becomes of a request whose best choice is known. */
   enum class Verdict { kPlace, kWait, kRefuse };
-  Verdict Judge(const WorkRequest& request,
-                const PlacementOption& choice,
-                absl::Duration read,
-                absl::Time now) const;
+  struct Judgement {
+    Verdict verdict = Verdict::kPlace;
+    RefusalCause cause = RefusalCause::kCostsOthers;
+  };
+  Judgement Judge(const WorkRequest& request,
+                  const PlacementOption& choice,
+                  absl::Duration read,
+                  absl::Time now) const;
+  /** The decision about a waiting request; nothing while it waits on. */
+  std::optional<ScheduleDecision> Decide(WorkKey key, absl::Time now);
+  ScheduleDecision Refuse(WorkKey key, RefusalCause cause, absl::Time now);
   /** Whether so few places are free that a late prompt would take one from a
       prompt that can still be on time. */
   bool IsShortOfSlots(const WorkRequest& request) const;
+  /** Reading that an engine of the request's service owes on average, to placed
+      and to waiting prompts other than this one. */
+  absl::Duration OwedReading(const WorkRequest& request, absl::Time now) const;
   /** Value that others lose for each millisecond of reading at the engines of
       the request's service, by how much reading is owed there. */
   double ReadPrice(const WorkRequest& request, absl::Time now) const;
--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -111,9 +111,10 @@
       state_{.loop = loop,
              .codec = codec,
              .log = log,
-             .counters = counters_,
+             .metrics = metrics_,
              .table = nullptr,
              .upstreams = {},
+             .upstreams_heard = absl::InfinitePast(),
              .pool = UpstreamPool(loop),
              .retries = RetryWindow(options_.retries),
              .crashes = CrashGuard(options_.instance),
@@ -128,6 +129,7 @@
       callers_(loop, caller_site_.get(), options_.max_connections),
       ready_(loop, ready_site_.get(), kMaxSideConnections),
       operators_(loop, operator_site_.get(), kMaxSideConnections),
+      metrics_listener_(loop, operator_site_.get(), kMaxSideConnections),
       peers_(loop,
              [this](Endpoint sender, absl::string_view bytes) {
                const auto message = DecodePeerMessage(bytes);
@@ -145,11 +147,21 @@
   BOOST_LEAF_CHECK(ready_.Listen(options_.ready));
   BOOST_LEAF_CHECK(operators_.Listen(options_.operators));
   BOOST_LEAF_CHECK(callers_.Listen(options_.callers));
+  ListenForMetrics();
   source_->Start(this);
   Tick();
   return {};
 }
 
+void Gateway::ListenForMetrics() {
+  if (options_.metrics.port == 0)
+    return;
+  const auto listening =
+      Capture([this] { return metrics_listener_.Listen(options_.metrics); });
+  if (!listening.ok)
+    log_.Write("metrics_not_served", {{"reason", listening.error.message}});
+}
+
 bool Gateway::IsReady() const {
   return state_.table && has_upstreams_ &&
          stop_began_ == absl::InfiniteFuture();
@@ -181,7 +193,8 @@
 
 void Gateway::OnUpstreams(const std::vector<UpstreamRecord>& upstreams,
                           bool after_outage) {
-  state_.upstreams.Replace(upstreams, after_outage, SteadyNow());
+  state_.upstreams_heard = SteadyNow();
+  state_.upstreams.Replace(upstreams, after_outage, state_.upstreams_heard);
   log_.Write("upstreams_listed", {{"listed", upstreams.size()},
                                   {"held", state_.upstreams.size()},
                                   {"after_outage", after_outage ? 1 : 0}});
@@ -190,6 +203,7 @@
 
 void Gateway::OnUpstreamChanges(const std::vector<UpstreamChange>& changes,
                                 bool after_outage) {
+  state_.upstreams_heard = SteadyNow();
   for (const UpstreamChange& change : changes) {
     const UpstreamRecord& record = change.record;
     if (change.removed)
@@ -222,11 +236,12 @@
               EncodePeerMessage(message));
 }
 
-void Gateway::OnDecision(const ScheduleDecision& decision, InstanceIp) {
+void Gateway::OnDecision(const ScheduleDecision& decision,
+                         InstanceIp scheduler) {
   auto found = state_.runs.find(decision.key);
   if (found == state_.runs.end())
     return;
-  found->second->OnDecision(decision);
+  found->second->OnDecision(decision, scheduler);
 }
 
 void Gateway::OnNewerConfiguration(uint64_t version) {
@@ -268,21 +283,33 @@
     next_housekeeping_ = now + kHousekeeping;
     state_.pool.Expire(now);
     state_.crashes.Expire(now);
+    NoteMembership(now);
   }
   ArmTick();
 }
 
-std::string Gateway::Metrics() const {
-  const absl::Time now = SteadyNow();
-  return absl::StrCat(
-      counters_.Exposition(), "chicory_requests_in_flight ", state_.runs.size(),
-      "\nchicory_live_instances ", placement_.LiveInstances(now),
-      "\nchicory_scheduler_waiting ", placement_.scheduler().waiting(),
-      "\nchicory_scheduler_running ", placement_.scheduler().running(),
-      "\nchicory_configuration_version ",
-      state_.table ? state_.table->version() : 0, "\nchicory_upstreams ",
-      state_.upstreams.size(), "\nchicory_log_lines_dropped_total ",
-      log_.dropped(), "\n");
+void Gateway::NoteMembership(absl::Time now) {
+  const InstanceIp scheduler = placement_.SchedulingInstance(now);
+  const size_t live = placement_.LiveInstances(now);
+  if (scheduler == scheduling_instance_ && live == live_instances_)
+    return;
+  log_.Write("membership_changed", {{"scheduler", IpText(scheduler)},
+                                    {"before", IpText(scheduling_instance_)},
+                                    {"live_instances", live},
+                                    {"live_before", live_instances_}});
+  scheduling_instance_ = scheduler;
+  live_instances_ = live;
+}
+
+std::string Gateway::Metrics() {
+  return metrics_.Exposition(
+      {.in_flight = state_.runs.size(),
+       .live_instances = placement_.LiveInstances(SteadyNow()),
+       .scheduler_waiting = placement_.scheduler().waiting(),
+       .scheduler_running = placement_.scheduler().running(),
+       .configuration_version = state_.table ? state_.table->version() : 0,
+       .upstreams = state_.upstreams.size(),
+       .log_lines_dropped = log_.dropped()});
 }
 
 void Gateway::BeginStop(std::function<void()> done) {
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -29,6 +29,8 @@
     Endpoint callers;
     Endpoint ready;
     Endpoint operators;
+    /** A further address for /metrics; port 0 for none. */
+    Endpoint metrics;
     /** For datagrams of the other instances; they use the same port. */
     Endpoint peers;
     std::vector<InstanceIp> seeds;
@@ -80,8 +82,13 @@
   class OperatorSite;
 
   bool IsReady() const;
-  std::string Metrics() const;
+  std::string Metrics();
+  /** A metrics address that cannot be had is logged and does no other harm. */
+  void ListenForMetrics();
   void TellUpstreams();
+  /** Logs a change of the instance that schedules and of the live instances.
+   */
+  void NoteMembership(absl::Time now);
   void Tick();
   void ArmTick();
   /** Makes the next tick come soon if requests wait. */
@@ -91,7 +98,7 @@
   Options options_;
   GatewaySource* source_;
   EventLog& log_;
-  Counters counters_;
+  GatewayMetrics metrics_;
   PlacementNode placement_;
   GatewayState state_;
   std::unique_ptr<CallerSite> caller_site_;
@@ -100,6 +107,7 @@
   HttpServer callers_;
   HttpServer ready_;
   HttpServer operators_;
+  HttpServer metrics_listener_;
   DatagramSocket peers_;
   boost::asio::steady_timer tick_;
   bool tick_is_soon_ = false;
@@ -107,6 +115,8 @@
   absl::Time next_housekeeping_ = absl::InfinitePast();
   absl::Time refreshed_ = absl::InfinitePast();
   bool has_upstreams_ = false;
+  InstanceIp scheduling_instance_ = 0;
+  size_t live_instances_ = 0;
   std::function<void()> stopped_;
   absl::Time stop_began_ = absl::InfiniteFuture();
 };
--- /dev/null
+++ b/modules/gateway/gateway_metrics.cc
@@ -0,0 +1,133 @@
+#include "modules/gateway/gateway_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include "absl/strings/str_cat.h"
+
+namespace chicory {
+
+namespace {
+
+/** Upper bounds of the histograms' buckets, in seconds. */
+const prometheus::Histogram::BucketBoundaries kLatencyBounds = {
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5,
+    0.75,  1,    1.5,   2.5,  4,   6,   10,  15};
+
+template <class Builder>
+auto& AddFamily(prometheus::Registry* registry,
+                Builder builder,
+                const char* name,
+                const char* help) {
+  return builder.Name(name).Help(help).Register(*registry);
+}
+
+}  // namespace
+
+GatewayMetrics::GatewayMetrics()
+    : requests_(AddFamily(&registry_,
+                          prometheus::BuildCounter(),
+                          "chicory_requests_total",
+                          "Requests by the status that their callers got")),
+      failed_sends_(AddFamily(&registry_,
+                              prometheus::BuildCounter(),
+                              "chicory_failed_sends_total",
+                              "Sends to upstreams that gave no answer")),
+      durations_(AddFamily(&registry_,
+                           prometheus::BuildHistogram(),
+                           "chicory_request_duration_seconds",
+                           "From a request's arrival to its end")),
+      waits_(AddFamily(&registry_,
+                       prometheus::BuildHistogram(),
+                       "chicory_wait_seconds",
+                       "From a request's arrival to its send")),
+      first_events_(AddFamily(&registry_,
+                              prometheus::BuildHistogram(),
+                              "chicory_first_event_seconds",
+                              "From a request's arrival to its first event")),
+      gaps_(AddFamily(&registry_,
+                      prometheus::BuildHistogram(),
+                      "chicory_longest_event_gap_seconds",
+                      "Longest pause within each complete stream")) {}
+
+const std::string& GatewayMetrics::LabelOf(const std::string& service) const {
+  static const std::string kNone = "none";
+  static const std::string kOther = "other";
+  if (service.empty())
+    return kNone;
+  const bool is_known = services_.contains(service);
+  return is_known || services_.size() < kMaxServices ? service : kOther;
+}
+
+GatewayMetrics::ServiceMetrics& GatewayMetrics::Of(const std::string& service) {
+  const std::string& label = LabelOf(service);
+  ServiceMetrics& metrics = services_[label];
+  if (metrics.duration)
+    return metrics;
+  const prometheus::Labels labels = {{"service", label}};
+  metrics.duration = &durations_.Add(labels, kLatencyBounds);
+  metrics.waited = &waits_.Add(labels, kLatencyBounds);
+  metrics.first_event = &first_events_.Add(labels, kLatencyBounds);
+  metrics.longest_gap = &gaps_.Add(labels, kLatencyBounds);
+  return metrics;
+}
+
+void GatewayMetrics::OnRequestEnded(const std::string& service,
+                                    int status,
+                                    absl::string_view reason,
+                                    absl::Duration took) {
+  requests_
+      .Add({{"service", LabelOf(service)},
+            {"status", absl::StrCat(status)},
+            {"reason", std::string(reason)}})
+      .Increment();
+  Of(service).duration->Observe(absl::ToDoubleSeconds(took));
+}
+
+void GatewayMetrics::OnSent(const std::string& service, absl::Duration waited) {
+  Of(service).waited->Observe(absl::ToDoubleSeconds(waited));
+}
+
+void GatewayMetrics::OnSendFailed(const std::string& service,
+                                  absl::string_view reason) {
+  failed_sends_
+      .Add({{"service", LabelOf(service)}, {"reason", std::string(reason)}})
+      .Increment();
+}
+
+void GatewayMetrics::OnFirstEvent(const std::string& service,
+                                  absl::Duration after_arrival) {
+  Of(service).first_event->Observe(absl::ToDoubleSeconds(after_arrival));
+}
+
+void GatewayMetrics::OnStreamComplete(const std::string& service,
+                                      absl::Duration longest_gap) {
+  Of(service).longest_gap->Observe(absl::ToDoubleSeconds(longest_gap));
+}
+
+void GatewayMetrics::SetLevel(const char* name,
+                              const char* help,
+                              double value) {
+  AddFamily(&registry_, prometheus::BuildGauge(), name, help)
+      .Add({})
+      .Set(value);
+}
+
+std::string GatewayMetrics::Exposition(const Levels& levels) {
+  SetLevel("chicory_requests_in_flight", "Requests that wait or run here",
+           static_cast<double>(levels.in_flight));
+  SetLevel("chicory_live_instances", "Live instances as believed here",
+           static_cast<double>(levels.live_instances));
+  SetLevel("chicory_scheduler_waiting", "Requests that wait in this scheduler",
+           static_cast<double>(levels.scheduler_waiting));
+  SetLevel("chicory_scheduler_running", "Requests that this scheduler placed",
+           static_cast<double>(levels.scheduler_running));
+  SetLevel("chicory_configuration_version", "Configuration in force",
+           static_cast<double>(levels.configuration_version));
+  SetLevel("chicory_upstreams", "Upstreams known",
+           static_cast<double>(levels.upstreams));
+  SetLevel("chicory_log_lines_dropped", "Log lines that were not written",
+           static_cast<double>(levels.log_lines_dropped));
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace chicory
--- a/modules/gateway/gateway_state.h
+++ b/modules/gateway/gateway_state.h
@@ -7,10 +7,10 @@
 #include <random>
 
 #include "absl/container/flat_hash_map.h"
-#include "modules/core/counters.h"
 #include "modules/core/event_log.h"
 #include "modules/decisions/crash_guard.h"
 #include "modules/decisions/retry_window.h"
+#include "modules/gateway/gateway_metrics.h"
 #include "modules/gateway/upstream_pool.h"
 #include "modules/gateway/wire_codec.h"
 #include "modules/peers/placement_node.h"
@@ -27,10 +27,12 @@
   boost::asio::io_context& loop;
   const WireCodec& codec;
   EventLog& log;
-  Counters& counters;
+  GatewayMetrics& metrics;
   /** Null until a configuration is known. */
   std::shared_ptr<const RoutingTable> table;
   UpstreamDirectory upstreams;
+  /** When the source last spoke of upstreams. */
+  absl::Time upstreams_heard = absl::InfinitePast();
   UpstreamPool pool;
   RetryWindow retries;
   CrashGuard crashes;
--- a/modules/gateway/request_run.cc
+++ b/modules/gateway/request_run.cc
@@ -15,7 +15,6 @@
 
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
-constexpr int kBadRequest = 400;
 constexpr int kInternalError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
@@ -23,7 +22,6 @@
 
 /** Until the configuration is likely to have come. */
 constexpr absl::Duration kUnconfiguredRetry = absl::Milliseconds(300);
-constexpr absl::Duration kRefusedRetry = absl::Milliseconds(500);
 /** A send that leaves the upstream less time than this is not worth it. */
 constexpr absl::Duration kLeastTime = absl::Milliseconds(30);
 /** Decisions that may be lost to a list of upstreams that has moved on. */
@@ -33,14 +31,7 @@
 /** Expected output over the caller's estimate. */
 constexpr double kOutputMargin = 1.2;
 
-bool IsSuccess(int status) {
-  return status >= 200 && status < 300;
-}
-
-/** Addresses of helpers for the log; `none` when there are none. */
-std::string HelperText(const std::vector<PromptHelper>& helpers) {
-  if (helpers.empty())
-    return "none";
+std::string AddressesOf(const std::vector<PromptHelper>& helpers) {
   return absl::StrJoin(helpers, ",",
                        [](std::string* out, const PromptHelper& helper) {
                          out->append(helper.address);
@@ -64,7 +55,9 @@
 }  // namespace
 
 RequestRun::RequestRun(GatewayState* state)
-    : state_(state), timeout_(state->loop) {}
+    : state_(state),
+      trail_(state->log, state->metrics),
+      timeout_(state->loop) {}
 
 RequestRun::~RequestRun() = default;
 
@@ -73,6 +66,7 @@
   request_ = std::move(request);
   caller_ = state_->codec.ReadRequest(request_);
   arrived_ = SteadyNow();
+  trail_.OnArrived(caller_.id, arrived_);
   if (!FindRoute())
     return;
   deadline_ = arrived_ + std::min(caller_.patience, route_->timeout);
@@ -80,15 +74,12 @@
       *route_, std::uniform_real_distribution<double>(0, 1)(state_->random));
   fingerprint_ = StableHash(request_.body,
                             StableHash(request_.target, StableHash(account_)));
-  state_->log.WriteDetail(
-      "request_admitted",
-      {{"request", caller_.id},
-       {"route", route_->name},
-       {"service", service_},
-       {"account", account_},
-       {"configuration", table_->version()},
-       {"prompt_tokens", caller_.prompt_tokens},
-       {"patience_ms", absl::ToInt64Milliseconds(deadline_ - arrived_)}});
+  trail_.OnAdmitted({.route = *route_,
+                     .service = service_,
+                     .account = account_,
+                     .configuration = table_->version(),
+                     .prompt_tokens = caller_.prompt_tokens,
+                     .patience = deadline_ - arrived_});
   const uint32_t crashes = state_->crashes.Deaths(fingerprint_, arrived_);
   if (crashes >= kMaxCrashes) {
     AnswerOwn(kBadGateway, absl::ZeroDuration(), "crashes_upstreams");
@@ -137,7 +128,7 @@
 }
 
 void RequestRun::AskForUpstream() {
-  const absl::Time now = SteadyNow();
+  asked_at_ = SteadyNow();
   WorkRequest work{
       .service = service_,
       .prompt_tokens = caller_.prompt_tokens,
@@ -158,19 +149,29 @@
   const auto self = shared_from_this();
   work_ = state_->placement->NextKey();
   state_->runs[*work_] = this;
-  state_->placement->Submit(std::move(work), now);
+  state_->placement->Submit(std::move(work), asked_at_);
   state_->on_waiting();
 }
 
-void RequestRun::OnDecision(const ScheduleDecision& decision) {
+void RequestRun::AskAgain(const char* reason) {
+  if (decisions_ < kMaxDecisions)
+    AskForUpstream();
+  else
+    AnswerWithoutUpstream(reason);
+}
+
+void RequestRun::OnDecision(const ScheduleDecision& decision,
+                            InstanceIp scheduler) {
   if (finished_)
     return;
   const auto self = shared_from_this();
   ++decisions_;
+  scheduler_ = scheduler;
   if (decision.kind == ScheduleDecision::Kind::kRefuse) {
     state_->runs.erase(decision.key);
     work_.reset();
-    AnswerWithoutUpstream("no_upstream_in_time");
+    trail_.OnRefused(decision, scheduler, SteadyNow());
+    AnswerWithoutUpstream("no_upstream_in_time", decision.retry_after);
     return;
   }
   const UpstreamRecord* upstream =
@@ -178,13 +179,8 @@
   if (!upstream) {
     EndSend(SendResult::kCancelled, 0);
     avoid_.push_back(decision.upstream);
-    state_->log.WriteDetail(
-        "upstream_unknown_here",
-        {{"request", caller_.id}, {"upstream", decision.upstream}});
-    if (decisions_ < kMaxDecisions)
-      AskForUpstream();
-    else
-      AnswerWithoutUpstream("upstreams_unknown");
+    trail_.OnUpstreamUnknown(decision.upstream);
+    AskAgain("upstreams_unknown");
     return;
   }
   if (TimeLeft() < kLeastTime) {
@@ -218,19 +214,13 @@
     const std::shared_ptr<RequestRun> self = weak.lock();
     if (!self || self->finished_)
       return;
-    self->state_->log.WriteDetail("memory_asked",
-                                  {{"request", self->caller_.id},
-                                   {"engines", decision.memory.size()},
-                                   {"held", held ? 1 : 0}});
+    self->trail_.OnMemoryAsked(decision.memory.size(), held);
     if (held) {
       self->SendTo(upstream, decision);
       return;
     }
     self->EndSend(SendResult::kCancelled, 0);
-    if (self->decisions_ < kMaxDecisions)
-      self->AskForUpstream();
-    else
-      self->AnswerWithoutUpstream("no_memory");
+    self->AskAgain("no_memory");
   });
 }
 
@@ -254,168 +244,85 @@
 void RequestRun::SendTo(const UpstreamRecord& upstream,
                         const ScheduleDecision& decision) {
   const absl::Time now = SteadyNow();
-  const Endpoint address = *ParseEndpoint(upstream.address);
-  ++sends_;
   upstream_ = decision.upstream;
-  upstream_id_ = upstream.id;
-  sent_at_ = now;
-  head_judged_ = false;
-  whole_body_.clear();
-  connection_ =
-      state_->pool.Acquire(upstream_, address, !route_->MayRunAgain(), now);
   UpstreamSend send{.upstream_id = upstream.id,
                     .account = account_,
                     .time_left = TimeLeft(),
                     .helpers = Helpers(decision)};
   if (!events_.last_event_id().empty())
     send.resume_after = events_.last_event_id();
-  events_.TakeRest();
-  state_->log.WriteDetail(
-      "request_sent",
-      {{"request", caller_.id},
-       {"upstream", upstream.id},
-       {"address", upstream.address},
-       {"send", sends_},
-       {"helpers", HelperText(send.helpers)},
-       {"waited_ms", absl::ToInt64Milliseconds(now - arrived_)},
-       {"expected_ms", absl::ToInt64Milliseconds(decision.expected)},
-       {"time_left_ms", absl::ToInt64Milliseconds(send.time_left)}});
-  connection_->Exchange(
-      absl::StrCat(state_->codec.UpstreamHead(request_, send), request_.body),
-      absl::EqualsIgnoreCase(request_.method, "HEAD"), this);
+  trail_.OnSent({.upstream_id = upstream.id,
+                 .address = upstream.address,
+                 .helpers = AddressesOf(send.helpers),
+                 .scheduler = scheduler_,
+                 .decided_after = now - asked_at_,
+                 .upstreams_age = now - state_->upstreams_heard,
+                 .expected = decision.expected,
+                 .time_left = send.time_left},
+                now);
+  exchange_ = std::make_shared<UpstreamExchange>(
+      UpstreamExchange::Options{
+          .upstream = upstream_,
+          .address = *ParseEndpoint(upstream.address),
+          .request_id = caller_.id,
+          .may_run_again = route_->MayRunAgain(),
+          .expects_stream = route_->repeatability == Repeatability::kStreaming,
+          .resumes = stream_begun_,
+          .head_only = absl::EqualsIgnoreCase(request_.method, "HEAD")},
+      UpstreamExchange::Shared{.codec = state_->codec,
+                               .pool = state_->pool,
+                               .directory = state_->upstreams},
+      &events_, this);
+  exchange_->Send(
+      absl::StrCat(state_->codec.UpstreamHead(request_, send), request_.body));
 }
 
-void RequestRun::OnResponse(HttpResponseParser& parser) {
-  if (!parser.has_head())
+void RequestRun::BeginStream(const HttpResponseHead& head) {
+  if (stream_begun_)
     return;
-  const auto self = shared_from_this();
-  if (!head_judged_ && !JudgeHead(parser.head()))
-    return;
-  head_judged_ = true;
-  if (is_stream_)
-    RelayStream(parser);
-  else
-    RelayWhole(parser);
+  stream_begun_ = true;
+  sink_->BeginStream(head.status, ForwardedHeaders(head));
 }
 
-bool RequestRun::JudgeHead(const HttpResponseHead& head) {
-  const UpstreamVerdict verdict = state_->codec.Judge(head, caller_.id);
-  keep_alive_ = verdict.keep_alive;
-  const UpstreamKey fault_at =
-      verdict.faulty_address.empty()
-          ? 0
-          : state_->upstreams.KeyOfAddress(verdict.faulty_address);
-  if (!verdict.matches) {
-    OnSendFailed({.reason = "answer_to_another_request"});
-    return false;
-  }
-  if (verdict.not_run && head.status != kBadRequest) {
-    OnSendFailed({.reason = "upstream_refused",
-                  .not_run = true,
-                  .result = SendResult::kFull,
-                  .fault_at = fault_at});
-    return false;
-  }
-  if (IsSuccess(head.status) && !verdict.is_signed) {
-    OnSendFailed({.reason = "unsigned_answer"});
-    return false;
-  }
-  is_stream_ = IsSuccess(head.status) &&
-               route_->repeatability == Repeatability::kStreaming;
-  if (stream_begun_ && !is_stream_) {
-    OnSendFailed({.reason = "resume_refused", .fault_at = fault_at});
-    return false;
+void RequestRun::OnEvents(const HttpResponseHead& head,
+                          const std::string& events) {
+  const auto self = shared_from_this();
+  const absl::Time now = SteadyNow();
+  BeginStream(head);
+  trail_.OnEvents(route_->target_latency, now);
+  if (!first_part_told_ && work_) {
+    first_part_told_ = true;
+    state_->placement->OnFirstPart(*work_, now);
   }
-  return true;
+  sink_->SendPiece(events);
 }
 
-void RequestRun::RelayStream(HttpResponseParser& parser) {
-  events_.Add(parser.TakeBody());
-  std::string bytes = events_.TakeEvents();
-  const bool complete = parser.state() == ParseState::kComplete;
-  if (complete)
-    bytes.append(events_.TakeRest());
-  if (!stream_begun_ && (!bytes.empty() || complete)) {
-    stream_begun_ = true;
-    sink_->BeginStream(parser.head().status, ForwardedHeaders(parser.head()));
-  }
-  if (!bytes.empty()) {
-    const absl::Time now = SteadyNow();
-    if (first_part_told_)
-      longest_gap_ = std::max(longest_gap_, now - last_event_);
-    last_event_ = now;
-    if (!first_part_told_) {
-      first_part_told_ = true;
-      state_->log.WriteDetail(
-          "first_event",
-          {{"request", caller_.id},
-           {"upstream", upstream_id_},
-           {"after_send_ms", absl::ToInt64Milliseconds(now - sent_at_)},
-           {"after_arrival_ms", absl::ToInt64Milliseconds(now - arrived_)},
-           {"target_ms", absl::ToInt64Milliseconds(route_->target_latency)}});
-      if (work_)
-        state_->placement->OnFirstPart(*work_, now);
-    }
-    sink_->SendPiece(bytes);
-  }
-  if (!complete || finished_)
-    return;
-  // The released connection, and with it the parser, may serve another request
-  // from within EndSend.
-  const int status = parser.head().status;
+void RequestRun::OnStreamComplete(const HttpResponseHead& head) {
+  const auto self = shared_from_this();
+  BeginStream(head);
   state_->crashes.OnCompleted(fingerprint_, SteadyNow());
-  ReleaseConnection();
   EndSend(SendResult::kDone, 0);
   sink_->EndStream();
-  Finish(status, "stream_complete");
+  Finish(head.status, "stream_complete");
 }
 
-void RequestRun::RelayWhole(HttpResponseParser& parser) {
-  whole_body_.append(parser.TakeBody());
-  if (parser.state() != ParseState::kComplete)
-    return;
-  const HttpResponseHead head = parser.head();
-  const bool failed = head.status >= kInternalError;
-  ReleaseConnection();
-  if (failed) {
-    saved_ = SavedAnswer{.head = head, .body = whole_body_};
-    OnSendFailed({.reason = "upstream_error"});
+void RequestRun::OnAnswer(const HttpResponseHead& head, std::string body) {
+  const auto self = shared_from_this();
+  if (head.status >= kInternalError) {
+    saved_ = SavedAnswer{.head = head, .body = std::move(body)};
+    OnExchangeFailed({.reason = "upstream_error"});
     return;
   }
   state_->crashes.OnCompleted(fingerprint_, SteadyNow());
   EndSend(SendResult::kDone, 0);
-  sink_->SendWhole(head.status, ForwardedHeaders(head), whole_body_);
+  sink_->SendWhole(head.status, ForwardedHeaders(head), body);
   Finish(head.status, "answered");
 }
 
-void RequestRun::OnFailure(HttpClientConnection::Failure failure) {
-  const auto self = shared_from_this();
-  connection_.reset();
-  if (failure == HttpClientConnection::Failure::kConnect) {
-    OnSendFailed({.reason = "no_connection", .not_run = true});
-    return;
-  }
-  OnSendFailed({.reason = "connection_broken", .is_crash = true});
-}
-
-void RequestRun::DropConnection() {
-  if (connection_)
-    connection_->Close();
-  connection_.reset();
-}
-
-void RequestRun::ReleaseConnection() {
-  if (!connection_)
-    return;
-  if (connection_->IsReusable()) {
-    state_->pool.Release(upstream_, std::move(connection_), keep_alive_,
-                         SteadyNow());
-  }
-  DropConnection();
-}
-
 void RequestRun::EndSend(SendResult result, UpstreamKey fault_at) {
-  DropConnection();
+  if (exchange_)
+    exchange_->Cancel();
+  exchange_.reset();
   if (memory_)
     memory_->Release();
   memory_.reset();
@@ -426,20 +333,20 @@
   state_->placement->OnEnded(key, result, fault_at, SteadyNow());
 }
 
-bool RequestRun::MaySendAgain(const SendFailure& failure) {
+bool RequestRun::MaySendAgain(const UpstreamExchange::Failure& failure) {
   if (!failure.not_run && !route_->MayRunAgain())
     return false;
   // A stream that was begun can only go on after an event with an id.
   if (stream_begun_ && events_.last_event_id().empty())
     return false;
-  if (sends_ >= route_->max_attempts || TimeLeft() < kLeastTime)
+  if (trail_.sends() >= route_->max_attempts || TimeLeft() < kLeastTime)
     return false;
   const absl::Time now = SteadyNow();
   return state_->retries.Spend(service_, state_->placement->LiveInstances(now),
                                now);
 }
 
-void RequestRun::OnSendFailed(const SendFailure& failure) {
+void RequestRun::OnExchangeFailed(const UpstreamExchange::Failure& failure) {
   const auto self = shared_from_this();
   const absl::Time now = SteadyNow();
   may_have_run_ |= !failure.not_run;
@@ -447,28 +354,19 @@
   if (failure.is_crash && !request_.body.empty())
     state_->crashes.OnDeath(fingerprint_, now);
   const bool again = MaySendAgain(failure);
-  state_->log.Write("send_failed",
-                    {{"request", caller_.id},
-                     {"upstream", upstream_id_},
-                     {"reason", failure.reason},
-                     {"not_run", failure.not_run ? 1 : 0},
-                     {"send", sends_},
-                     {"after_ms", absl::ToInt64Milliseconds(now - sent_at_)},
-                     {"events", events_.events()},
-                     {"again", again ? 1 : 0}});
-  state_->counters.Add(absl::StrCat("chicory_failed_sends_total{reason=\"",
-                                    failure.reason, "\"}"));
+  trail_.OnSendFailed(failure, again, events_.events(), now);
   avoid_.push_back(failure.fault_at != 0 ? failure.fault_at : upstream_);
   EndSend(failure.result, failure.fault_at);
-  if (again) {
-    first_part_told_ = false;
-    AskForUpstream();
+  if (!again) {
+    AnswerWithoutUpstream(failure.reason);
     return;
   }
-  AnswerWithoutUpstream(failure.reason);
+  first_part_told_ = false;
+  AskForUpstream();
 }
 
-void RequestRun::AnswerWithoutUpstream(const char* reason) {
+void RequestRun::AnswerWithoutUpstream(const char* reason,
+                                       absl::Duration retry_after) {
   if (stream_begun_) {
     sink_->Abort();
     Finish(0, reason);
@@ -483,7 +381,7 @@
   if (may_have_run_)
     AnswerOwn(kBadGateway, absl::ZeroDuration(), reason);
   else
-    AnswerOwn(kUnavailable, kRefusedRetry, reason);
+    AnswerOwn(kUnavailable, retry_after, reason);
 }
 
 void RequestRun::AnswerOwn(int status,
@@ -500,9 +398,8 @@
 
 void RequestRun::OnTimeout() {
   const auto self = shared_from_this();
-  if (connection_ && !head_judged_)
-    may_have_run_ = true;
-  const bool was_sent = connection_ != nullptr;
+  const bool was_sent = exchange_ != nullptr;
+  may_have_run_ |= was_sent && !exchange_->has_head();
   EndSend(was_sent ? SendResult::kFault : SendResult::kCancelled, 0);
   if (stream_begun_ || saved_ || !(may_have_run_ || was_sent)) {
     AnswerWithoutUpstream("timeout");
@@ -522,18 +419,7 @@
 void RequestRun::Finish(int status, const char* reason) {
   finished_ = true;
   timeout_.cancel();
-  const absl::Duration took = SteadyNow() - arrived_;
-  state_->log.WriteDetail(
-      "request_ended",
-      {{"request", caller_.id},
-       {"status", status},
-       {"reason", reason},
-       {"sends", sends_},
-       {"events", events_.events()},
-       {"longest_gap_ms", absl::ToInt64Milliseconds(longest_gap_)},
-       {"took_ms", absl::ToInt64Milliseconds(took)}});
-  state_->counters.Add(absl::StrCat("chicory_requests_total{status=\"", status,
-                                    "\",reason=\"", reason, "\"}"));
+  trail_.OnEnded(status, reason, events_.events(), SteadyNow());
 }
 
 }  // namespace chicory
--- a/modules/gateway/request_run.h
+++ b/modules/gateway/request_run.h
@@ -10,8 +10,9 @@
 #include "absl/time/time.h"
 #include "modules/gateway/gateway_state.h"
 #include "modules/gateway/memory_hold.h"
+#include "modules/gateway/request_trail.h"
+#include "modules/gateway/upstream_exchange.h"
 #include "modules/net/event_stream.h"
-#include "modules/net/http_client_connection.h"
 #include "modules/net/http_server.h"
 
 namespace chicory {
@@ -23,7 +24,7 @@
     have run is never called not run. A stream that breaks goes on at another
     upstream where its route allows, after the last whole event. */
 class RequestRun : public HttpHandler,
-                   public HttpClientConnection::Listener,
+                   public UpstreamExchange::Listener,
                    public std::enable_shared_from_this<RequestRun> {
  public:
   explicit RequestRun(GatewayState* state);
@@ -32,7 +33,7 @@
   void Start(HttpRequest request, AnswerSink* sink) override;
   void OnCallerLeft() override;
   /** The scheduler decided about this request. */
-  void OnDecision(const ScheduleDecision& decision);
+  void OnDecision(const ScheduleDecision& decision, InstanceIp scheduler);
 
  private:
   /** An upstream's answer that is kept in case no later send does better. */
@@ -40,19 +41,12 @@
     HttpResponseHead head;
     std::string body;
   };
-  /** Why a send ended without the caller's answer. */
-  struct SendFailure {
-    const char* reason;
-    /** The upstream surely did not run the request. */
-    bool not_run = false;
-    SendResult result = SendResult::kFault;
-    UpstreamKey fault_at = 0;
-    /** The upstream may have died of the request. */
-    bool is_crash = false;
-  };
 
-  void OnResponse(HttpResponseParser& parser) override;
-  void OnFailure(HttpClientConnection::Failure failure) override;
+  void OnEvents(const HttpResponseHead& head,
+                const std::string& events) override;
+  void OnStreamComplete(const HttpResponseHead& head) override;
+  void OnAnswer(const HttpResponseHead& head, std::string body) override;
+  void OnExchangeFailed(const UpstreamExchange::Failure& failure) override;
 
   bool FindRoute();
   void AskForUpstream();
@@ -60,24 +54,26 @@
   /** Sets memory aside at helpers first, then sends. */
   void HoldMemory(const UpstreamRecord& upstream,
                   const ScheduleDecision& decision);
+  void BeginStream(const HttpResponseHead& head);
   std::vector<PromptHelper> Helpers(const ScheduleDecision& decision) const;
-  /** False when the response ended the send. */
-  bool JudgeHead(const HttpResponseHead& head);
-  void RelayStream(HttpResponseParser& parser);
-  void RelayWhole(HttpResponseParser& parser);
   void EndSend(SendResult result, UpstreamKey fault_at);
-  void DropConnection();
-  void ReleaseConnection();
-  void OnSendFailed(const SendFailure& failure);
-  bool MaySendAgain(const SendFailure& failure);
-  void AnswerWithoutUpstream(const char* reason);
+  bool MaySendAgain(const UpstreamExchange::Failure& failure);
+  /** Asks for another upstream unless that was done too often. */
+  void AskAgain(const char* reason);
+  /** Answers for want of an upstream; `retry_after` tells when one may serve.
+   */
+  void AnswerWithoutUpstream(const char* reason,
+                             absl::Duration retry_after = kRefusedRetry);
   void AnswerOwn(int status, absl::Duration retry_after, const char* reason);
   void Finish(int status, const char* reason);
   void OnTimeout();
   void ArmTimeout();
   absl::Duration TimeLeft() const;
 
+  static constexpr absl::Duration kRefusedRetry = absl::Milliseconds(500);
+
   GatewayState* state_;
+  RequestTrail trail_;
   AnswerSink* sink_ = nullptr;
   HttpRequest request_;
   CallerRequest caller_;
@@ -94,19 +90,12 @@
 
   std::optional<WorkKey> work_;
   std::shared_ptr<MemoryHold> memory_;
-  std::shared_ptr<HttpClientConnection> connection_;
+  std::shared_ptr<UpstreamExchange> exchange_;
   UpstreamKey upstream_ = 0;
-  std::string upstream_id_;
-  absl::Time sent_at_;
-  absl::Duration keep_alive_;
-  /** The upstream's head was judged and is relayed. */
-  bool head_judged_ = false;
-  bool is_stream_ = false;
-  std::string whole_body_;
+  /** Who decided, and since when it was asked. */
+  InstanceIp scheduler_ = 0;
+  absl::Time asked_at_;
   EventStreamSplitter events_;
-  absl::Time last_event_;
-  absl::Duration longest_gap_;
-  int sends_ = 0;
   int decisions_ = 0;
   bool may_have_run_ = false;
   bool stream_begun_ = false;
--- /dev/null
+++ b/modules/gateway/upstream_exchange.cc
@@ -0,0 +1,149 @@
+#include "modules/gateway/upstream_exchange.h"
+
+#include <utility>
+
+#include "modules/net/loop_time.h"
+
+namespace chicory {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+/** A kept connection that breaks this soon after a send had been closed by the
+    upstream while it was idle. */
+constexpr absl::Duration kStaleWithin = absl::Milliseconds(50);
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+}  // namespace
+
+UpstreamExchange::UpstreamExchange(Options options,
+                                   Shared shared,
+                                   EventStreamSplitter* events,
+                                   Listener* listener)
+    : options_(std::move(options)),
+      shared_(shared),
+      events_(events),
+      listener_(listener) {}
+
+UpstreamExchange::~UpstreamExchange() {
+  Cancel();
+}
+
+void UpstreamExchange::Send(std::string request) {
+  sent_at_ = SteadyNow();
+  events_->TakeRest();
+  connection_ = shared_.pool.Acquire(options_.upstream, options_.address,
+                                     !options_.may_run_again, sent_at_);
+  connection_->Exchange(std::move(request), options_.head_only, this);
+}
+
+void UpstreamExchange::Cancel() {
+  if (connection_)
+    connection_->Close();
+  connection_.reset();
+}
+
+void UpstreamExchange::ReleaseConnection() {
+  if (connection_->IsReusable()) {
+    shared_.pool.Release(options_.upstream, std::move(connection_), keep_alive_,
+                         SteadyNow());
+  }
+  Cancel();
+}
+
+void UpstreamExchange::Fail(const Failure& failure) {
+  Cancel();
+  listener_->OnExchangeFailed(failure);
+}
+
+void UpstreamExchange::OnResponse(HttpResponseParser& parser) {
+  if (!parser.has_head())
+    return;
+  const auto self = shared_from_this();
+  if (!has_head_ && !JudgeHead(parser.head()))
+    return;
+  has_head_ = true;
+  if (is_stream_)
+    TakeStream(parser);
+  else
+    TakeWhole(parser);
+}
+
+bool UpstreamExchange::JudgeHead(const HttpResponseHead& head) {
+  const UpstreamVerdict verdict =
+      shared_.codec.Judge(head, options_.request_id);
+  keep_alive_ = verdict.keep_alive;
+  const UpstreamKey fault_at =
+      verdict.faulty_address.empty()
+          ? 0
+          : shared_.directory.KeyOfAddress(verdict.faulty_address);
+  if (!verdict.matches) {
+    Fail({.reason = "answer_to_another_request"});
+    return false;
+  }
+  if (verdict.not_run && head.status != kBadRequest) {
+    Fail({.reason = "upstream_refused",
+          .not_run = true,
+          .result = SendResult::kFull,
+          .fault_at = fault_at});
+    return false;
+  }
+  if (IsSuccess(head.status) && !verdict.is_signed) {
+    Fail({.reason = "unsigned_answer"});
+    return false;
+  }
+  is_stream_ = IsSuccess(head.status) && options_.expects_stream;
+  if (options_.resumes && !is_stream_) {
+    Fail({.reason = "resume_refused", .fault_at = fault_at});
+    return false;
+  }
+  return true;
+}
+
+void UpstreamExchange::TakeStream(HttpResponseParser& parser) {
+  events_->Add(parser.TakeBody());
+  std::string events = events_->TakeEvents();
+  const bool is_complete = parser.state() == ParseState::kComplete;
+  if (is_complete)
+    events.append(events_->TakeRest());
+  if (!events.empty())
+    listener_->OnEvents(parser.head(), events);
+  // The listener may have cancelled.
+  if (!is_complete || !connection_)
+    return;
+  // The released connection, and with it the parser, may serve another request
+  // from within the listener.
+  const HttpResponseHead head = parser.head();
+  ReleaseConnection();
+  listener_->OnStreamComplete(head);
+}
+
+void UpstreamExchange::TakeWhole(HttpResponseParser& parser) {
+  body_.append(parser.TakeBody());
+  if (parser.state() != ParseState::kComplete)
+    return;
+  const HttpResponseHead head = parser.head();
+  ReleaseConnection();
+  listener_->OnAnswer(head, std::move(body_));
+}
+
+void UpstreamExchange::OnFailure(HttpClientConnection::Failure failure) {
+  const auto self = shared_from_this();
+  const std::shared_ptr<HttpClientConnection> connection =
+      std::move(connection_);
+  if (failure == HttpClientConnection::Failure::kConnect) {
+    Fail({.reason = "no_connection", .not_run = true});
+    return;
+  }
+  const bool is_stale = connection->has_served() && !has_head_ &&
+                        SteadyNow() - sent_at_ < kStaleWithin;
+  if (is_stale)
+    Fail({.reason = "kept_connection_stale", .result = SendResult::kCancelled});
+  else
+    Fail({.reason = "connection_broken", .is_crash = true});
+}
+
+}  // namespace chicory
--- a/modules/net/socket_options.cc
+++ b/modules/net/socket_options.cc
@@ -38,10 +38,13 @@
                   .port = static_cast<uint16_t>(port)};
 }
 
+std::string IpText(uint32_t ip) {
+  return absl::StrCat(ip >> 24, ".", (ip >> 16) & 255, ".", (ip >> 8) & 255,
+                      ".", ip & 255);
+}
+
 std::string EndpointText(Endpoint endpoint) {
-  return absl::StrCat(endpoint.ip >> 24, ".", (endpoint.ip >> 16) & 255, ".",
-                      (endpoint.ip >> 8) & 255, ".", endpoint.ip & 255, ":",
-                      endpoint.port);
+  return absl::StrCat(IpText(endpoint.ip), ":", endpoint.port);
 }
 
 void SetKeepAliveOptions(int socket) {
--- a/modules/net/socket_options.h
+++ b/modules/net/socket_options.h
@@ -21,6 +21,9 @@
 /** Parses `ip:port`; nothing when it is no such text. */
 std::optional<Endpoint> ParseEndpoint(absl::string_view text);
 
+/** An IPv4 address in host order as text. */
+std::string IpText(uint32_t ip);
+
 /** `ip:port`. */
 std::string EndpointText(Endpoint endpoint);
 
--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -62,6 +62,8 @@
     refuse :group {
       refusedSequence @10 :UInt64;
       retryAfterMicroseconds @11 :Int64;
+      # @see chicory::RefusalCause
+      cause @22 :UInt8;
     }
     firstPart @12 :UInt64;
     ended :group {
--- a/modules/peers/placement.capnp.c++
+++ b/modules/peers/placement.capnp.c++
@@ -697,7 +697,7 @@
   1, 6, i_ceb049bfcf0fbed3, nullptr, nullptr, { &s_ceb049bfcf0fbed3, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<50> b_e5ad0fab8ff98dfa = {
+static const ::capnp::_::AlignedData<65> b_e5ad0fab8ff98dfa = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     250, 141, 249, 143, 171,  15, 173, 229,
      25,   0,   0,   0,   1,   0,   6,   0,
@@ -707,28 +707,35 @@
      21,   0,   0,   0,   2,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 119,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 108,  97,  99, 101, 109, 101, 110,
     116,  46,  99,  97, 112, 110, 112,  58,
      68,  97, 116,  97, 103, 114,  97, 109,
      46, 114, 101, 102, 117, 115, 101,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,  10,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0, 130,   0,   0,   0,
+     69,   0,   0,   0, 130,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   3,   0,   0,   0,
       0,   0,   1,   0,  11,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     49,   0,   0,   0, 186,   0,   0,   0,
+     77,   0,   0,   0, 186,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80,   0,   0,   0,   3,   0,   1,   0,
+     92,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,  32,   0,   0,   0,
+      0,   0,   1,   0,  22,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     52,   0,   0,   0,   3,   0,   1,   0,
-     64,   0,   0,   0,   2,   0,   1,   0,
+     89,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     84,   0,   0,   0,   3,   0,   1,   0,
+     96,   0,   0,   0,   2,   0,   1,   0,
     114, 101, 102, 117, 115, 101, 100,  83,
     101, 113, 117, 101, 110,  99, 101,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
@@ -747,6 +754,14 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99,  97, 117, 115, 101,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_e5ad0fab8ff98dfa = b_e5ad0fab8ff98dfa.words;
@@ -754,11 +769,11 @@
 static const ::capnp::_::RawSchema* const d_e5ad0fab8ff98dfa[] = {
   &s_fbb30b84410a6efa,
 };
-static const uint16_t m_e5ad0fab8ff98dfa[] = {0, 1};
-static const uint16_t i_e5ad0fab8ff98dfa[] = {0, 1};
+static const uint16_t m_e5ad0fab8ff98dfa[] = {2, 0, 1};
+static const uint16_t i_e5ad0fab8ff98dfa[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_e5ad0fab8ff98dfa = {
-  0xe5ad0fab8ff98dfa, b_e5ad0fab8ff98dfa.words, 50, d_e5ad0fab8ff98dfa, m_e5ad0fab8ff98dfa,
-  1, 2, i_e5ad0fab8ff98dfa, nullptr, nullptr, { &s_e5ad0fab8ff98dfa, nullptr, nullptr, 0, 0, nullptr }
+  0xe5ad0fab8ff98dfa, b_e5ad0fab8ff98dfa.words, 65, d_e5ad0fab8ff98dfa, m_e5ad0fab8ff98dfa,
+  1, 3, i_e5ad0fab8ff98dfa, nullptr, nullptr, { &s_e5ad0fab8ff98dfa, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<63> b_d644d23b36b0b6f4 = {
--- a/modules/peers/placement.capnp.h
+++ b/modules/peers/placement.capnp.h
@@ -767,6 +767,8 @@
 
   inline  ::int64_t getRetryAfterMicroseconds() const;
 
+  inline  ::uint8_t getCause() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -801,6 +803,9 @@
   inline  ::int64_t getRetryAfterMicroseconds();
   inline void setRetryAfterMicroseconds( ::int64_t value);
 
+  inline  ::uint8_t getCause();
+  inline void setCause( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1453,6 +1458,7 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, Datagram::REFUSE);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint8_t>(::capnp::bounded<32>() * ::capnp::ELEMENTS, 0);
   return typename Datagram::Refuse::Builder(_builder);
 }
 inline bool Datagram::Reader::isFirstPart() const {
@@ -1757,6 +1763,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t Datagram::Refuse::Reader::getCause() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Datagram::Refuse::Builder::getCause() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Refuse::Builder::setCause( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Datagram::Ended::Reader::getEndedSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -94,6 +94,7 @@
       refuse.setRefusedSequence(decision.key.sequence);
       refuse.setRetryAfterMicroseconds(
           absl::ToInt64Microseconds(decision.retry_after));
+      refuse.setCause(static_cast<uint8_t>(decision.cause));
       return;
     }
     auto assign = builder.initAssign();
@@ -164,6 +165,16 @@
   return {.decision = std::move(decision)};
 }
 
+DecisionMessage ReadRefuse(wire::Datagram::Refuse::Reader refuse) {
+  const uint8_t cause = std::min(
+      refuse.getCause(), static_cast<uint8_t>(RefusalCause::kCostsOthers));
+  return {.decision = {.kind = ScheduleDecision::Kind::kRefuse,
+                       .key = {.sequence = refuse.getRefusedSequence()},
+                       .cause = static_cast<RefusalCause>(cause),
+                       .retry_after = absl::Microseconds(
+                           refuse.getRetryAfterMicroseconds())}};
+}
+
 EndedMessage ReadEnded(wire::Datagram::Ended::Reader ended) {
   const uint8_t result =
       std::min(ended.getResult(), static_cast<uint8_t>(SendResult::kCancelled));
@@ -189,15 +200,9 @@
     case wire::Datagram::ASSIGN:
       message->content = ReadAssign(reader.getAssign());
       return true;
-    case wire::Datagram::REFUSE: {
-      auto refuse = reader.getRefuse();
-      message->content = DecisionMessage{
-          .decision = {.kind = ScheduleDecision::Kind::kRefuse,
-                       .key = {.sequence = refuse.getRefusedSequence()},
-                       .retry_after = absl::Microseconds(
-                           refuse.getRetryAfterMicroseconds())}};
+    case wire::Datagram::REFUSE:
+      message->content = ReadRefuse(reader.getRefuse());
       return true;
-    }
     case wire::Datagram::FIRST_PART:
       message->content = FirstPartMessage{.sequence = reader.getFirstPart()};
       return true;
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -114,7 +114,7 @@
   return key;
 }
 
-InstanceIp PlacementNode::FirstScheduler(absl::Time now) const {
+InstanceIp PlacementNode::SchedulingInstance(absl::Time now) const {
   const std::vector<InstanceIp> order = roster_.SchedulerOrder(now, 2);
   // An instance that is leaving takes the next one, if there is one.
   if (leaving_ && order.front() == options_.self)
@@ -123,7 +123,7 @@
 }
 
 void PlacementNode::Ask(Job* job, absl::Time now) {
-  const InstanceIp scheduler = FirstScheduler(now);
+  const InstanceIp scheduler = SchedulingInstance(now);
   if (job->scheduler != scheduler)
     job->unanswered = 0;
   job->scheduler = scheduler;
--- a/modules/peers/placement_node.h
+++ b/modules/peers/placement_node.h
@@ -88,6 +88,8 @@
   /** Live instances, this one included, as far as this one or the scheduler
       knows. */
   size_t LiveInstances(absl::Time now) const;
+  /** The instance that is asked for upstreams. */
+  InstanceIp SchedulingInstance(absl::Time now) const;
   const FleetScheduler& scheduler() const { return scheduler_; }
 
  private:
@@ -103,7 +105,6 @@
     bool answering = false;
   };
 
-  InstanceIp FirstScheduler(absl::Time now) const;
   void Ask(Job* job, absl::Time now);
   void Send(InstanceIp to, PeerMessage message);
   void SendHello(InstanceIp to, absl::Time now);
--- a/programs/gateway/gateway_settings.cc
+++ b/programs/gateway/gateway_settings.cc
@@ -21,6 +21,11 @@
     return endpoint.value_or(Endpoint{});
   }
 
+  /** The same for an address that may be left out. */
+  Endpoint ReadOptional(const char* key) {
+    return row_.text(key).empty() ? Endpoint{} : Read(key);
+  }
+
   std::vector<InstanceIp> ReadList(const char* key) {
     std::vector<InstanceIp> ips;
     for (const std::string& text : row_.text_list(key)) {
@@ -65,6 +70,8 @@
        "Address for the balancer's question whether it is ready."},
       {"operators_listen", Type::kText, "", true, "", 1, 64, "",
        "Address for operators; serves /metrics."},
+      {"metrics_listen", Type::kText, "", false, "", 0, 64, "",
+       "A further address that serves /metrics."},
       {"peers_listen", Type::kText, "", true, "", 1, 64, "",
        "Address for the other instances' datagrams; all use the same port."},
       {"seeds", Type::kTextList, "", false, "", 0, 64, "",
@@ -101,6 +108,7 @@
       .gateway = {.callers = reader.Read("callers_listen"),
                   .ready = reader.Read("ready_listen"),
                   .operators = reader.Read("operators_listen"),
+                  .metrics = reader.ReadOptional("metrics_listen"),
                   .peers = reader.Read("peers_listen"),
                   .seeds = reader.ReadList("seeds"),
                   .retries = {.ratio = row.number("retry_ratio"),
--- a/stand_ins/platform_upstream.cc
+++ b/stand_ins/platform_upstream.cc
@@ -17,7 +17,7 @@
 constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
 
-constexpr std::array<std::pair<const char*, UpstreamMode>, 8> kModes = {{
+constexpr std::array<std::pair<const char*, UpstreamMode>, 9> kModes = {{
     {"ok", UpstreamMode::kOk},
     {"full", UpstreamMode::kFull},
     {"error", UpstreamMode::kError},
@@ -26,6 +26,7 @@
     {"break", UpstreamMode::kBreak},
     {"unsigned", UpstreamMode::kUnsigned},
     {"foreign", UpstreamMode::kForeign},
+    {"forget", UpstreamMode::kForget},
 }};
 
 }  // namespace
@@ -47,6 +48,12 @@
 
   void Start(HttpRequest request, AnswerSink* sink) override {
     sink_ = sink;
+    if (upstream_->mode_ == UpstreamMode::kForget) {
+      upstream_->mode_ = UpstreamMode::kOk;
+      ended_ = true;
+      sink_->Abort();
+      return;
+    }
     request_ = std::move(request);
     id_ = std::string(request_.headers.Find("Request-Id"));
     std::vector<std::string>& heads = upstream_->book_->heads[id_];
@@ -119,6 +126,7 @@
       case UpstreamMode::kBreak:
       case UpstreamMode::kUnsigned:
       case UpstreamMode::kForeign:
+      case UpstreamMode::kForget:
         break;
     }
     if (request_.headers.Has("Token-Count"))
--- a/stand_ins/platform_upstream.h
+++ b/stand_ins/platform_upstream.h
@@ -28,6 +28,9 @@
   kUnsigned,
   /** Answers as if to another request. */
   kForeign,
+  /** Resets the next request unseen, as on a connection that it had forgotten,
+      and is kOk from then on. */
+  kForget,
 };
 
 /** The mode of that name; kOk for an unknown one. */
--- a/tests/logic/fleet_scheduler_test.cc
+++ b/tests/logic/fleet_scheduler_test.cc
@@ -41,14 +41,15 @@
   WorkKey Prompt(int64_t tokens,
                  absl::Duration target,
                  absl::Duration gap,
-                 std::vector<UpstreamKey> avoid = {}) {
+                 std::vector<UpstreamKey> avoid = {},
+                 absl::Duration deadline = absl::Seconds(15)) {
     const WorkKey key{1, ++sequence_};
     scheduler.Submit({.key = key,
                       .service = "engines",
                       .prompt_tokens = tokens,
                       .output_tokens = 800,
                       .due = now + target,
-                      .deadline = now + absl::Seconds(15),
+                      .deadline = now + deadline,
                       .event_gap = gap,
                       .avoid = std::move(avoid)});
     return key;
@@ -190,6 +191,32 @@
   CHECK(bench.scheduler.waiting() == 0);
 }
 
+// Pattern: far more long prompts than the engines can read.
+TEST_CASE("refused callers are told to come back when less is owed") {
+  const auto retry_after = [](int prompts) {
+    Bench bench(2);
+    for (int i = 0; i < prompts; ++i)
+      bench.Long(45000);
+    const WorkKey late = bench.Prompt(154000, absl::Milliseconds(1),
+                                      absl::Seconds(1), {}, absl::Seconds(1));
+    for (int i = 0; i < 1000; ++i) {
+      const auto decisions = bench.Run();
+      if (const auto found = decisions.find(late); found != decisions.end()) {
+        CHECK(found->second.kind == ScheduleDecision::Kind::kRefuse);
+        return found->second.retry_after;
+      }
+      bench.now += absl::Milliseconds(5);
+    }
+    FAIL("never decided");
+    return absl::ZeroDuration();
+  };
+  const absl::Duration calm = retry_after(3);
+  const absl::Duration crowded = retry_after(12);
+  CHECK(calm >= absl::Milliseconds(500));
+  CHECK(crowded > calm);
+  CHECK(crowded <= absl::Seconds(3));
+}
+
 // Pattern: short prompts come a tenth faster than all slots can take them.
 TEST_CASE("most short prompts are on time when a few too many come") {
   constexpr int kEngines = 4;
--- a/tests/logic/gateway_parts_test.cc
+++ b/tests/logic/gateway_parts_test.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/match.h"
 #include "modules/core/event_log.h"
 #include "modules/decisions/retry_window.h"
+#include "modules/gateway/gateway_metrics.h"
 #include "modules/net/socket_options.h"
 #include "modules/routing/upstream_directory.h"
 
@@ -158,6 +159,53 @@
   ::close(ends[1]);
 }
 
+TEST_CASE("latencies are told as histograms, a set for each service") {
+  GatewayMetrics metrics;
+  metrics.OnSent("desk", absl::Milliseconds(2));
+  metrics.OnRequestEnded("desk", 200, "answered", absl::Milliseconds(60));
+  metrics.OnRequestEnded("desk", 200, "answered", absl::Milliseconds(400));
+  metrics.OnRequestEnded("", 404, "no_route", absl::ZeroDuration());
+  metrics.OnFirstEvent("engines", absl::Milliseconds(240));
+  metrics.OnStreamComplete("engines", absl::Milliseconds(90));
+  metrics.OnSendFailed("desk", "no_connection");
+  const std::string text = metrics.Exposition({.live_instances = 3});
+  for (const char* line : {
+           "chicory_requests_total{reason=\"answered\",service=\"desk\","
+           "status=\"200\"} 2\n",
+           "chicory_requests_total{reason=\"no_route\",service=\"none\","
+           "status=\"404\"} 1\n",
+           "chicory_request_duration_seconds_bucket{service=\"desk\","
+           "le=\"0.1\"} 1\n",
+           "chicory_request_duration_seconds_count{service=\"desk\"} 2\n",
+           "chicory_wait_seconds_bucket{service=\"desk\",le=\"0.005\"} 1\n",
+           "chicory_first_event_seconds_bucket{service=\"engines\","
+           "le=\"0.2\"} 0\n",
+           "chicory_first_event_seconds_bucket{service=\"engines\","
+           "le=\"0.3\"} 1\n",
+           "chicory_longest_event_gap_seconds_count{service=\"engines\"} 1\n",
+           "chicory_failed_sends_total{reason=\"no_connection\","
+           "service=\"desk\"} 1\n",
+           "chicory_live_instances 3\n",
+       }) {
+    INFO(line);
+    CHECK(absl::StrContains(text, line));
+  }
+}
+
+TEST_CASE("services beyond the bound share one label") {
+  GatewayMetrics metrics;
+  for (size_t i = 0; i < 3 * GatewayMetrics::kMaxServices; ++i)
+    metrics.OnSent("s" + std::to_string(i), absl::ZeroDuration());
+  const std::string text = metrics.Exposition({});
+  size_t series = 0;
+  for (size_t at = 0;
+       (at = text.find("chicory_wait_seconds_count", at)) != std::string::npos;
+       ++at)
+    ++series;
+  CHECK(series == GatewayMetrics::kMaxServices + 1);
+  CHECK(absl::StrContains(text, "{service=\"other\"} 128\n"));
+}
+
 TEST_CASE("addresses are read exactly") {
   struct Case {
     const char* text;
--- a/tests/logic/placement_node_test.cc
+++ b/tests/logic/placement_node_test.cc
@@ -342,5 +342,25 @@
   CHECK(got.expected == absl::Milliseconds(40));
 }
 
+TEST_CASE("a refusal tells its cause and when to come back") {
+  for (const RefusalCause cause :
+       {RefusalCause::kDeadlineOver, RefusalCause::kNoSlots,
+        RefusalCause::kCostsOthers}) {
+    const auto read = DecodePeerMessage(EncodePeerMessage(
+        {.sender = 3,
+         .content =
+             DecisionMessage{{.kind = ScheduleDecision::Kind::kRefuse,
+                              .key = {.sequence = 5},
+                              .cause = cause,
+                              .retry_after = absl::Milliseconds(1700)}}}));
+    REQUIRE(read.has_value());
+    const ScheduleDecision& got =
+        std::get<DecisionMessage>(read->content).decision;
+    CHECK(got.kind == ScheduleDecision::Kind::kRefuse);
+    CHECK(got.cause == cause);
+    CHECK(got.retry_after == absl::Milliseconds(1700));
+  }
+}
+
 }  // namespace
 }  // namespace chicory
--- a/tests/process/gateway_requests.sh
+++ b/tests/process/gateway_requests.sh
@@ -41,6 +41,16 @@
 done
 upstream desk-1 '"mode":"ok"'
 
+say "a kept connection that the upstream had forgotten is no fault of the upstream"
+sleep 2
+for i in 1 2; do call g1 /again/a -H "Request-Id: kept-$i" >/dev/null; done
+upstream desk-1 '"mode":"forget"'
+upstream desk-2 '"mode":"forget"'
+for i in 3 4; do expect "lookup $i" "$(call g1 /again/a -H "Request-Id: kept-$i")" 'status=200'; done
+expect stale "$(log_of g1 send_failed)" 'request=kept-[34] .*reason=kept_connection_stale'
+upstream desk-1 '"mode":"ok"'
+upstream desk-2 '"mode":"ok"'
+
 say "a stream goes on after its last whole event"
 upstream engine-1 '"mode":"break"'
 expect "broken stream" "$(call g1 /s/a -H 'Request-Id: s2' -H "$TOKENS" -d prompt | grep -c '^data: token')" '^5$'
@@ -95,5 +105,17 @@
 expect admitted "$(log_of g1 request_admitted)" 'request=once-reset route=once service=desk'
 expect failed "$(log_of g1 send_failed)" 'request=once-reset .*reason=connection_broken not_run=0'
 expect ended "$(log_of g1 request_ended)" 'request=once-reset status=502 reason=connection_broken'
-expect metrics "$(curl -s "http://$(address g1 operators)/metrics")" 'chicory_requests_total'
+expect sent "$(log_of g1 request_sent)" 'request=s1 .*scheduler=127.0.0.1 decided_after_ms=[0-9]+ upstreams_age_ms=[0-9]+ '
+expect membership "$(log_of g1 membership_changed)" 'scheduler=127.0.0.1 .*live_instances=1'
+metrics=$(curl -s "http://$(address g1 operators)/metrics")
+expect "counter" "$metrics" '^chicory_requests_total\{.*status="200"'
+expect "failed sends" "$metrics" '^chicory_failed_sends_total\{reason="connection_broken",service="desk"\} [1-9]'
+expect "histogram" "$metrics" '^chicory_first_event_seconds_bucket\{service="engines",le="0.3"\} [1-9]'
+
+say "a metrics address of its own, and one that cannot be had"
+port=$((21000 + RANDOM % 20000))
+gateway g2 --set "metrics_listen=127.0.0.1:$port"
+expect "metrics" "$(curl -s "http://127.0.0.1:$port/metrics")" '^chicory_upstreams 4'
+gateway g3 --set "metrics_listen=127.0.0.1:$port"
+expect "told" "$(log_of g3 metrics_not_served)" 'reason='
 finish
