--- a/modules/decisions/instance_roster.cc
+++ b/modules/decisions/instance_roster.cc
@@ -34,6 +34,12 @@
   row.suspected_until = absl::InfinitePast();
 }
 
+void InstanceRoster::SetLostSource(InstanceIp ip, bool lost) {
+  auto found = rows_.find(ip);
+  if (found != rows_.end())
+    found->second.lost_source = lost;
+}
+
 void InstanceRoster::Suspect(InstanceIp ip, absl::Time now) {
   auto found = rows_.find(ip);
   if (found != rows_.end())
@@ -50,7 +56,8 @@
   for (const auto& [ip, row] : rows_) {
     if (now - row.heard >= kGoneAfter)
       continue;
-    members.push_back({.ip = ip, .age = now - row.heard});
+    members.push_back(
+        {.ip = ip, .age = now - row.heard, .lost_source = row.lost_source});
   }
   return members;
 }
@@ -73,6 +80,27 @@
   return order;
 }
 
+bool InstanceRoster::IsAmongFirst(size_t count,
+                                  bool self_lost,
+                                  absl::Time now) const {
+  const uint64_t own_rank = Rank(self_);
+  size_t before = 0;
+  size_t before_answered = 0;
+  bool any_answered = !self_lost;
+  for (const auto& [ip, row] : rows_) {
+    if (now - row.heard >= kGoneAfter || row.suspected_until > now)
+      continue;
+    any_answered |= !row.lost_source;
+    if (Rank(ip) >= own_rank)
+      continue;
+    ++before;
+    before_answered += row.lost_source ? 0 : 1;
+  }
+  if (!any_answered)
+    return before < count;
+  return !self_lost && before_answered < count;
+}
+
 size_t InstanceRoster::LiveCount(absl::Time now) const {
   return Members(now).size() + 1;
 }
--- a/modules/decisions/instance_roster.h
+++ b/modules/decisions/instance_roster.h
@@ -30,6 +30,8 @@
   void OnHeard(InstanceIp ip, absl::Time now, absl::Duration age);
   /** `ip` itself was heard; ends a suspicion. */
   void OnHeardDirectly(InstanceIp ip, absl::Time now);
+  /** The source does not answer `ip`, or does again. */
+  void SetLostSource(InstanceIp ip, bool lost);
   /** `ip` left a request unanswered. */
   void Suspect(InstanceIp ip, absl::Time now);
   /** `ip` said that it is leaving. */
@@ -39,6 +41,7 @@
   struct Member {
     InstanceIp ip = 0;
     absl::Duration age;
+    bool lost_source = false;
   };
   std::vector<Member> Members(absl::Time now) const;
 
@@ -46,6 +49,11 @@
       one included. */
   std::vector<InstanceIp> SchedulerOrder(absl::Time now, size_t count) const;
 
+  /** Whether this instance is among the first `count` of the order, of those
+      that the source answers; `self_lost` tells of this one. When it answers
+      none, all count. */
+  bool IsAmongFirst(size_t count, bool self_lost, absl::Time now) const;
+
   /** Live instances, this one included. */
   size_t LiveCount(absl::Time now) const;
 
@@ -53,6 +61,7 @@
   struct Row {
     absl::Time heard = absl::InfinitePast();
     absl::Time suspected_until = absl::InfinitePast();
+    bool lost_source = false;
   };
 
   InstanceIp self_;
--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -17,8 +17,10 @@
 /** Tick interval while nothing waits or runs. */
 constexpr absl::Duration kIdleTick = absl::Milliseconds(250);
 constexpr absl::Duration kHousekeeping = absl::Seconds(1);
-/** A newer configuration elsewhere makes this instance ask at most so often. */
-constexpr absl::Duration kRefreshInterval = absl::Milliseconds(500);
+/** The source is followed for this long after it was last needed. */
+constexpr absl::Duration kFollowOn = absl::Seconds(2);
+/** A source that did not answer is worth another try after this time. */
+constexpr absl::Duration kLostMemory = absl::Seconds(5);
 /** How long a stopping instance still takes new connections: the balancer asks
     once a second and takes an instance out after two misses. */
 constexpr absl::Duration kBalancerGrace = absl::Milliseconds(2600);
@@ -105,6 +107,7 @@
       log_(log),
       placement_({.self = options_.peers.ip,
                   .seeds = options_.seeds,
+                  .source_silence = options_.source_silence,
                   .first_sequence = options_.first_sequence},
                  this,
                  this),
@@ -175,7 +178,7 @@
     return;
   }
   state_.table = std::make_shared<const RoutingTable>(std::move(options));
-  placement_.SetConfigurationVersion(state_.table->version());
+  placement_.membership().SetConfigurationVersion(state_.table->version());
   for (const Service& service : state_.table->services()) {
     if (service.engine)
       placement_.SetEngine(service.name, *service.engine);
@@ -192,22 +195,39 @@
 }
 
 void Gateway::OnUpstreams(const std::vector<UpstreamRecord>& upstreams,
+                          uint64_t revision,
                           bool after_outage) {
+  UpstreamNews& news = placement_.membership().news();
+  if (!news.OnListed(revision)) {
+    log_.Write("upstreams_ignored",
+               {{"revision", revision}, {"known", news.complete_until()}});
+    return;
+  }
   state_.upstreams_heard = SteadyNow();
   state_.upstreams.Replace(upstreams, after_outage, state_.upstreams_heard);
   log_.Write("upstreams_listed", {{"listed", upstreams.size()},
                                   {"held", state_.upstreams.size()},
+                                  {"revision", revision},
                                   {"after_outage", after_outage ? 1 : 0}});
   TellUpstreams();
 }
 
-void Gateway::OnUpstreamChanges(const std::vector<UpstreamChange>& changes,
-                                bool after_outage) {
+void Gateway::OnUpstreamChanges(const UpstreamBatch& batch) {
+  if (placement_.membership().news().Add(batch))
+    ApplyUpstreams(batch, "source");
+}
+
+void Gateway::OnUpstreamNews(const UpstreamBatch& batch) {
+  ApplyUpstreams(batch, "instance");
+}
+
+void Gateway::ApplyUpstreams(const UpstreamBatch& batch, const char* teller) {
   state_.upstreams_heard = SteadyNow();
-  for (const UpstreamChange& change : changes) {
+  for (const UpstreamChange& change : batch.changes) {
     const UpstreamRecord& record = change.record;
     if (change.removed)
-      state_.upstreams.Remove(record.id, after_outage, SteadyNow());
+      state_.upstreams.Remove(record.id, batch.after_outage,
+                              state_.upstreams_heard);
     else
       state_.upstreams.Put(record);
     const bool ready = record.state == UpstreamState::kReady;
@@ -215,14 +235,23 @@
                                     {"service", record.service},
                                     {"state", change.removed ? "gone"
                                               : ready        ? "ready"
-                                                             : "draining"}});
+                                                             : "draining"},
+                                    {"revision", batch.to},
+                                    {"told_by", teller}});
   }
-  TellUpstreams();
+  if (!batch.changes.empty())
+    TellUpstreams();
 }
 
 void Gateway::OnSourceReachable(const std::string& source,
                                 bool reachable,
                                 const std::string& reason) {
+  if (reachable) {
+    lost_sources_.erase(source);
+  } else {
+    lost_sources_.insert(source);
+    source_lost_ = SteadyNow();
+  }
   log_.Write(reachable ? "source_regained" : "source_lost",
              {{"source", source}, {"reason", reason}});
 }
@@ -244,19 +273,63 @@
   found->second->OnDecision(decision, scheduler);
 }
 
-void Gateway::OnNewerConfiguration(uint64_t version) {
+std::optional<Freshness> Gateway::TakeRefresh(Refresh* refresh,
+                                              uint64_t wanted,
+                                              uint64_t known) {
   const absl::Time now = SteadyNow();
-  if (now - refreshed_ < kRefreshInterval)
+  if (now - refresh->asked < options_.refresh_interval)
+    return std::nullopt;
+  // When the last answer fell short, it was too old.
+  const bool fell_short = known < refresh->wanted;
+  *refresh = {.asked = now, .wanted = wanted};
+  return fell_short ? Freshness::kNewest : Freshness::kMayBeStale;
+}
+
+void Gateway::OnNewerConfiguration(uint64_t version) {
+  const uint64_t known = state_.table ? state_.table->version() : 0;
+  const auto freshness = TakeRefresh(&configuration_refresh_, version, known);
+  if (!freshness)
     return;
-  refreshed_ = now;
   log_.Write("configuration_behind_peer",
-             {{"version", version},
-              {"in_force", state_.table ? state_.table->version() : 0}});
-  source_->RefreshConfiguration();
+             {{"version", version}, {"in_force", known}});
+  source_->RefreshConfiguration(*freshness);
+}
+
+void Gateway::OnUpstreamsBehind(uint64_t last_change) {
+  const uint64_t known = placement_.membership().news().complete_until();
+  const auto freshness = TakeRefresh(&upstreams_refresh_, last_change, known);
+  if (!freshness)
+    return;
+  log_.Write("upstreams_behind_peer",
+             {{"last_change", last_change}, {"known", known}});
+  source_->RefreshUpstreams(*freshness);
+}
+
+SourceState Gateway::StateOfSource(absl::Time now) const {
+  const bool is_lost =
+      !lost_sources_.empty() && (follows_ || now - source_lost_ < kLostMemory);
+  if (is_lost)
+    return SourceState::kLost;
+  return follows_ ? SourceState::kFollowing : SourceState::kHearing;
+}
+
+void Gateway::FollowAsNeeded(absl::Time now) {
+  Membership& membership = placement_.membership();
+  membership.SetSourceState(StateOfSource(now), now);
+  if (membership.ShouldFollowSource(now))
+    follow_needed_ = now;
+  const bool follow = now - follow_needed_ < kFollowOn;
+  if (follow == follows_)
+    return;
+  follows_ = follow;
+  log_.Write(follow ? "source_followed" : "source_left_to_others",
+             {{"live_instances", membership.LiveInstances(now)},
+              {"lost", lost_sources_.size()}});
+  source_->Follow(follow);
 }
 
 void Gateway::SetSeeds(const std::vector<InstanceIp>& seeds) {
-  placement_.SetSeeds(seeds);
+  placement_.membership().SetSeeds(seeds);
 }
 
 void Gateway::ArmTick() {
@@ -279,6 +352,7 @@
   if (state_.upstreams.Expire(now))
     TellUpstreams();
   placement_.Tick(now);
+  FollowAsNeeded(now);
   if (now >= next_housekeeping_) {
     next_housekeeping_ = now + kHousekeeping;
     state_.pool.Expire(now);
@@ -289,8 +363,8 @@
 }
 
 void Gateway::NoteMembership(absl::Time now) {
-  const InstanceIp scheduler = placement_.SchedulingInstance(now);
-  const size_t live = placement_.LiveInstances(now);
+  const InstanceIp scheduler = placement_.membership().SchedulingInstance(now);
+  const size_t live = placement_.membership().LiveInstances(now);
   if (scheduler == scheduling_instance_ && live == live_instances_)
     return;
   log_.Write("membership_changed", {{"scheduler", IpText(scheduler)},
@@ -304,7 +378,7 @@
 std::string Gateway::Metrics() {
   return metrics_.Exposition(
       {.in_flight = state_.runs.size(),
-       .live_instances = placement_.LiveInstances(SteadyNow()),
+       .live_instances = placement_.membership().LiveInstances(SteadyNow()),
        .scheduler_waiting = placement_.scheduler().waiting(),
        .scheduler_running = placement_.scheduler().running(),
        .configuration_version = state_.table ? state_.table->version() : 0,
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -5,6 +5,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +36,10 @@
     /** For datagrams of the other instances; they use the same port. */
     Endpoint peers;
     std::vector<InstanceIp> seeds;
+    /** Longest time without word from an instance that follows the source. */
+    absl::Duration source_silence = absl::Milliseconds(1000);
+    /** News elsewhere make this instance ask the source at most so often. */
+    absl::Duration refresh_interval = absl::Milliseconds(500);
     size_t max_connections = 1000;
     RetryWindow::Options retries;
     /** From a stop signal to the end of the process, at most. */
@@ -62,9 +68,9 @@
 
   void OnConfiguration(RoutingTable::Options options) override;
   void OnUpstreams(const std::vector<UpstreamRecord>& upstreams,
+                   uint64_t revision,
                    bool after_outage) override;
-  void OnUpstreamChanges(const std::vector<UpstreamChange>& changes,
-                         bool after_outage) override;
+  void OnUpstreamChanges(const UpstreamBatch& batch) override;
   void OnSourceReachable(const std::string& source,
                          bool reachable,
                          const std::string& reason) override;
@@ -75,6 +81,8 @@
   void OnDecision(const ScheduleDecision& decision,
                   InstanceIp scheduler) override;
   void OnNewerConfiguration(uint64_t version) override;
+  void OnUpstreamNews(const UpstreamBatch& batch) override;
+  void OnUpstreamsBehind(uint64_t last_change) override;
 
  private:
   class CallerSite;
@@ -85,7 +93,12 @@
   std::string Metrics();
   /** A metrics address that cannot be had is logged and does no other harm. */
   void ListenForMetrics();
+  /** Takes over changes from the source or from `teller`. */
+  void ApplyUpstreams(const UpstreamBatch& batch, const char* teller);
   void TellUpstreams();
+  /** Follows the source when the others need this instance to. */
+  void FollowAsNeeded(absl::Time now);
+  SourceState StateOfSource(absl::Time now) const;
   /** Logs a change of the instance that schedules and of the live instances.
    */
   void NoteMembership(absl::Time now);
@@ -113,7 +126,25 @@
   bool tick_is_soon_ = false;
   boost::asio::steady_timer stop_timer_;
   absl::Time next_housekeeping_ = absl::InfinitePast();
-  absl::Time refreshed_ = absl::InfinitePast();
+  /** A question to the source about what others know already. */
+  struct Refresh {
+    absl::Time asked = absl::InfinitePast();
+    uint64_t wanted = 0;
+  };
+  /** How to ask for what reaches `wanted` when `known` is known here; nothing
+      when it was asked for just now. */
+  std::optional<Freshness> TakeRefresh(Refresh* refresh,
+                                       uint64_t wanted,
+                                       uint64_t known);
+
+  Refresh configuration_refresh_;
+  Refresh upstreams_refresh_;
+  bool follows_ = false;
+  /** When following was needed last. */
+  absl::Time follow_needed_ = absl::InfinitePast();
+  /** Sources that do not answer, and since when that is known. */
+  std::set<std::string> lost_sources_;
+  absl::Time source_lost_ = absl::InfinitePast();
   bool has_upstreams_ = false;
   InstanceIp scheduling_instance_ = 0;
   size_t live_instances_ = 0;
--- a/modules/gateway/gateway_inputs.h
+++ b/modules/gateway/gateway_inputs.h
@@ -5,26 +5,23 @@
 #include <vector>
 
 #include "modules/routing/routing_table.h"
+#include "modules/routing/upstream_news.h"
 
 namespace chicory {
 
-/** One changed registration of an upstream. */
-struct UpstreamChange {
-  UpstreamRecord record;
-  bool removed = false;
-};
-
 /** Takes what a source says of the configuration and of the upstreams. */
 class GatewayInputs {
  public:
   virtual ~GatewayInputs() = default;
   /** A configuration in full; it may be older than the one in force. */
   virtual void OnConfiguration(RoutingTable::Options options) = 0;
-  /** All upstreams. `after_outage`: registrations may have lapsed. */
+  /** All upstreams as of `revision`. `after_outage`: registrations may have
+      lapsed. */
   virtual void OnUpstreams(const std::vector<UpstreamRecord>& upstreams,
+                           uint64_t revision,
                            bool after_outage) = 0;
-  virtual void OnUpstreamChanges(const std::vector<UpstreamChange>& changes,
-                                 bool after_outage) = 0;
+  /** What changed; an empty batch says that nothing did. */
+  virtual void OnUpstreamChanges(const UpstreamBatch& batch) = 0;
   /** The source was lost or regained. */
   virtual void OnSourceReachable(const std::string& source,
                                  bool reachable,
@@ -34,14 +31,24 @@
                             const std::string& reason) = 0;
 };
 
+/** How new an answer of the source must be. */
+enum class Freshness {
+  /** It may be some seconds old, which costs the source little. */
+  kMayBeStale,
+  kNewest,
+};
+
 /** Where the configuration and the list of upstreams come from. */
 class GatewaySource {
  public:
   virtual ~GatewaySource() = default;
-  /** Begins to call `inputs`, from the event loop. */
+  /** Reads what there is and tells `inputs`, from the event loop. */
   virtual void Start(GatewayInputs* inputs) = 0;
+  /** Begins or ends to follow changes. */
+  virtual void Follow(bool follow) = 0;
   /** Something newer than what was told is known to exist. */
-  virtual void RefreshConfiguration() = 0;
+  virtual void RefreshConfiguration(Freshness freshness) = 0;
+  virtual void RefreshUpstreams(Freshness freshness) = 0;
 };
 
 }  // namespace chicory
--- a/modules/gateway/request_run.cc
+++ b/modules/gateway/request_run.cc
@@ -342,8 +342,8 @@
   if (trail_.sends() >= route_->max_attempts || TimeLeft() < kLeastTime)
     return false;
   const absl::Time now = SteadyNow();
-  return state_->retries.Spend(service_, state_->placement->LiveInstances(now),
-                               now);
+  return state_->retries.Spend(
+      service_, state_->placement->membership().LiveInstances(now), now);
 }
 
 void RequestRun::OnExchangeFailed(const UpstreamExchange::Failure& failure) {
--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -28,6 +28,31 @@
 struct Member {
   ip @0 :UInt32;
   ageMilliseconds @1 :UInt32;
+  # The source does not answer it.
+  lostSource @2 :Bool;
+}
+
+# One changed registration. @see chicory::UpstreamChange
+struct UpstreamChange {
+  id @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  dataCentre @3 :Text;
+  slots @4 :Int32;
+  isDraining @5 :Bool;
+  removed @6 :Bool;
+  startedMilliseconds @7 :Int64;
+}
+
+# @see chicory::UpstreamBatch
+struct UpstreamBatch {
+  from @0 :UInt64;
+  to @1 :UInt64;
+  lastChange @2 :UInt64;
+  afterOutage @3 :Bool;
+  changes @4 :List(UpstreamChange);
+  part @5 :UInt32;
+  parts @6 :UInt32;
 }
 
 # One datagram between instances. @see chicory::PeerMessage
@@ -41,6 +66,14 @@
   liveInstances @20 :UInt32;
   # The sender is leaving and schedules for nobody.
   leaving @21 :Bool;
+  # Changes of the upstreams that the sender knows: all until the first
+  # revision, the last of them at the second.
+  upstreamsCompleteUntil @23 :UInt64;
+  upstreamsLastChange @24 :UInt64;
+  # @see chicory::SourceState
+  sourceState @25 :UInt8;
+  # Of welcome: what the greeting instance has missed.
+  missedUpstreams @26 :UpstreamBatch;
   union {
     # "I am alive, and this is what I have running."
     hello @2 :List(Running);
--- a/modules/peers/placement.capnp.h
+++ b/modules/peers/placement.capnp.h
@@ -19,6 +19,8 @@
 CAPNP_DECLARE_SCHEMA(a1155b46080dc87a);
 CAPNP_DECLARE_SCHEMA(fc66dc8943dc7b66);
 CAPNP_DECLARE_SCHEMA(e111fa57db58cf0a);
+CAPNP_DECLARE_SCHEMA(aaed7fd3b4aea498);
+CAPNP_DECLARE_SCHEMA(950b2c0c70a38c21);
 CAPNP_DECLARE_SCHEMA(fbb30b84410a6efa);
 CAPNP_DECLARE_SCHEMA(ceb049bfcf0fbed3);
 CAPNP_DECLARE_SCHEMA(e5ad0fab8ff98dfa);
@@ -68,7 +70,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e111fa57db58cf0a, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e111fa57db58cf0a, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UpstreamChange {
+  UpstreamChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aaed7fd3b4aea498, 2, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UpstreamBatch {
+  UpstreamBatch() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(950b2c0c70a38c21, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -97,7 +129,7 @@
   struct Ended;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 6, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 8, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -112,7 +144,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 6, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 8, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -127,7 +159,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 6, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 8, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -142,7 +174,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 6, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 8, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -391,6 +423,8 @@
 
   inline  ::uint32_t getAgeMilliseconds() const;
 
+  inline bool getLostSource() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -425,6 +459,9 @@
   inline  ::uint32_t getAgeMilliseconds();
   inline void setAgeMilliseconds( ::uint32_t value);
 
+  inline bool getLostSource();
+  inline void setLostSource(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -451,6 +488,248 @@
 };
 #endif  // !CAPNP_LITE
 
+class UpstreamChange::Reader {
+public:
+  typedef UpstreamChange Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline  ::int32_t getSlots() const;
+
+  inline bool getIsDraining() const;
+
+  inline bool getRemoved() const;
+
+  inline  ::int64_t getStartedMilliseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamChange::Builder {
+public:
+  typedef UpstreamChange Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline  ::int32_t getSlots();
+  inline void setSlots( ::int32_t value);
+
+  inline bool getIsDraining();
+  inline void setIsDraining(bool value);
+
+  inline bool getRemoved();
+  inline void setRemoved(bool value);
+
+  inline  ::int64_t getStartedMilliseconds();
+  inline void setStartedMilliseconds( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamChange::Pipeline {
+public:
+  typedef UpstreamChange Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UpstreamBatch::Reader {
+public:
+  typedef UpstreamBatch Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFrom() const;
+
+  inline  ::uint64_t getTo() const;
+
+  inline  ::uint64_t getLastChange() const;
+
+  inline bool getAfterOutage() const;
+
+  inline bool hasChanges() const;
+  inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
+
+  inline  ::uint32_t getPart() const;
+
+  inline  ::uint32_t getParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamBatch::Builder {
+public:
+  typedef UpstreamBatch Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFrom();
+  inline void setFrom( ::uint64_t value);
+
+  inline  ::uint64_t getTo();
+  inline void setTo( ::uint64_t value);
+
+  inline  ::uint64_t getLastChange();
+  inline void setLastChange( ::uint64_t value);
+
+  inline bool getAfterOutage();
+  inline void setAfterOutage(bool value);
+
+  inline bool hasChanges();
+  inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Builder getChanges();
+  inline void setChanges( ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Builder initChanges(unsigned int size);
+  inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>> disownChanges();
+
+  inline  ::uint32_t getPart();
+  inline void setPart( ::uint32_t value);
+
+  inline  ::uint32_t getParts();
+  inline void setParts( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamBatch::Pipeline {
+public:
+  typedef UpstreamBatch Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Datagram::Reader {
 public:
   typedef Datagram Reads;
@@ -509,6 +788,15 @@
 
   inline bool getLeaving() const;
 
+  inline  ::uint64_t getUpstreamsCompleteUntil() const;
+
+  inline  ::uint64_t getUpstreamsLastChange() const;
+
+  inline  ::uint8_t getSourceState() const;
+
+  inline bool hasMissedUpstreams() const;
+  inline  ::chicory::wire::UpstreamBatch::Reader getMissedUpstreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -601,6 +889,22 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline  ::uint64_t getUpstreamsCompleteUntil();
+  inline void setUpstreamsCompleteUntil( ::uint64_t value);
+
+  inline  ::uint64_t getUpstreamsLastChange();
+  inline void setUpstreamsLastChange( ::uint64_t value);
+
+  inline  ::uint8_t getSourceState();
+  inline void setSourceState( ::uint8_t value);
+
+  inline bool hasMissedUpstreams();
+  inline  ::chicory::wire::UpstreamBatch::Builder getMissedUpstreams();
+  inline void setMissedUpstreams( ::chicory::wire::UpstreamBatch::Reader value);
+  inline  ::chicory::wire::UpstreamBatch::Builder initMissedUpstreams();
+  inline void adoptMissedUpstreams(::capnp::Orphan< ::chicory::wire::UpstreamBatch>&& value);
+  inline ::capnp::Orphan< ::chicory::wire::UpstreamBatch> disownMissedUpstreams();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -619,6 +923,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::chicory::wire::UpstreamBatch::Pipeline getMissedUpstreams();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1185,6 +1490,330 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Member::Reader::getLostSource() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getLostSource() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setLostSource(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamChange::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamChange::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UpstreamChange::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UpstreamChange::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UpstreamChange::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UpstreamChange::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamChange::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UpstreamChange::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool UpstreamChange::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamChange::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UpstreamChange::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UpstreamChange::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void UpstreamChange::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UpstreamChange::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamChange::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UpstreamChange::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool UpstreamChange::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamChange::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UpstreamChange::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UpstreamChange::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void UpstreamChange::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UpstreamChange::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamChange::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UpstreamChange::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool UpstreamChange::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamChange::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UpstreamChange::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UpstreamChange::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void UpstreamChange::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UpstreamChange::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamChange::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UpstreamChange::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t UpstreamChange::Reader::getSlots() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t UpstreamChange::Builder::getSlots() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamChange::Builder::setSlots( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamChange::Reader::getIsDraining() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool UpstreamChange::Builder::getIsDraining() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamChange::Builder::setIsDraining(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamChange::Reader::getRemoved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline bool UpstreamChange::Builder::getRemoved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamChange::Builder::setRemoved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UpstreamChange::Reader::getStartedMilliseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UpstreamChange::Builder::getStartedMilliseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamChange::Builder::setStartedMilliseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t UpstreamBatch::Reader::getFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamBatch::Builder::getFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamBatch::Builder::setFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t UpstreamBatch::Reader::getTo() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamBatch::Builder::getTo() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamBatch::Builder::setTo( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t UpstreamBatch::Reader::getLastChange() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamBatch::Builder::getLastChange() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamBatch::Builder::setLastChange( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamBatch::Reader::getAfterOutage() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool UpstreamBatch::Builder::getAfterOutage() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamBatch::Builder::setAfterOutage(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamBatch::Reader::hasChanges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamBatch::Builder::hasChanges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Reader UpstreamBatch::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Builder UpstreamBatch::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UpstreamBatch::Builder::setChanges( ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Builder UpstreamBatch::Builder::initChanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamBatch::Builder::adoptChanges(
+    ::capnp::Orphan< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>> UpstreamBatch::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t UpstreamBatch::Reader::getPart() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamBatch::Builder::getPart() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamBatch::Builder::setPart( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UpstreamBatch::Reader::getParts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamBatch::Builder::getParts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamBatch::Builder::setParts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::chicory::wire::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
@@ -1579,6 +2208,87 @@
       ::capnp::bounded<48>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Datagram::Reader::getUpstreamsCompleteUntil() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::Builder::getUpstreamsCompleteUntil() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setUpstreamsCompleteUntil( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Datagram::Reader::getUpstreamsLastChange() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::Builder::getUpstreamsLastChange() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setUpstreamsLastChange( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Datagram::Reader::getSourceState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Datagram::Builder::getSourceState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setSourceState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Reader::hasMissedUpstreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasMissedUpstreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::chicory::wire::UpstreamBatch::Reader Datagram::Reader::getMissedUpstreams() const {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::chicory::wire::UpstreamBatch::Builder Datagram::Builder::getMissedUpstreams() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::chicory::wire::UpstreamBatch::Pipeline Datagram::Pipeline::getMissedUpstreams() {
+  return  ::chicory::wire::UpstreamBatch::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void Datagram::Builder::setMissedUpstreams( ::chicory::wire::UpstreamBatch::Reader value) {
+  ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::chicory::wire::UpstreamBatch::Builder Datagram::Builder::initMissedUpstreams() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptMissedUpstreams(
+    ::capnp::Orphan< ::chicory::wire::UpstreamBatch>&& value) {
+  ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::chicory::wire::UpstreamBatch> Datagram::Builder::disownMissedUpstreams() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Datagram::Assign::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -57,6 +57,29 @@
   return work;
 }
 
+void WriteBatch(const UpstreamBatch& batch,
+                wire::UpstreamBatch::Builder builder) {
+  builder.setFrom(batch.from);
+  builder.setTo(batch.to);
+  builder.setLastChange(batch.last_change);
+  builder.setAfterOutage(batch.after_outage);
+  builder.setPart(batch.part);
+  builder.setParts(batch.parts);
+  auto list = builder.initChanges(static_cast<uint32_t>(batch.changes.size()));
+  for (size_t i = 0; i < batch.changes.size(); ++i) {
+    const UpstreamRecord& record = batch.changes[i].record;
+    auto change = list[static_cast<uint32_t>(i)];
+    change.setId(record.id);
+    change.setService(record.service);
+    change.setAddress(record.address);
+    change.setDataCentre(record.data_centre);
+    change.setSlots(record.slots);
+    change.setIsDraining(record.state == UpstreamState::kDraining);
+    change.setRemoved(batch.changes[i].removed);
+    change.setStartedMilliseconds(record.started_ms);
+  }
+}
+
 struct ContentWriter {
   wire::Datagram::Builder builder;
 
@@ -79,7 +102,10 @@
       item.setIp(welcome.members[i].ip);
       item.setAgeMilliseconds(static_cast<uint32_t>(
           absl::ToInt64Milliseconds(welcome.members[i].age)));
+      item.setLostSource(welcome.members[i].lost_source);
     }
+    if (welcome.missed)
+      WriteBatch(*welcome.missed, builder.initMissedUpstreams());
   }
   void operator()(const SubmitMessage& submit) {
     WriteWork(submit.work, builder.initSubmit());
@@ -126,6 +152,28 @@
   void operator()(const GoodbyeMessage&) { builder.setGoodbye(); }
 };
 
+UpstreamBatch ReadBatch(wire::UpstreamBatch::Reader reader) {
+  UpstreamBatch batch{.from = reader.getFrom(),
+                      .to = reader.getTo(),
+                      .last_change = reader.getLastChange(),
+                      .after_outage = reader.getAfterOutage(),
+                      .part = reader.getPart(),
+                      .parts = reader.getParts()};
+  for (auto change : reader.getChanges()) {
+    batch.changes.push_back(
+        {.record = {.id = change.getId(),
+                    .service = change.getService(),
+                    .address = change.getAddress(),
+                    .data_centre = change.getDataCentre(),
+                    .slots = change.getSlots(),
+                    .state = change.getIsDraining() ? UpstreamState::kDraining
+                                                    : UpstreamState::kReady,
+                    .started_ms = change.getStartedMilliseconds()},
+         .removed = change.getRemoved()});
+  }
+  return batch;
+}
+
 HelloMessage ReadHello(wire::Datagram::Reader reader) {
   HelloMessage hello{.total = reader.getRunningTotal()};
   const auto list = reader.getHello();
@@ -137,13 +185,16 @@
   return hello;
 }
 
-WelcomeMessage ReadWelcome(capnp::List<wire::Member>::Reader list) {
+WelcomeMessage ReadWelcome(wire::Datagram::Reader reader) {
   WelcomeMessage welcome;
-  for (auto item : list) {
+  for (auto item : reader.getWelcome()) {
     welcome.members.push_back(
         {.ip = item.getIp(),
-         .age = absl::Milliseconds(item.getAgeMilliseconds())});
+         .age = absl::Milliseconds(item.getAgeMilliseconds()),
+         .lost_source = item.getLostSource()});
   }
+  if (reader.hasMissedUpstreams())
+    welcome.missed = ReadBatch(reader.getMissedUpstreams());
   return welcome;
 }
 
@@ -189,7 +240,7 @@
       message->content = ReadHello(reader);
       return true;
     case wire::Datagram::WELCOME:
-      message->content = ReadWelcome(reader.getWelcome());
+      message->content = ReadWelcome(reader);
       return true;
     case wire::Datagram::SUBMIT:
       message->content = SubmitMessage{.work = ReadWork(reader.getSubmit())};
@@ -218,13 +269,18 @@
 
 }  // namespace
 
-std::string EncodePeerMessage(const PeerMessage& message) {
+namespace {
+
+std::string Encode(const PeerMessage& message) {
   capnp::MallocMessageBuilder builder;
   auto datagram = builder.initRoot<wire::Datagram>();
   datagram.setSender(message.sender);
   datagram.setConfigurationVersion(message.configuration_version);
   datagram.setLiveInstances(static_cast<uint32_t>(message.live_instances));
   datagram.setLeaving(message.leaving);
+  datagram.setUpstreamsCompleteUntil(message.upstreams_complete_until);
+  datagram.setUpstreamsLastChange(message.upstreams_last_change);
+  datagram.setSourceState(static_cast<uint8_t>(message.source));
   std::visit(ContentWriter{datagram}, message.content);
   const auto words = capnp::messageToFlatArray(builder);
   const auto bytes = words.asBytes();
@@ -232,6 +288,18 @@
                      bytes.size());
 }
 
+}  // namespace
+
+std::string EncodePeerMessage(const PeerMessage& message) {
+  std::string bytes = Encode(message);
+  const auto* welcome = std::get_if<WelcomeMessage>(&message.content);
+  if (bytes.size() <= kMaxDatagramBytes || !welcome || !welcome->missed)
+    return bytes;
+  PeerMessage shorter = message;
+  std::get<WelcomeMessage>(shorter.content).missed.reset();
+  return Encode(shorter);
+}
+
 std::optional<PeerMessage> DecodePeerMessage(absl::string_view bytes) {
   if (bytes.empty() || bytes.size() % sizeof(capnp::word) != 0)
     return std::nullopt;
@@ -249,6 +317,11 @@
         .configuration_version = datagram.getConfigurationVersion(),
         .live_instances = datagram.getLiveInstances(),
         .leaving = datagram.getLeaving(),
+        .upstreams_complete_until = datagram.getUpstreamsCompleteUntil(),
+        .upstreams_last_change = datagram.getUpstreamsLastChange(),
+        .source = static_cast<SourceState>(
+            std::min(datagram.getSourceState(),
+                     static_cast<uint8_t>(SourceState::kLost))),
         .content = GoodbyeMessage{}};
     if (ReadContent(datagram, &message))
       result = std::move(message);
--- a/modules/peers/placement_message.h
+++ b/modules/peers/placement_message.h
@@ -11,6 +11,7 @@
 #include "absl/time/time.h"
 #include "modules/decisions/fleet_scheduler.h"
 #include "modules/decisions/instance_roster.h"
+#include "modules/routing/upstream_news.h"
 
 namespace chicory {
 
@@ -42,6 +43,8 @@
 /** Answers a HelloMessage with the live instances. */
 struct WelcomeMessage {
   std::vector<InstanceRoster::Member> members;
+  /** A part of what the greeting instance has missed of the upstreams. */
+  std::optional<UpstreamBatch> missed;
 };
 
 /** Asks a scheduler for an upstream; repeated until it answers. */
@@ -75,6 +78,17 @@
 /** The sender is leaving. */
 struct GoodbyeMessage {};
 
+/** What an instance has to do with the source of configuration and upstreams.
+ */
+enum class SourceState {
+  /** It hears of changes from other instances. */
+  kHearing,
+  /** It follows the source, which answers. */
+  kFollowing,
+  /** The source does not answer it. */
+  kLost,
+};
+
 /** One datagram between instances. */
 struct PeerMessage {
   InstanceIp sender = 0;
@@ -84,6 +98,10 @@
   size_t live_instances = 1;
   /** The sender is leaving and schedules for nobody. */
   bool leaving = false;
+  /** What the sender knows of the upstreams. @see UpstreamNews */
+  uint64_t upstreams_complete_until = 0;
+  uint64_t upstreams_last_change = 0;
+  SourceState source = SourceState::kHearing;
   std::variant<HelloMessage,
                WelcomeMessage,
                SubmitMessage,
@@ -99,7 +117,7 @@
 inline constexpr size_t kMaxDatagramBytes = 1400;
 
 /** The bytes of a message. Lists that would exceed kMaxDatagramBytes are
-    shortened. */
+    shortened or left out. */
 std::string EncodePeerMessage(const PeerMessage& message);
 
 /** Reads a datagram; nothing when it is no message of this version. */
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -13,38 +13,19 @@
 constexpr int kMaxUnanswered = 2;
 /** A waiting request asks again this often, in case the answer was lost. */
 constexpr absl::Duration kWaitPoll = absl::Milliseconds(200);
-constexpr absl::Duration kHelloInterval = absl::Milliseconds(500);
-/** After its start an instance greets more often, until it has met the others.
- */
-constexpr absl::Duration kMeeting = absl::Seconds(2);
-constexpr absl::Duration kMeetingInterval = absl::Milliseconds(100);
-/** Instances that are told what runs here: the scheduler and the next one. */
-constexpr size_t kTold = 2;
-/** Instances that one answer to a hello names, and the candidates among them.
- */
-constexpr size_t kMembersTold = 24;
-constexpr size_t kCandidatesTold = 8;
-/** Every so many hellos one also goes to a seed, so that parts of the fleet
-    that lost each other meet again. */
-constexpr uint64_t kSeedEvery = 4;
-/** Below this many live instances all seeds are greeted. */
-constexpr size_t kFewInstances = 3;
-
 }  // namespace
 
 PlacementNode::PlacementNode(Options options,
                              Transport* transport,
                              Listener* listener)
-    : options_(std::move(options)),
+    : self_(options.self),
       transport_(transport),
       listener_(listener),
-      roster_(options_.self),
-      next_sequence_(options_.first_sequence) {
-  scheduler_.SetPreference(options_.self);
-}
-
-void PlacementNode::SetSeeds(std::vector<InstanceIp> seeds) {
-  options_.seeds = std::move(seeds);
+      membership_({.self = options.self,
+                   .seeds = std::move(options.seeds),
+                   .source_silence = options.source_silence}),
+      next_sequence_(options.first_sequence) {
+  scheduler_.SetPreference(self_);
 }
 
 void PlacementNode::SetUpstreams(
@@ -57,10 +38,6 @@
   scheduler_.SetEngine(service, engine);
 }
 
-void PlacementNode::SetConfigurationVersion(uint64_t version) {
-  configuration_version_ = version;
-}
-
 bool PlacementNode::IsBusy() const {
   if (scheduler_.waiting() > 0)
     return true;
@@ -97,16 +74,13 @@
 }
 
 void PlacementNode::Send(InstanceIp to, PeerMessage message) {
-  message.sender = options_.self;
-  message.configuration_version = configuration_version_;
-  message.live_instances = live_here_;
-  message.leaving = leaving_;
+  membership_.FillHeader(&message);
   transport_->Send(to, message);
 }
 
 WorkKey PlacementNode::Submit(WorkRequest request, absl::Time now) {
   const uint64_t sequence = next_sequence_++;
-  request.key = {.owner = options_.self, .sequence = sequence};
+  request.key = {.owner = self_, .sequence = sequence};
   const WorkKey key = request.key;
   Job& job = jobs_[sequence];
   job.request = std::move(request);
@@ -114,21 +88,13 @@
   return key;
 }
 
-InstanceIp PlacementNode::SchedulingInstance(absl::Time now) const {
-  const std::vector<InstanceIp> order = roster_.SchedulerOrder(now, 2);
-  // An instance that is leaving takes the next one, if there is one.
-  if (leaving_ && order.front() == options_.self)
-    return order.back();
-  return order.front();
-}
-
 void PlacementNode::Ask(Job* job, absl::Time now) {
-  const InstanceIp scheduler = SchedulingInstance(now);
+  const InstanceIp scheduler = membership_.SchedulingInstance(now);
   if (job->scheduler != scheduler)
     job->unanswered = 0;
   job->scheduler = scheduler;
   job->asked = now;
-  if (scheduler == options_.self) {
+  if (scheduler == self_) {
     job->stage = Stage::kWaiting;
     scheduler_.Submit(job->request);
     RunScheduler(now);
@@ -144,7 +110,7 @@
     return;
   Job& job = found->second;
   job.answering = true;
-  if (job.scheduler != options_.self) {
+  if (job.scheduler != self_) {
     Send(job.scheduler, {.content = FirstPartMessage{key.sequence}});
     return;
   }
@@ -161,7 +127,7 @@
     return;
   const InstanceIp scheduler = found->second.scheduler;
   jobs_.erase(found);
-  if (scheduler != options_.self) {
+  if (scheduler != self_) {
     Send(scheduler, {.content = EndedMessage{.sequence = key.sequence,
                                              .result = result,
                                              .fault_at = fault_at}});
@@ -176,8 +142,8 @@
 }
 
 void PlacementNode::Deliver(const ScheduleDecision& decision) {
-  if (decision.key.owner == options_.self) {
-    Decide(decision, options_.self);
+  if (decision.key.owner == self_) {
+    Decide(decision, self_);
     return;
   }
   if (decision.kind == ScheduleDecision::Kind::kAssign)
@@ -201,24 +167,21 @@
 }
 
 void PlacementNode::OnMessage(const PeerMessage& message, absl::Time now) {
-  if (message.sender == options_.self)
+  if (message.sender == self_)
     return;
-  if (message.leaving)
-    roster_.Remove(message.sender);
-  else
-    roster_.OnHeardDirectly(message.sender, now);
+  membership_.OnHeader(message, now);
   if (std::holds_alternative<GoodbyeMessage>(message.content))
     return;
-  if (std::holds_alternative<WelcomeMessage>(message.content))
-    OnLiveCount(message.live_instances, now);
-  if (message.configuration_version > configuration_version_)
+  if (message.configuration_version > membership_.configuration_version())
     listener_->OnNewerConfiguration(message.configuration_version);
-  if (const auto* hello = std::get_if<HelloMessage>(&message.content)) {
-    OnHello(message.sender, *hello, now);
-  } else if (const auto* welcome =
-                 std::get_if<WelcomeMessage>(&message.content)) {
-    for (const InstanceRoster::Member& member : welcome->members)
-      roster_.OnHeard(member.ip, now, member.age);
+  if (const auto* welcome = std::get_if<WelcomeMessage>(&message.content)) {
+    OnWelcome(*welcome, now);
+    return;
+  }
+  if (membership_.TakeCatchUp(message, now))
+    SendHello(message.sender, now);
+  if (std::holds_alternative<HelloMessage>(message.content)) {
+    OnHello(message, now);
   } else if (const auto* submit =
                  std::get_if<SubmitMessage>(&message.content)) {
     OnSubmit(message.sender, *submit, now);
@@ -239,12 +202,11 @@
   }
 }
 
-void PlacementNode::OnHello(InstanceIp sender,
-                            const HelloMessage& hello,
-                            absl::Time now) {
+void PlacementNode::OnHello(const PeerMessage& message, absl::Time now) {
+  const auto& hello = std::get<HelloMessage>(message.content);
   std::vector<WorkKey> told;
   for (const HelloMessage::Item& item : hello.running) {
-    RunningWork work{.request = FromTravel(sender, item.work, now),
+    RunningWork work{.request = FromTravel(message.sender, item.work, now),
                      .upstream = item.upstream,
                      .answering = item.answering};
     told.push_back(work.request.key);
@@ -253,27 +215,19 @@
     scheduler_.Adopt(work, now);
   }
   if (told.size() == hello.total)
-    ForgetUnlisted(sender, told);
-  Send(sender, {.content = WelcomeMessage{MembersToTell(now)}});
+    ForgetUnlisted(message.sender, told);
+  for (WelcomeMessage& answer : membership_.Welcome(message, now))
+    Send(message.sender, {.content = std::move(answer)});
   RunScheduler(now);
 }
 
-std::vector<InstanceRoster::Member> PlacementNode::MembersToTell(
-    absl::Time now) {
-  const std::vector<InstanceRoster::Member> all = roster_.Members(now);
-  if (all.size() <= kMembersTold)
-    return all;
-  // All have to know the same candidates; the others are told in turn.
-  const std::vector<InstanceIp> first =
-      roster_.SchedulerOrder(now, kCandidatesTold);
-  std::vector<InstanceRoster::Member> told;
-  for (const InstanceRoster::Member& member : all) {
-    if (std::find(first.begin(), first.end(), member.ip) != first.end())
-      told.push_back(member);
-  }
-  while (told.size() < kMembersTold)
-    told.push_back(all[next_told_++ % all.size()]);
-  return told;
+void PlacementNode::OnWelcome(const WelcomeMessage& welcome, absl::Time now) {
+  membership_.OnWelcome(welcome, now);
+  if (!welcome.missed)
+    return;
+  const auto batch = missed_.Add(*welcome.missed);
+  if (batch && membership_.news().Add(*batch))
+    listener_->OnUpstreamNews(*batch);
 }
 
 void PlacementNode::ForgetUnlisted(InstanceIp sender,
@@ -297,7 +251,7 @@
 void PlacementNode::OnSubmit(InstanceIp sender,
                              const SubmitMessage& submit,
                              absl::Time now) {
-  if (leaving_) {
+  if (membership_.leaving()) {
     Send(sender, {.content = GoodbyeMessage{}});
     return;
   }
@@ -325,7 +279,7 @@
 void PlacementNode::OnRemoteDecision(InstanceIp sender,
                                      const DecisionMessage& message) {
   ScheduleDecision decision = message.decision;
-  decision.key.owner = options_.self;
+  decision.key.owner = self_;
   auto found = jobs_.find(decision.key.sequence);
   const bool is_wanted =
       found != jobs_.end() && found->second.stage != Stage::kRunning;
@@ -340,24 +294,10 @@
   }
 }
 
-void PlacementNode::OnLiveCount(size_t count, absl::Time now) {
-  if (count < live_told_ && now - live_told_at_ < InstanceRoster::kGoneAfter)
-    return;
-  live_told_ = count;
-  live_told_at_ = now;
-}
-
-size_t PlacementNode::LiveInstances(absl::Time now) const {
-  const size_t here = roster_.LiveCount(now);
-  if (now - live_told_at_ >= InstanceRoster::kGoneAfter)
-    return here;
-  return std::max(here, live_told_);
-}
-
 void PlacementNode::Tick(absl::Time now) {
   std::vector<uint64_t> again;
   for (const auto& [sequence, job] : jobs_) {
-    if (job.stage == Stage::kRunning || job.scheduler == options_.self)
+    if (job.stage == Stage::kRunning || job.scheduler == self_)
       continue;
     const absl::Duration patience =
         job.stage == Stage::kAsking || job.unanswered > 0 ? kAskAgain
@@ -371,14 +311,15 @@
       continue;
     Job& job = found->second;
     if (job.unanswered >= kMaxUnanswered) {
-      roster_.Suspect(job.scheduler, now);
+      membership_.Suspect(job.scheduler, now);
       job.stage = Stage::kAsking;
     }
     Ask(&job, now);
   }
   RunScheduler(now);
-  if (now >= next_hello_)
-    SayHellos(now);
+  if (const auto untold = membership_.TakeUntold(now))
+    listener_->OnUpstreamsBehind(*untold);
+  SayHellos(now);
 }
 
 void PlacementNode::SendHello(InstanceIp to, absl::Time now) {
@@ -395,36 +336,19 @@
 }
 
 void PlacementNode::SayHellos(absl::Time now) {
-  if (started_ == absl::InfinitePast())
-    started_ = now;
-  next_hello_ =
-      now + (now - started_ < kMeeting ? kMeetingInterval : kHelloInterval);
-  ++hello_count_;
-  live_here_ = roster_.LiveCount(now);
+  const std::vector<InstanceIp> targets = membership_.TakeGreetings(now);
+  if (targets.empty())
+    return;
   absl::erase_if(assigned_, [this](const auto& entry) {
     return !scheduler_.IsRunning(entry.first);
   });
-  // The second choice is told half as often.
-  std::vector<InstanceIp> targets =
-      roster_.SchedulerOrder(now, hello_count_ % 2 == 0 ? kTold : 1);
-  const std::vector<InstanceIp>& seeds = options_.seeds;
-  if (!seeds.empty()) {
-    if (roster_.LiveCount(now) < kFewInstances)
-      targets.insert(targets.end(), seeds.begin(), seeds.end());
-    else if (hello_count_ % kSeedEvery == 0)
-      targets.push_back(seeds[(hello_count_ / kSeedEvery) % seeds.size()]);
-  }
-  std::sort(targets.begin(), targets.end());
-  targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
-  for (InstanceIp target : targets) {
-    if (target != options_.self)
-      SendHello(target, now);
-  }
+  for (InstanceIp target : targets)
+    SendHello(target, now);
 }
 
 void PlacementNode::Leave(absl::Time now) {
-  leaving_ = true;
-  for (const InstanceRoster::Member& member : roster_.Members(now))
+  membership_.Leave();
+  for (const InstanceRoster::Member& member : membership_.Members(now))
     Send(member.ip, {.content = GoodbyeMessage{}});
 }
 
--- a/modules/peers/placement_node.h
+++ b/modules/peers/placement_node.h
@@ -9,7 +9,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "modules/decisions/fleet_scheduler.h"
-#include "modules/decisions/instance_roster.h"
+#include "modules/peers/membership.h"
 #include "modules/peers/placement_message.h"
 
 namespace chicory {
@@ -23,7 +23,7 @@
     by itself when none is left. Free of clocks and sockets: time comes in as
     arguments and datagrams go out through Transport. Not thread-safe.
 
-    @see FleetScheduler, InstanceRoster */
+    @see FleetScheduler, Membership */
 class PlacementNode {
  public:
   /** Sends datagrams to other instances; they may be lost. */
@@ -42,26 +42,30 @@
                             InstanceIp scheduler) = 0;
     /** Another instance has a newer configuration. */
     virtual void OnNewerConfiguration(uint64_t version) = 0;
+    /** Another instance told of changes of the upstreams. */
+    virtual void OnUpstreamNews(const UpstreamBatch& batch) = 0;
+    /** Upstreams changed at the revision `last_change`, and nobody told how. */
+    virtual void OnUpstreamsBehind(uint64_t last_change) = 0;
   };
 
   struct Options {
     InstanceIp self = 0;
     std::vector<InstanceIp> seeds;
+    /** Longest time without word from an instance that follows the source. */
+    absl::Duration source_silence = absl::Milliseconds(1000);
     /** First sequence number; differs between starts of the instance. */
     uint64_t first_sequence = 1;
   };
 
   PlacementNode(Options options, Transport* transport, Listener* listener);
 
-  /** Replaces the instances that are asked first. */
-  void SetSeeds(std::vector<InstanceIp> seeds);
   void SetUpstreams(const std::vector<SchedulerUpstream>& upstreams);
   void SetEngine(const std::string& service, const EngineProfile& engine);
-  /** The configuration version in force here. */
-  void SetConfigurationVersion(uint64_t version);
+  Membership& membership() { return membership_; }
+  const Membership& membership() const { return membership_; }
 
   /** The key that the next Submit gives. */
-  WorkKey NextKey() const { return {options_.self, next_sequence_}; }
+  WorkKey NextKey() const { return {self_, next_sequence_}; }
   /** Asks for an upstream; `request.key` is set here and returned. The decision
       may come before this returns. */
   WorkKey Submit(WorkRequest request, absl::Time now);
@@ -85,11 +89,6 @@
 
   /** Whether requests wait, so that Tick is to be called every kTick. */
   bool IsBusy() const;
-  /** Live instances, this one included, as far as this one or the scheduler
-      knows. */
-  size_t LiveInstances(absl::Time now) const;
-  /** The instance that is asked for upstreams. */
-  InstanceIp SchedulingInstance(absl::Time now) const;
   const FleetScheduler& scheduler() const { return scheduler_; }
 
  private:
@@ -111,27 +110,26 @@
   void RunScheduler(absl::Time now);
   void Deliver(const ScheduleDecision& decision);
   void Decide(const ScheduleDecision& decision, InstanceIp scheduler);
-  void OnHello(InstanceIp sender, const HelloMessage& hello, absl::Time now);
+  void OnHello(const PeerMessage& message, absl::Time now);
+  void OnWelcome(const WelcomeMessage& welcome, absl::Time now);
   /** Drops work of `sender` that it no longer lists. */
   void ForgetUnlisted(InstanceIp sender, const std::vector<WorkKey>& listed);
   void OnSubmit(InstanceIp sender, const SubmitMessage& submit, absl::Time now);
   void OnWaits(InstanceIp sender, const WaitsMessage& waits);
   void OnRemoteDecision(InstanceIp sender, const DecisionMessage& message);
   void SayHellos(absl::Time now);
-  std::vector<InstanceRoster::Member> MembersToTell(absl::Time now);
-  void OnLiveCount(size_t count, absl::Time now);
   TravellingWork ToTravel(const WorkRequest& request, absl::Time now) const;
   WorkRequest FromTravel(InstanceIp owner,
                          const TravellingWork& work,
                          absl::Time now) const;
 
-  Options options_;
+  const InstanceIp self_;
   Transport* transport_;
   Listener* listener_;
-  InstanceRoster roster_;
+  Membership membership_;
+  BatchAssembler missed_;
   FleetScheduler scheduler_;
   uint64_t next_sequence_;
-  uint64_t configuration_version_ = 0;
   std::map<uint64_t, Job> jobs_;
   /** An assignment made here for another instance, to repeat a lost answer. */
   struct Assignment {
@@ -140,16 +138,6 @@
     bool unlisted = false;
   };
   absl::flat_hash_map<WorkKey, Assignment> assigned_;
-  absl::Time next_hello_ = absl::InfinitePast();
-  uint64_t hello_count_ = 0;
-  absl::Time started_ = absl::InfinitePast();
-  bool leaving_ = false;
-  size_t next_told_ = 0;
-  /** Live instances by this one's roster at its last hello. */
-  size_t live_here_ = 1;
-  /** The largest count that a scheduler told lately. */
-  size_t live_told_ = 1;
-  absl::Time live_told_at_ = absl::InfinitePast();
 };
 
 }  // namespace chicory
--- /dev/null
+++ b/modules/routing/upstream_news.cc
@@ -0,0 +1,94 @@
+#include "modules/routing/upstream_news.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace chicory {
+
+std::vector<UpstreamBatch> SplitBatch(const UpstreamBatch& batch, size_t most) {
+  const size_t parts = (batch.changes.size() + most - 1) / most;
+  std::vector<UpstreamBatch> split;
+  for (size_t i = 0; i < parts; ++i) {
+    UpstreamBatch part{.from = batch.from,
+                       .to = batch.to,
+                       .last_change = batch.last_change,
+                       .after_outage = batch.after_outage,
+                       .part = static_cast<uint32_t>(i),
+                       .parts = static_cast<uint32_t>(parts)};
+    const size_t begin = i * most;
+    const size_t end = std::min(begin + most, batch.changes.size());
+    part.changes.assign(batch.changes.begin() + static_cast<int64_t>(begin),
+                        batch.changes.begin() + static_cast<int64_t>(end));
+    split.push_back(std::move(part));
+  }
+  return split;
+}
+
+std::optional<UpstreamBatch> BatchAssembler::Add(const UpstreamBatch& part) {
+  if (part.part >= part.parts)
+    return std::nullopt;
+  if (part.parts == 1)
+    return part;
+  const auto is_other = [&](const UpstreamBatch& held) {
+    return held.from != part.from || held.to != part.to ||
+           held.parts != part.parts;
+  };
+  if (!parts_.empty() && is_other(parts_.begin()->second))
+    parts_.clear();
+  parts_[part.part] = part;
+  if (parts_.size() < part.parts)
+    return std::nullopt;
+  UpstreamBatch whole = std::move(parts_.begin()->second);
+  for (auto it = std::next(parts_.begin()); it != parts_.end(); ++it) {
+    whole.changes.insert(whole.changes.end(), it->second.changes.begin(),
+                         it->second.changes.end());
+  }
+  whole.part = 0;
+  whole.parts = 1;
+  parts_.clear();
+  return whole;
+}
+
+bool UpstreamNews::OnListed(uint64_t revision) {
+  if (revision < complete_until_)
+    return false;
+  complete_until_ = revision;
+  base_ = revision;
+  batches_.clear();
+  return true;
+}
+
+bool UpstreamNews::Add(const UpstreamBatch& batch) {
+  if (batch.from > complete_until_ || batch.to <= complete_until_)
+    return false;
+  complete_until_ = batch.to;
+  if (batch.changes.empty())
+    return true;
+  last_change_ = std::max(last_change_, batch.last_change);
+  batches_.push_back(batch);
+  // Nothing changed between the batches, so each begins where the one before it
+  // ended.
+  const uint64_t end = batches_.size() > 1 ? batches_.end()[-2].to : base_;
+  batches_.back().from = std::min(batch.from, end);
+  if (batches_.size() > kMaxBatches)
+    batches_.pop_front();
+  return true;
+}
+
+std::vector<UpstreamBatch> UpstreamNews::Since(uint64_t revision) const {
+  std::vector<UpstreamBatch> told;
+  size_t changes = 0;
+  for (const UpstreamBatch& batch : batches_) {
+    if (batch.to <= revision)
+      continue;
+    changes += batch.changes.size();
+    if (batch.from > revision || changes > kMaxChangesTold)
+      break;
+    revision = batch.to;
+    told.push_back(batch);
+  }
+  return told;
+}
+
+}  // namespace chicory
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -21,8 +21,13 @@
 
 /** How often the settings file is looked at for a change without a signal. */
 constexpr std::chrono::seconds kSettingsPoll(2);
-/** Longest wait of one watch at the store. */
-constexpr absl::Duration kWatch = absl::Seconds(15);
+/** Longest wait of one watch at the store; a lost one is noticed after it. */
+constexpr absl::Duration kWatch = absl::Seconds(3);
+/** Part of the time for a changed configuration that an instance waits for
+    word from one that follows the store. */
+constexpr double kSourceSilence = 0.5;
+/** Part of that time in which what others know is asked for once. */
+constexpr double kRefreshInterval = 0.25;
 /** Parts of the bounds that changes are gathered for. */
 constexpr double kGatherConfiguration = 0.3;
 constexpr double kGatherUpstreams = 0.4;
@@ -137,6 +142,8 @@
        .gather_upstreams = settings.drain_within * kGatherUpstreams,
        .watch = kWatch});
   settings.gateway.first_sequence = FirstSequence();
+  settings.gateway.source_silence = settings.apply_within * kSourceSilence;
+  settings.gateway.refresh_interval = settings.apply_within * kRefreshInterval;
   Gateway gateway(loop, settings.gateway, codec, log, &source);
   Supervisor supervisor(loop, path, overrides, log, &gateway);
   supervisor.Start();
--- a/tests/logic/placement_node_test.cc
+++ b/tests/logic/placement_node_test.cc
@@ -37,6 +37,8 @@
       schedulers.insert(scheduler);
     }
     void OnNewerConfiguration(uint64_t version) override { newer = version; }
+    void OnUpstreamNews(const UpstreamBatch&) override {}
+    void OnUpstreamsBehind(uint64_t) override {}
 
     Fleet* fleet;
     PlacementNode node;
@@ -295,12 +297,13 @@
 
 TEST_CASE("a newer configuration elsewhere is noticed") {
   Fleet fleet(20, 1, 0);
-  fleet.members.at(7)->node.SetConfigurationVersion(9);
+  fleet.members.at(7)->node.membership().SetConfigurationVersion(9);
   fleet.Run(absl::Seconds(4));
   int told = 0;
   for (auto& [ip, member] : fleet.members)
     told += member->newer == 9;
-  CHECK(told >= 1);
+  // All but the one that has it.
+  CHECK(told == 19);
 }
 
 TEST_CASE("datagrams that are none of ours are ignored") {
