--- a/tests/logic/membership_test.cc
+++ b/tests/logic/membership_test.cc
@@ -223,6 +223,19 @@
   CHECK(fleet.Unaware() == 0);
 }
 
+TEST_CASE("an idle instance soon passes over a scheduler that died") {
+  Fleet fleet(20, 0);
+  const auto scheduler = [&](InstanceIp ip) {
+    return fleet.members.at(ip)->node.membership().SchedulingInstance(
+        fleet.now);
+  };
+  const InstanceIp dead = scheduler(1) == 1 ? scheduler(2) : scheduler(1);
+  fleet.members.erase(dead);
+  fleet.Run(absl::Milliseconds(1600));
+  for (const auto& [ip, member] : fleet.members)
+    CHECK(scheduler(ip) != dead);
+}
+
 // Pattern: the source is away for all.
 TEST_CASE("not all instances try a source that answers none") {
   Fleet fleet(111, 0);
