A silent plain upstream is left for another

Cause: a lookup sent to an upstream that neither answers nor closes stayed there until its deadline; the users ask that a lookup may repeat but must not vanish.

Ruled out: the same for streams. A dead engine is cut off by the platform after 1.5 s in any case.

Change: SilenceWatch, armed for requests without a prompt: after twice the route's target the request goes elsewhere, if its route, attempts and the shared budget allow; else it waits on. A caller who leaves a silent plain upstream counts as that upstream's fault.

Conclusion: kept for plain upstreams, dropped for engines.

--- a/modules/gateway/request_run.cc
+++ b/modules/gateway/request_run.cc
@@ -28,6 +28,9 @@
 constexpr int kMaxDecisions = 8;
 /** Upstreams that a request may crash before it is refused. */
 constexpr uint32_t kMaxCrashes = 3;
+/** A plain upstream is silent when it has not answered after so many times the
+    route's target. */
+constexpr double kSilentTargets = 2;
 /** Expected output over the caller's estimate. */
 constexpr double kOutputMargin = 1.2;
 
@@ -273,10 +276,25 @@
                                .pool = state_->pool,
                                .directory = state_->upstreams},
       &events_, this);
+  WatchForSilence(now);
   exchange_->Send(
       absl::StrCat(state_->codec.UpstreamHead(request_, send), request_.body));
 }
 
+void RequestRun::WatchForSilence(absl::Time now) {
+  // An engine under load is silent for as long as it reads.
+  if (caller_.prompt_tokens > 0)
+    return;
+  if (!silence_) {
+    silence_ =
+        std::make_unique<SilenceWatch>(state_->loop, [weak = weak_from_this()] {
+          if (const auto self = weak.lock())
+            self->OnSilence();
+        });
+  }
+  silence_->Expect(now + route_->target_latency * kSilentTargets);
+}
+
 void RequestRun::BeginStream(const HttpResponseHead& head) {
   if (stream_begun_)
     return;
@@ -323,6 +341,8 @@
   if (exchange_)
     exchange_->Cancel();
   exchange_.reset();
+  if (silence_)
+    silence_->Stop();
   if (memory_)
     memory_->Release();
   memory_.reset();
@@ -353,18 +373,32 @@
   // Requests without a body are too alike to be told apart.
   if (failure.is_crash && !request_.body.empty())
     state_->crashes.OnDeath(fingerprint_, now);
-  const bool again = MaySendAgain(failure);
-  trail_.OnSendFailed(failure, again, events_.events(), now);
-  avoid_.push_back(failure.fault_at != 0 ? failure.fault_at : upstream_);
-  EndSend(failure.result, failure.fault_at);
-  if (!again) {
-    AnswerWithoutUpstream(failure.reason);
+  if (MaySendAgain(failure)) {
+    SendAgain(failure);
     return;
   }
+  trail_.OnSendFailed(failure, /*again=*/false, events_.events(), now);
+  EndSend(failure.result, failure.fault_at);
+  AnswerWithoutUpstream(failure.reason);
+}
+
+void RequestRun::SendAgain(const UpstreamExchange::Failure& failure) {
+  trail_.OnSendFailed(failure, /*again=*/true, events_.events(), SteadyNow());
+  avoid_.push_back(failure.fault_at != 0 ? failure.fault_at : upstream_);
+  EndSend(failure.result, failure.fault_at);
   first_part_told_ = false;
   AskForUpstream();
 }
 
+void RequestRun::OnSilence() {
+  const UpstreamExchange::Failure failure{.reason = "upstream_silent"};
+  if (finished_ || !exchange_ || !MaySendAgain(failure))
+    return;
+  const auto self = shared_from_this();
+  may_have_run_ = true;
+  SendAgain(failure);
+}
+
 void RequestRun::AnswerWithoutUpstream(const char* reason,
                                        absl::Duration retry_after) {
   if (stream_begun_) {
@@ -412,13 +446,17 @@
   if (finished_)
     return;
   const auto self = shared_from_this();
-  EndSend(SendResult::kCancelled, 0);
+  const bool was_silent =
+      exchange_ && silence_ && silence_->IsOverdue(SteadyNow());
+  EndSend(was_silent ? SendResult::kFault : SendResult::kCancelled, 0);
   Finish(0, "caller_left");
 }
 
 void RequestRun::Finish(int status, const char* reason) {
   finished_ = true;
   timeout_.cancel();
+  if (silence_)
+    silence_->Stop();
   trail_.OnEnded(status, reason, events_.events(), SteadyNow());
 }
 
--- a/modules/gateway/request_run.h
+++ b/modules/gateway/request_run.h
@@ -11,6 +11,7 @@
 #include "modules/gateway/gateway_state.h"
 #include "modules/gateway/memory_hold.h"
 #include "modules/gateway/request_trail.h"
+#include "modules/gateway/silence_watch.h"
 #include "modules/gateway/upstream_exchange.h"
 #include "modules/net/event_stream.h"
 #include "modules/net/http_server.h"
@@ -66,6 +67,12 @@
                              absl::Duration retry_after = kRefusedRetry);
   void AnswerOwn(int status, absl::Duration retry_after, const char* reason);
   void Finish(int status, const char* reason);
+  /** From now on an upstream that stays silent is left for another. */
+  void WatchForSilence(absl::Time now);
+  /** Sends the request elsewhere if it may be, and waits on otherwise. */
+  void OnSilence();
+  /** Gives the send up and asks for another upstream. */
+  void SendAgain(const UpstreamExchange::Failure& failure);
   void OnTimeout();
   void ArmTimeout();
   absl::Duration TimeLeft() const;
@@ -87,6 +94,7 @@
   absl::Time arrived_;
   absl::Time deadline_;
   boost::asio::steady_timer timeout_;
+  std::unique_ptr<SilenceWatch> silence_;
 
   std::optional<WorkKey> work_;
   std::shared_ptr<MemoryHold> memory_;
--- a/tests/process/gateway_requests.sh
+++ b/tests/process/gateway_requests.sh
@@ -64,6 +64,20 @@
 upstream engine-1 '"mode":"ok"'
 upstream engine-2 '"mode":"ok"'
 
+say "a silent plain upstream is left for another"
+for desk in 1 2; do
+  upstream "desk-$desk" '"mode":"mute"'
+  begin=$(date +%s%N)
+  expect "lookup" "$(call g1 /again/a -H "Request-Id: mute-l$desk")" 'status=200'
+  took=$((($(date +%s%N) - begin) / 1000000))
+  [ "$took" -lt 1200 ] || problem "a silent upstream held a lookup for $took ms"
+  expect "a booking stays where it is" "$(call g1 /once/a -H "Request-Id: mute-b$desk" -d x)" 'status=(200|504)'
+  expect "and runs once" "$(runs "mute-b$desk")" '^1$'
+  upstream "desk-$desk" '"mode":"ok"'
+  sleep 2
+done
+expect "lookup" "$(log_of g1 send_failed)" 'request=mute-l[12] .*reason=upstream_silent .*again=1'
+
 say "the caller leaves, and the upstream hears of it"
 upstream engine-1 '"pace_ms":400'
 upstream engine-2 '"pace_ms":400'
