Crashing requests are counted by the scheduler, for all instances

Cause: each instance counted the upstreams that a request broke by itself, so that a caller who comes back to other instances could break three at each of 111; three resets by one upstream counted as three upstreams.

Ruled out: counts in every datagram's header (they grow); a record in the store (a call on a request's path).

It is soft state: a new scheduler begins anew. The gateway's own CrashGuard is gone; FleetScheduler::SetPace, which nobody called, too.

Before and after: 'a request that breaks upstreams is stopped at every instance' and its two mutants are new; the former code had no count over instances.

--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -73,7 +73,7 @@
 
 const char* RefusalCauseName(RefusalCause cause) {
   static constexpr const char* kNames[] = {"deadline_over", "no_slots",
-                                           "costs_others"};
+                                           "costs_others", "crashes_upstreams"};
   return kNames[static_cast<int>(cause)];
 }
 
@@ -170,6 +170,12 @@
   RemoveLoads(key, placement);
   const UpstreamKey blamed =
       fault_at != 0 ? fault_at : placement.upstreams.front();
+  if (const uint64_t fingerprint = placement.request.fingerprint) {
+    if (result == SendResult::kCrash)
+      crashes_.OnCrash(fingerprint, blamed, now);
+    else if (result == SendResult::kDone)
+      crashes_.OnCompleted(fingerprint);
+  }
   auto state = upstreams_.find(blamed);
   if (state == upstreams_.end())
     return;
@@ -183,6 +189,7 @@
           std::max(state->second.full_until, now + kFullPause);
       break;
     case SendResult::kFault:
+    case SendResult::kCrash:
       state->second.AddFault(1, now);
       break;
     case SendResult::kCancelled:
@@ -194,12 +201,6 @@
   OnEnded(key, SendResult::kCancelled, 0, absl::InfinitePast());
 }
 
-void FleetScheduler::SetPace(UpstreamKey upstream, double pace) {
-  auto found = upstreams_.find(upstream);
-  if (found != upstreams_.end())
-    found->second.pace = std::max(pace, 0.1);
-}
-
 std::vector<WorkKey> FleetScheduler::KeysOf(uint32_t owner) const {
   std::vector<WorkKey> keys;
   for (const auto& [key, request] : waiting_) {
@@ -375,7 +376,7 @@
     placement.upstreams.push_back(state.info.key);
     for (UpstreamLoad& load : state.loads) {
       if (!load.answering)
-        load.expected += read * state.pace;
+        load.expected += read;
     }
     const int64_t share = shares[state.info.key];
     state.loads.push_back(
@@ -387,7 +388,7 @@
          .expected = now + choice.first_part,
          .gap_ms = absl::ToDoubleMilliseconds(request.event_gap),
          .value = RequestValue(request.prompt_tokens, request.output_tokens)});
-    state.read_until = std::max(state.read_until, now) + read * state.pace;
+    state.read_until = std::max(state.read_until, now) + read;
     state.last_placed = now;
   }
   running_[request.key] = std::move(placement);
@@ -452,6 +453,8 @@
   const WorkRequest request = waiting_.at(key).request;
   if (request.deadline <= now)
     return Refuse(key, RefusalCause::kDeadlineOver, now);
+  if (crashes_.IsDangerous(request.fingerprint, now))
+    return Refuse(key, RefusalCause::kCrashesUpstreams, now);
   const EngineProfile* engine =
       request.prompt_tokens > 0 ? EngineOf(request.service) : nullptr;
   const absl::Duration read =
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -10,6 +10,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "modules/decisions/crash_record.h"
 #include "modules/decisions/engine_timing.h"
 #include "modules/decisions/prompt_placement.h"
 #include "modules/decisions/scheduled_upstream.h"
@@ -25,6 +26,8 @@
   kFault,
   /** Ended for reasons of the caller or of this side. */
   kCancelled,
+  /** The upstream broke off while it may have run the request. */
+  kCrash,
 };
 
 /** Why a request is refused. */
@@ -35,6 +38,8 @@
   kNoSlots,
   /** Every arrangement costs others more than it gains. */
   kCostsOthers,
+  /** Upstreams broke off while they ran it. */
+  kCrashesUpstreams,
 };
 /** The cause's name in logs. */
 const char* RefusalCauseName(RefusalCause cause);
@@ -101,8 +106,6 @@
                absl::Time now);
   /** The owner no longer holds the request. */
   void Forget(WorkKey key);
-  /** The upstream's own measure of its slowness; 1 is the published speed. */
-  void SetPace(UpstreamKey upstream, double pace);
 
   /** Decides what can be decided now. */
   std::vector<ScheduleDecision> Run(absl::Time now);
@@ -168,6 +171,7 @@
   };
   absl::flat_hash_map<WorkKey, Waiting> waiting_;
   absl::flat_hash_map<WorkKey, Placement> running_;
+  CrashRecord crashes_;
   uint64_t preference_seed_ = 0;
   /** Time to the first part beyond the reading, by service, smoothed. */
   absl::flat_hash_map<std::string, absl::Duration> overhead_;
--- a/modules/decisions/prompt_placement.cc
+++ b/modules/decisions/prompt_placement.cc
@@ -63,7 +63,6 @@
   double base_ms = 0;
   /** Reading that is owed. */
   double backlog_ms = 0;
-  double pace = 1;
   double faults = 0;
   double preference = 0;
   int writers = 0;
@@ -108,7 +107,6 @@
                   ScheduledUpstream* upstream,
                   absl::Time now) {
   EngineView view{.upstream = upstream,
-                  .pace = upstream->pace,
                   .faults = upstream->FaultsAt(now),
                   .preference = upstream->preference};
   int64_t context = 0;
@@ -133,8 +131,7 @@
       group->value += load.value;
   }
   view.base_ms =
-      absl::ToDoubleMilliseconds(PassTime(engine, view.writers, context)) *
-      view.pace;
+      absl::ToDoubleMilliseconds(PassTime(engine, view.writers, context));
   view.backlog_ms =
       std::max(absl::ToDoubleMilliseconds(upstream->read_until - now), 0.0);
   view.has_slot = view.requests < upstream->info.slots;
@@ -160,7 +157,7 @@
 }
 
 Estimate EstimateRead(const EngineView& view, double read_ms, absl::Time now) {
-  const double own_ms = read_ms * view.pace;
+  const double own_ms = read_ms;
   double lead_begin = view.backlog_ms;
   double helper_begin = 0;
   // A pass with writers reads all that is there before a next one begins.
--- a/modules/decisions/scheduled_upstream.h
+++ b/modules/decisions/scheduled_upstream.h
@@ -49,6 +49,8 @@
   int priority = 0;
   /** Upstreams that already failed or refused it. */
   std::vector<UpstreamKey> avoid;
+  /** Equal for the same request sent again; 0 when it cannot be told. */
+  uint64_t fingerprint = 0;
 };
 
 /** An upstream as the scheduler needs it. */
@@ -91,7 +93,6 @@
   std::vector<UpstreamLoad> loads;
   /** When the prompts read there now are expected to be read. */
   absl::Time read_until = absl::InfinitePast();
-  double pace = 1;
   absl::Time last_placed = absl::InfinitePast();
   /** Recent faults as of `faults_at`. */
   double faults = 0;
--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -120,7 +120,6 @@
              .upstreams_heard = absl::InfinitePast(),
              .pool = UpstreamPool(loop),
              .retries = RetryWindow(options_.retries),
-             .crashes = CrashGuard(options_.instance),
              .placement = &placement_,
              .runs = {},
              .random = std::minstd_rand(
@@ -356,7 +355,6 @@
   if (now >= next_housekeeping_) {
     next_housekeeping_ = now + kHousekeeping;
     state_.pool.Expire(now);
-    state_.crashes.Expire(now);
     NoteMembership(now);
   }
   ArmTick();
--- a/modules/gateway/gateway_state.h
+++ b/modules/gateway/gateway_state.h
@@ -8,7 +8,6 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "modules/core/event_log.h"
-#include "modules/decisions/crash_guard.h"
 #include "modules/decisions/retry_window.h"
 #include "modules/gateway/gateway_metrics.h"
 #include "modules/gateway/upstream_pool.h"
@@ -35,7 +34,6 @@
   absl::Time upstreams_heard = absl::InfinitePast();
   UpstreamPool pool;
   RetryWindow retries;
-  CrashGuard crashes;
   PlacementNode* placement = nullptr;
   /** Requests that wait for a decision or run, by their key. */
   absl::flat_hash_map<WorkKey, RequestRun*> runs;
--- a/modules/gateway/request_run.cc
+++ b/modules/gateway/request_run.cc
@@ -26,8 +26,6 @@
 constexpr absl::Duration kLeastTime = absl::Milliseconds(30);
 /** Decisions that may be lost to a list of upstreams that has moved on. */
 constexpr int kMaxDecisions = 8;
-/** Upstreams that a request may crash before it is refused. */
-constexpr uint32_t kMaxCrashes = 3;
 /** A plain upstream is silent when it has not answered after so many times the
     route's target. */
 constexpr double kSilentTargets = 2;
@@ -75,19 +73,17 @@
   deadline_ = arrived_ + std::min(caller_.patience, route_->timeout);
   service_ = PickTarget(
       *route_, std::uniform_real_distribution<double>(0, 1)(state_->random));
-  fingerprint_ = StableHash(request_.body,
-                            StableHash(request_.target, StableHash(account_)));
+  // Requests without a body are too alike to be told apart.
+  if (!request_.body.empty()) {
+    fingerprint_ = StableHash(
+        request_.body, StableHash(request_.target, StableHash(account_)));
+  }
   trail_.OnAdmitted({.route = *route_,
                      .service = service_,
                      .account = account_,
                      .configuration = table_->version(),
                      .prompt_tokens = caller_.prompt_tokens,
                      .patience = deadline_ - arrived_});
-  const uint32_t crashes = state_->crashes.Deaths(fingerprint_, arrived_);
-  if (crashes >= kMaxCrashes) {
-    AnswerOwn(kBadGateway, absl::ZeroDuration(), "crashes_upstreams");
-    return;
-  }
   state_->retries.OnRequest(service_, arrived_);
   ArmTimeout();
   AskForUpstream();
@@ -147,7 +143,8 @@
       .deadline = deadline_,
       .event_gap = route_->event_gap,
       .priority = priority_,
-      .avoid = avoid_};
+      .avoid = avoid_,
+      .fingerprint = fingerprint_};
   // The decision may come from within Submit, before the key is known here.
   const auto self = shared_from_this();
   work_ = state_->placement->NextKey();
@@ -174,6 +171,11 @@
     state_->runs.erase(decision.key);
     work_.reset();
     trail_.OnRefused(decision, scheduler, SteadyNow());
+    if (decision.cause == RefusalCause::kCrashesUpstreams) {
+      may_have_run_ = true;
+      AnswerWithoutUpstream("crashes_upstreams");
+      return;
+    }
     AnswerWithoutUpstream("no_upstream_in_time", decision.retry_after);
     return;
   }
@@ -318,7 +320,6 @@
 void RequestRun::OnStreamComplete(const HttpResponseHead& head) {
   const auto self = shared_from_this();
   BeginStream(head);
-  state_->crashes.OnCompleted(fingerprint_, SteadyNow());
   EndSend(SendResult::kDone, 0);
   sink_->EndStream();
   Finish(head.status, "stream_complete");
@@ -331,7 +332,6 @@
     OnExchangeFailed({.reason = "upstream_error"});
     return;
   }
-  state_->crashes.OnCompleted(fingerprint_, SteadyNow());
   EndSend(SendResult::kDone, 0);
   sink_->SendWhole(head.status, ForwardedHeaders(head), body);
   Finish(head.status, "answered");
@@ -370,9 +370,6 @@
   const auto self = shared_from_this();
   const absl::Time now = SteadyNow();
   may_have_run_ |= !failure.not_run;
-  // Requests without a body are too alike to be told apart.
-  if (failure.is_crash && !request_.body.empty())
-    state_->crashes.OnDeath(fingerprint_, now);
   if (MaySendAgain(failure)) {
     SendAgain(failure);
     return;
--- a/modules/gateway/request_run.h
+++ b/modules/gateway/request_run.h
@@ -90,6 +90,7 @@
   std::string account_;
   std::string service_;
   int priority_ = 0;
+  /** Of what tells the same request sent again; 0 when nothing does. */
   uint64_t fingerprint_ = 0;
   absl::Time arrived_;
   absl::Time deadline_;
--- a/modules/gateway/upstream_exchange.cc
+++ b/modules/gateway/upstream_exchange.cc
@@ -143,7 +143,7 @@
   if (is_stale)
     Fail({.reason = "kept_connection_stale", .result = SendResult::kCancelled});
   else
-    Fail({.reason = "connection_broken", .is_crash = true});
+    Fail({.reason = "connection_broken", .result = SendResult::kCrash});
 }
 
 }  // namespace chicory
--- a/modules/gateway/upstream_exchange.h
+++ b/modules/gateway/upstream_exchange.h
@@ -31,8 +31,6 @@
     SendResult result = SendResult::kFault;
     /** Another upstream that is to blame; 0 for none. */
     UpstreamKey fault_at = 0;
-    /** The upstream may have died of the request. */
-    bool is_crash = false;
   };
 
   /** Hears of the response. May cancel or drop the exchange. */
--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -15,6 +15,8 @@
   eventGapMicroseconds @6 :Int64;
   priority @7 :Int32;
   avoid @8 :List(UInt64);
+  # 0 when the same request sent again cannot be told.
+  fingerprint @9 :UInt64;
 }
 
 # A request that runs at an upstream.
--- a/modules/peers/placement.capnp.h
+++ b/modules/peers/placement.capnp.h
@@ -40,7 +40,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a1155b46080dc87a, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a1155b46080dc87a, 8, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -220,6 +220,8 @@
   inline bool hasAvoid() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getAvoid() const;
 
+  inline  ::uint64_t getFingerprint() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -284,6 +286,9 @@
   inline void adoptAvoid(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownAvoid();
 
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1395,6 +1400,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Work::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Work::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Running::Reader::hasWork() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -34,6 +34,7 @@
           ? -1
           : absl::ToInt64Microseconds(work.event_gap));
   builder.setPriority(work.priority);
+  builder.setFingerprint(work.fingerprint);
   const size_t count = std::min(work.avoid.size(), kMaxAvoidTold);
   auto avoid = builder.initAvoid(static_cast<uint32_t>(count));
   for (size_t i = 0; i < count; ++i)
@@ -51,7 +52,8 @@
       .event_gap = reader.getEventGapMicroseconds() < 0
                        ? absl::InfiniteDuration()
                        : absl::Microseconds(reader.getEventGapMicroseconds()),
-      .priority = reader.getPriority()};
+      .priority = reader.getPriority(),
+      .fingerprint = reader.getFingerprint()};
   for (uint64_t key : reader.getAvoid())
     work.avoid.push_back(key);
   return work;
@@ -218,7 +220,7 @@
 
 DecisionMessage ReadRefuse(wire::Datagram::Refuse::Reader refuse) {
   const uint8_t cause = std::min(
-      refuse.getCause(), static_cast<uint8_t>(RefusalCause::kCostsOthers));
+      refuse.getCause(), static_cast<uint8_t>(RefusalCause::kCrashesUpstreams));
   return {.decision = {.kind = ScheduleDecision::Kind::kRefuse,
                        .key = {.sequence = refuse.getRefusedSequence()},
                        .cause = static_cast<RefusalCause>(cause),
@@ -228,7 +230,7 @@
 
 EndedMessage ReadEnded(wire::Datagram::Ended::Reader ended) {
   const uint8_t result =
-      std::min(ended.getResult(), static_cast<uint8_t>(SendResult::kCancelled));
+      std::min(ended.getResult(), static_cast<uint8_t>(SendResult::kCrash));
   return {.sequence = ended.getEndedSequence(),
           .result = static_cast<SendResult>(result),
           .fault_at = ended.getFaultAt()};
--- a/modules/peers/placement_message.h
+++ b/modules/peers/placement_message.h
@@ -26,6 +26,7 @@
   absl::Duration event_gap = absl::InfiniteDuration();
   int priority = 0;
   std::vector<UpstreamKey> avoid;
+  uint64_t fingerprint = 0;
 };
 
 /** Tells a scheduler that the sender lives, and what it has running. */
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -56,7 +56,8 @@
           .deadline_in = request.deadline - now,
           .event_gap = request.event_gap,
           .priority = request.priority,
-          .avoid = request.avoid};
+          .avoid = request.avoid,
+          .fingerprint = request.fingerprint};
 }
 
 WorkRequest PlacementNode::FromTravel(InstanceIp owner,
@@ -70,7 +71,8 @@
           .deadline = now + work.deadline_in,
           .event_gap = work.event_gap,
           .priority = work.priority,
-          .avoid = work.avoid};
+          .avoid = work.avoid,
+          .fingerprint = work.fingerprint};
 }
 
 void PlacementNode::Send(InstanceIp to, PeerMessage message) {
--- a/tests/logic/fleet_scheduler_test.cc
+++ b/tests/logic/fleet_scheduler_test.cc
@@ -347,6 +347,26 @@
   CHECK(bench.scheduler.RunningAt(1) == 0);
 }
 
+TEST_CASE(
+    "crashes are remembered by upstream, for a while and a bounded number") {
+  const absl::Time begin = absl::UnixEpoch();
+  CrashRecord record;
+  for (UpstreamKey upstream : {1, 2, 2})
+    record.OnCrash(7, upstream, begin);
+  CHECK_FALSE(record.IsDangerous(7, begin));
+  record.OnCrash(7, 3, begin);
+  CHECK(record.IsDangerous(7, begin));
+  CHECK_FALSE(record.IsDangerous(8, begin));
+  CHECK_FALSE(record.IsDangerous(7, begin + CrashRecord::kMemory));
+  record.OnCompleted(7);
+  CHECK_FALSE(record.IsDangerous(7, begin));
+  for (uint64_t i = 0; i < 2 * CrashRecord::kMostRequests; ++i)
+    record.OnCrash(100 + i, 1, begin + absl::Milliseconds(int64_t(i)));
+  CHECK(record.size() == CrashRecord::kMostRequests);
+  record.OnCrash(1, 1, begin + 2 * CrashRecord::kMemory);
+  CHECK(record.size() == 1);
+}
+
 TEST_CASE("reading time follows the published speed") {
   struct Case {
     int64_t tokens;
--- a/tests/logic/placement_node_test.cc
+++ b/tests/logic/placement_node_test.cc
@@ -306,6 +306,50 @@
   CHECK(told == 19);
 }
 
+// Pattern: a caller sends what kills its upstream again and again, to any
+// instance.
+TEST_CASE("a request that breaks upstreams is stopped at every instance") {
+  struct Case {
+    const char* name;
+    SendResult result;
+    bool same_upstream;
+    bool refused;
+  };
+  for (const Case& c : std::vector<Case>{
+           {"three upstreams broke off", SendResult::kCrash, false, true},
+           {"one upstream broke off three times", SendResult::kCrash, true,
+            false},
+           {"three upstreams failed", SendResult::kFault, false, false}}) {
+    INFO(c.name);
+    Fleet fleet(20, c.same_upstream ? 1 : 6, 0);
+    fleet.Run(absl::Seconds(4));
+    const auto submit = [&](InstanceIp ip) {
+      return fleet.members.at(ip)->node.Submit(
+          {.service = "desk",
+           .due = fleet.now + absl::Milliseconds(300),
+           .deadline = fleet.now + absl::Seconds(4),
+           .fingerprint = 77},
+          fleet.now);
+    };
+    std::set<UpstreamKey> tried;
+    for (InstanceIp ip = 2; ip < 5; ++ip) {
+      const WorkKey key = submit(ip);
+      fleet.Run(absl::Milliseconds(50));
+      REQUIRE(fleet.IsDecided(key));
+      tried.insert(fleet.members.at(ip)->decisions.at(key).upstream);
+      fleet.members.at(ip)->node.OnEnded(key, c.result, 0, fleet.now);
+    }
+    REQUIRE(tried.size() == (c.same_upstream ? 1 : 3));
+    const WorkKey key = submit(9);
+    fleet.Run(absl::Milliseconds(200));
+    REQUIRE(fleet.IsDecided(key));
+    const ScheduleDecision& decision = fleet.members.at(9)->decisions.at(key);
+    CHECK((decision.kind == ScheduleDecision::Kind::kRefuse) == c.refused);
+    if (c.refused)
+      CHECK(decision.cause == RefusalCause::kCrashesUpstreams);
+  }
+}
+
 TEST_CASE("datagrams that are none of ours are ignored") {
   CHECK_FALSE(DecodePeerMessage("").has_value());
   CHECK_FALSE(DecodePeerMessage("12345678").has_value());
@@ -348,7 +392,7 @@
 TEST_CASE("a refusal tells its cause and when to come back") {
   for (const RefusalCause cause :
        {RefusalCause::kDeadlineOver, RefusalCause::kNoSlots,
-        RefusalCause::kCostsOthers}) {
+        RefusalCause::kCostsOthers, RefusalCause::kCrashesUpstreams}) {
     const auto read = DecodePeerMessage(EncodePeerMessage(
         {.sender = 3,
          .content =
