The store module's name; a log's story by request; names that were defined twice

Cause: modules/platform and platform/ had one name; Route and UpstreamState were each defined in two modules with different content, which broke the build as soon as one face header included both and is undefined behaviour in a binary that links both (logic_tests did); a request's lines had to be searched in many logs by hand.

--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -9,7 +9,8 @@
     Classes: Dispatcher, PlacementPolicy, LengthAwarePlacement,
     LeastBusyPlacement, PrefixIndex, RequestQueue, RetryBudget, CrashGuard,
     UpstreamTable, AccountLimits, GossipNode, OnceCall, LeaseKeeper,
-    OrphanSystem, ConfigurationGate. */
+    OrphanSystem, ConfigurationGate; for gateways SchedulerGroups,
+    FleetScheduler, InstanceRoster, CrashRecord, RetryWindow. */
 
 #include "modules/decisions/dispatcher.h"
 #include "modules/decisions/least_busy_placement.h"
--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -229,7 +229,7 @@
                               state_.upstreams_heard);
     else
       state_.upstreams.Put(record);
-    const bool ready = record.state == UpstreamState::kReady;
+    const bool ready = record.state == RegistrationState::kReady;
     log_.Write("upstream_changed", {{"upstream", record.id},
                                     {"service", record.service},
                                     {"state", change.removed ? "gone"
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -18,7 +18,11 @@
 
 namespace chicory {
 
-/** One instance that takes callers' requests to upstreams on one event loop.
+/** One instance that takes callers' requests to upstreams on one event loop;
+    the face of the gateway module, which may include core, decisions, routing,
+    net and peers. RequestRun is a request's way through it, WireCodec its
+    interface to a dialect of header fields, GatewaySource to where
+   configuration and upstreams come from.
 
     It listens for callers, for the balancer's question whether it is ready, and
     for operators, follows its source, and talks to the other instances. All
--- a/modules/gateway/request_run.h
+++ b/modules/gateway/request_run.h
@@ -86,7 +86,7 @@
   CallerRequest caller_;
   /** Keeps `route_` alive. */
   std::shared_ptr<const RoutingTable> table_;
-  const Route* route_ = nullptr;
+  const RouteEntry* route_ = nullptr;
   std::string account_;
   std::string service_;
   int priority_ = 0;
--- a/modules/gateway/request_trail.h
+++ b/modules/gateway/request_trail.h
@@ -26,7 +26,7 @@
   void OnArrived(std::string request, absl::Time now);
 
   struct Admission {
-    const Route& route;
+    const RouteEntry& route;
     const std::string& service;
     const std::string& account;
     uint64_t configuration = 0;
--- a/modules/peers/peers.h
+++ b/modules/peers/peers.h
@@ -1,11 +1,15 @@
 #ifndef MODULES_PEERS_PEERS_H_
 #define MODULES_PEERS_PEERS_H_
 
-/** Face of the peers module: the protocol between the system's own processes,
-    over Cap'n Proto RPC. May include core, config and decisions.
+/** Face of the peers module: the protocols between the system's own processes,
+    Cap'n Proto over RPC (entries) and in datagrams (gateways). May include
+   core, config, decisions and routing.
 
-    Classes: PeerNode; functions of peer_codec.h. */
+    Classes: PeerNode and the functions of peer_codec.h; PlacementNode,
+    Membership and the messages of placement_message.h. */
 
+#include "modules/peers/membership.h"
 #include "modules/peers/peer_node.h"
+#include "modules/peers/placement_node.h"
 
 #endif  // MODULES_PEERS_PEERS_H_
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -78,7 +78,7 @@
     change.setAddress(record.address);
     change.setDataCentre(record.data_centre);
     change.setSlots(record.slots);
-    change.setIsDraining(record.state == UpstreamState::kDraining);
+    change.setIsDraining(record.state == RegistrationState::kDraining);
     change.setRemoved(batch.changes[i].removed);
     change.setStartedMilliseconds(record.started_ms);
   }
@@ -171,8 +171,8 @@
                     .address = change.getAddress(),
                     .data_centre = change.getDataCentre(),
                     .slots = change.getSlots(),
-                    .state = change.getIsDraining() ? UpstreamState::kDraining
-                                                    : UpstreamState::kReady,
+                    .state = change.getIsDraining() ? RegistrationState::kDraining
+                                                    : RegistrationState::kReady,
                     .started_ms = change.getStartedMilliseconds()},
          .removed = change.getRemoved()});
   }
--- /dev/null
+++ b/modules/routing/routing.h
@@ -0,0 +1,13 @@
+#ifndef MODULES_ROUTING_ROUTING_H_
+#define MODULES_ROUTING_ROUTING_H_
+
+/** Face of the routing module: the configuration in force and the upstreams
+    that are known, in memory. May include core and decisions.
+
+    Classes: RoutingTable, UpstreamDirectory, UpstreamNews, BatchAssembler. */
+
+#include "modules/routing/routing_table.h"
+#include "modules/routing/upstream_directory.h"
+#include "modules/routing/upstream_news.h"
+
+#endif  // MODULES_ROUTING_ROUTING_H_
--- a/modules/routing/routing_table.cc
+++ b/modules/routing/routing_table.cc
@@ -33,13 +33,13 @@
     service_index_[options_.services[i].name] = i;
 }
 
-const Route* RoutingTable::Match(absl::string_view host,
+const RouteEntry* RoutingTable::Match(absl::string_view host,
                                  absl::string_view path) const {
   auto found = by_host_.find(HostKey(host));
   if (found == by_host_.end())
     return nullptr;
   for (size_t index : found->second) {
-    const Route& route = options_.routes[index];
+    const RouteEntry& route = options_.routes[index];
     if (absl::StartsWith(path, route.path_prefix))
       return &route;
   }
@@ -59,7 +59,7 @@
                                        : &options_.services[found->second];
 }
 
-const std::string& PickTarget(const Route& route, double point) {
+const std::string& PickTarget(const RouteEntry& route, double point) {
   double total = 0;
   for (const RouteTarget& target : route.targets)
     total += target.weight;
--- a/modules/routing/routing_table.h
+++ b/modules/routing/routing_table.h
@@ -32,7 +32,7 @@
 };
 
 /** How the requests of one host and path prefix are served. */
-struct Route {
+struct RouteEntry {
   std::string name;
   std::string host;
   /** Begins and ends with a slash. */
@@ -93,7 +93,7 @@
  public:
   struct Options {
     uint64_t version = 0;
-    std::vector<Route> routes;
+    std::vector<RouteEntry> routes;
     std::vector<Service> services;
     CallerLimits limits;
     /** Whether callers need a key on routes that are not anonymous. */
@@ -107,7 +107,7 @@
 
   /** The route with the longest prefix of `path` on `host`; null if none. The
       port in `host` and the letter case are ignored. */
-  const Route* Match(absl::string_view host, absl::string_view path) const;
+  const RouteEntry* Match(absl::string_view host, absl::string_view path) const;
 
   /** The account that holds `key`; null if none. */
   const AccountEntry* AccountOfKey(absl::string_view key) const;
@@ -120,7 +120,7 @@
   bool has_accounts() const { return options_.has_accounts; }
   const CallerLimits& limits() const { return options_.limits; }
   const std::vector<Service>& services() const { return options_.services; }
-  const std::vector<Route>& routes() const { return options_.routes; }
+  const std::vector<RouteEntry>& routes() const { return options_.routes; }
 
  private:
   Options options_;
@@ -130,10 +130,10 @@
 };
 
 /** The target of `route` for a request; `point` in [0, 1) selects by weight. */
-const std::string& PickTarget(const Route& route, double point);
+const std::string& PickTarget(const RouteEntry& route, double point);
 
 /** Whether an upstream takes new requests. */
-enum class UpstreamState { kReady, kDraining };
+enum class RegistrationState { kReady, kDraining };
 
 /** One upstream as its own registration tells. */
 struct UpstreamRecord {
@@ -144,7 +144,7 @@
   std::string address;
   std::string data_centre;
   int slots = 1;
-  UpstreamState state = UpstreamState::kReady;
+  RegistrationState state = RegistrationState::kReady;
   /** Unix milliseconds of its start; 0 when not told. */
   int64_t started_ms = 0;
 };
--- a/modules/routing/upstream_directory.cc
+++ b/modules/routing/upstream_directory.cc
@@ -59,7 +59,7 @@
 const UpstreamRecord* UpstreamDirectory::FindReady(UpstreamKey key) const {
   auto found = rows_.find(key);
   if (found == rows_.end() ||
-      found->second.record.state != UpstreamState::kReady)
+      found->second.record.state != RegistrationState::kReady)
     return nullptr;
   return &found->second.record;
 }
@@ -75,7 +75,7 @@
 std::vector<SchedulerUpstream> UpstreamDirectory::Ready() const {
   std::vector<SchedulerUpstream> ready;
   for (const auto& [key, row] : rows_) {
-    if (row.record.state != UpstreamState::kReady)
+    if (row.record.state != RegistrationState::kReady)
       continue;
     ready.push_back(
         {.key = key, .service = row.record.service, .slots = row.record.slots});
--- a/modules/serving/configuration_keeper.cc
+++ b/modules/serving/configuration_keeper.cc
@@ -4,7 +4,7 @@
 
 #include "absl/random/random.h"
 #include "modules/core/log.h"
-#include "modules/platform/configuration_publisher.h"
+#include "modules/store/configuration_publisher.h"
 
 namespace chicory {
 
--- a/modules/serving/configuration_keeper.h
+++ b/modules/serving/configuration_keeper.h
@@ -11,7 +11,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 #include "modules/config/published.h"
-#include "modules/platform/object_store.h"
+#include "modules/store/object_store.h"
 
 namespace chicory {
 
--- a/modules/serving/once_runner.h
+++ b/modules/serving/once_runner.h
@@ -11,7 +11,7 @@
 #include "absl/time/time.h"
 #include "modules/core/time_line.h"
 #include "modules/decisions/once_call.h"
-#include "modules/platform/object_store.h"
+#include "modules/store/object_store.h"
 
 namespace chicory {
 
--- a/modules/serving/operators_front.h
+++ b/modules/serving/operators_front.h
@@ -8,9 +8,9 @@
 #include "modules/core/counters.h"
 #include "modules/core/time_line.h"
 #include "modules/peers/peer_node.h"
-#include "modules/platform/configuration_publisher.h"
 #include "modules/serving/configuration_keeper.h"
 #include "modules/serving/request_broker.h"
+#include "modules/store/configuration_publisher.h"
 
 namespace httplib {
 class Server;
--- a/modules/serving/upstream_watcher.h
+++ b/modules/serving/upstream_watcher.h
@@ -12,9 +12,9 @@
 #include "modules/core/counters.h"
 #include "modules/core/time_line.h"
 #include "modules/decisions/orphan_system.h"
-#include "modules/platform/object_store.h"
 #include "modules/serving/request_broker.h"
 #include "modules/serving/upstream_client.h"
+#include "modules/store/object_store.h"
 
 namespace chicory {
 
--- a/modules/platform/configuration_publisher.cc
+++ b/modules/store/configuration_publisher.cc
@@ -1,4 +1,4 @@
-#include "modules/platform/configuration_publisher.h"
+#include "modules/store/configuration_publisher.h"
 
 #include <utility>
 
--- a/modules/platform/configuration_publisher.h
+++ b/modules/store/configuration_publisher.h
@@ -1,5 +1,5 @@
-#ifndef MODULES_PLATFORM_CONFIGURATION_PUBLISHER_H_
-#define MODULES_PLATFORM_CONFIGURATION_PUBLISHER_H_
+#ifndef MODULES_STORE_CONFIGURATION_PUBLISHER_H_
+#define MODULES_STORE_CONFIGURATION_PUBLISHER_H_
 
 #include <map>
 #include <string>
@@ -8,7 +8,7 @@
 #include "absl/time/time.h"
 #include "modules/config/published.h"
 #include "modules/core/findings.h"
-#include "modules/platform/object_store.h"
+#include "modules/store/object_store.h"
 
 namespace chicory {
 
@@ -73,4 +73,4 @@
 
 }  // namespace chicory
 
-#endif  // MODULES_PLATFORM_CONFIGURATION_PUBLISHER_H_
+#endif  // MODULES_STORE_CONFIGURATION_PUBLISHER_H_
--- a/modules/platform/http_object_store.cc
+++ b/modules/store/http_object_store.cc
@@ -1,4 +1,4 @@
-#include "modules/platform/http_object_store.h"
+#include "modules/store/http_object_store.h"
 
 #include <httplib.h>
 
--- a/modules/platform/http_object_store.h
+++ b/modules/store/http_object_store.h
@@ -1,12 +1,12 @@
-#ifndef MODULES_PLATFORM_HTTP_OBJECT_STORE_H_
-#define MODULES_PLATFORM_HTTP_OBJECT_STORE_H_
+#ifndef MODULES_STORE_HTTP_OBJECT_STORE_H_
+#define MODULES_STORE_HTTP_OBJECT_STORE_H_
 
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "absl/time/time.h"
-#include "modules/platform/object_store.h"
+#include "modules/store/object_store.h"
 
 namespace chicory {
 
@@ -43,4 +43,4 @@
 
 }  // namespace chicory
 
-#endif  // MODULES_PLATFORM_HTTP_OBJECT_STORE_H_
+#endif  // MODULES_STORE_HTTP_OBJECT_STORE_H_
--- a/modules/platform/object_store.h
+++ b/modules/store/object_store.h
@@ -1,5 +1,5 @@
-#ifndef MODULES_PLATFORM_OBJECT_STORE_H_
-#define MODULES_PLATFORM_OBJECT_STORE_H_
+#ifndef MODULES_STORE_OBJECT_STORE_H_
+#define MODULES_STORE_OBJECT_STORE_H_
 
 #include <cstdint>
 #include <string>
@@ -67,4 +67,4 @@
 
 }  // namespace chicory
 
-#endif  // MODULES_PLATFORM_OBJECT_STORE_H_
+#endif  // MODULES_STORE_OBJECT_STORE_H_
--- a/programs/entry/entry.h
+++ b/programs/entry/entry.h
@@ -12,8 +12,8 @@
 #include "modules/config/schema.h"
 #include "modules/core/core.h"
 #include "modules/peers/peers.h"
-#include "modules/platform/platform.h"
 #include "modules/serving/serving.h"
+#include "modules/store/store.h"
 
 namespace chicory {
 
--- a/programs/publish/main.cc
+++ b/programs/publish/main.cc
@@ -13,7 +13,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "modules/core/hashing.h"
-#include "modules/platform/platform.h"
+#include "modules/store/store.h"
 #include "nlohmann/json.hpp"
 #include "programs/program.h"
 
--- a/programs/timeline/main.cc
+++ b/programs/timeline/main.cc
@@ -14,6 +14,7 @@
 #include "absl/time/time.h"
 #include "nlohmann/json.hpp"
 #include "programs/program.h"
+#include "programs/timeline/log_story.h"
 
 namespace chicory {
 namespace {
@@ -23,7 +24,10 @@
     "and\n"
     "effect.\n\n"
     "  chicory_timeline --from ip:port ... [--file FILE ...] [--request NAME]\n"
-    "                   [--json]\n\n"
+    "                   [--json]\n"
+    "  chicory_timeline --log FILE ... --request ID\n\n"
+    "The second form reads logs of gateways and tells the story of one "
+    "request.\n"
     "Exit codes: 0 done, 2 wrong usage, 3 a source cannot be read (the others\n"
     "are still printed).";
 
@@ -93,10 +97,33 @@
   std::cout << "\n";
 }
 
+/** Prints the story of `request` from logs of gateways. */
+int TellStory(const std::vector<std::string>& logs,
+              const std::string& request) {
+  int exit_code = 0;
+  LogStory story(request);
+  for (const std::string& name : logs) {
+    std::ifstream file(name);
+    if (file) {
+      story.Read(name, file);
+      continue;
+    }
+    std::cerr << "chicory_timeline: cannot read " << name << "\n";
+    exit_code = static_cast<int>(ExitCode::kUnavailable);
+  }
+  const std::vector<LogLine> lines = story.Tell();
+  for (const LogLine& line : lines)
+    std::cout << line.source << " " << line.text << "\n";
+  if (lines.empty())
+    std::cerr << "chicory_timeline: no line of request " << request << "\n";
+  return exit_code;
+}
+
 int Run(int argc, char** argv) {
   cxxopts::Options options("chicory_timeline", kPurpose);
   std::vector<std::string> addresses;
   std::vector<std::string> files;
+  std::vector<std::string> logs;
   std::string request;
   bool as_json = false;
   options.add_options()("from",
@@ -104,12 +131,20 @@
                         "repeated",
                         cxxopts::value(addresses))(
       "file", "File of JSON lines; may be repeated", cxxopts::value(files))(
+      "log", "Log of a gateway; may be repeated", cxxopts::value(logs))(
       "request", "Only events that name this request or attempt",
       cxxopts::value(request))("json", "Print JSON lines",
                                cxxopts::value(as_json));
   if (const auto code =
           ParseCommandLine(&options, "chicory_timeline", argc, argv))
     return *code;
+  if (!logs.empty()) {
+    if (request.empty()) {
+      std::cerr << "chicory_timeline: --log needs --request\n";
+      return static_cast<int>(ExitCode::kUsage);
+    }
+    return TellStory(logs, request);
+  }
   int exit_code = 0;
   std::vector<Event> events;
   for (const std::string& address : addresses) {
--- a/stand_ins/memory_object_store.h
+++ b/stand_ins/memory_object_store.h
@@ -8,7 +8,7 @@
 
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
-#include "modules/platform/object_store.h"
+#include "modules/store/object_store.h"
 
 namespace chicory {
 
--- a/tests/logic/config_test.cc
+++ b/tests/logic/config_test.cc
@@ -3,7 +3,7 @@
 #include <string>
 
 #include "modules/config/config.h"
-#include "modules/platform/configuration_publisher.h"
+#include "modules/store/configuration_publisher.h"
 #include "stand_ins/memory_object_store.h"
 
 namespace chicory {
--- a/tests/logic/gateway_parts_test.cc
+++ b/tests/logic/gateway_parts_test.cc
@@ -68,7 +68,7 @@
 }
 
 UpstreamRecord Record(const std::string& id,
-                      UpstreamState state = UpstreamState::kReady) {
+                      RegistrationState state = RegistrationState::kReady) {
   return {.id = id,
           .service = "s",
           .address = "10.0.0.1:80",
@@ -119,7 +119,7 @@
 TEST_CASE("draining upstreams get nothing new") {
   UpstreamDirectory directory;
   directory.Put(Record("a"));
-  directory.Put(Record("a", UpstreamState::kDraining));
+  directory.Put(Record("a", RegistrationState::kDraining));
   CHECK(directory.FindReady(UpstreamDirectory::KeyOf("a")) == nullptr);
   CHECK(directory.Ready().empty());
   CHECK(directory.KeyOfAddress("10.0.0.1:80") == UpstreamDirectory::KeyOf("a"));
--- a/tests/logic/platform_test.cc
+++ b/tests/logic/platform_test.cc
@@ -170,7 +170,7 @@
   REQUIRE(decoded.ok);
   const RoutingTable table(decoded.value);
   CHECK(table.version() == 7);
-  const Route* route = table.Match("A.example:8080", "/x/z");
+  const RouteEntry* route = table.Match("A.example:8080", "/x/z");
   REQUIRE(route != nullptr);
   CHECK(route->name == "r1");
   CHECK(route->MayRunAgain());
@@ -207,25 +207,25 @@
   struct Case {
     const char* json;
     bool usable;
-    UpstreamState state;
+    RegistrationState state;
   };
   const std::vector<Case> cases = {
       {R"({"service":"s","address":"10.0.0.1:80","slots":4,"state":"ready"})",
-       true, UpstreamState::kReady},
+       true, RegistrationState::kReady},
       {R"({"service":"s","address":"10.0.0.1:80","slots":4,"state":"draining"})",
-       true, UpstreamState::kDraining},
+       true, RegistrationState::kDraining},
       {R"({"service":"s","address":"10.0.0.1:80","slots":4,"state":"odd"})",
-       false, UpstreamState::kReady},
+       false, RegistrationState::kReady},
       {R"({"service":"s","address":"10.0.0.1","slots":4,"state":"ready"})",
-       false, UpstreamState::kReady},
+       false, RegistrationState::kReady},
       {R"({"service":7,"address":"10.0.0.1:80","slots":4,"state":"ready"})",
-       false, UpstreamState::kReady},
+       false, RegistrationState::kReady},
       {R"({"service":"s","address":"10.0.0.1:80","slots":"4","state":"ready"})",
-       false, UpstreamState::kReady},
+       false, RegistrationState::kReady},
       {R"({"service":"s","address":"host:80","slots":4,"state":"ready"})",
-       false, UpstreamState::kReady},
-      {R"("text")", false, UpstreamState::kReady},
-      {"\xff\xfe", false, UpstreamState::kReady},
+       false, RegistrationState::kReady},
+      {R"("text")", false, RegistrationState::kReady},
+      {"\xff\xfe", false, RegistrationState::kReady},
   };
   for (const Case& c : cases) {
     INFO(c.json);
--- a/tests/process/gateway_requests.sh
+++ b/tests/process/gateway_requests.sh
@@ -119,6 +119,15 @@
 expect admitted "$(log_of g1 request_admitted)" 'request=once-reset route=once service=desk'
 expect failed "$(log_of g1 send_failed)" 'request=once-reset .*reason=connection_broken not_run=0'
 expect ended "$(log_of g1 request_ended)" 'request=once-reset status=502 reason=connection_broken'
+story=$("$BIN/chicory_timeline" --log "$FLEET/g1.out" --request once-reset)
+expect "its lines in order" "$(sed -n 's/.*event=\([a-z_]*\) request=once-reset .*/\1/p' <<<"$story" | tr '\n' ' ')" \
+  '^request_admitted request_sent send_failed request_ended $'
+expect "where they are from" "$(head -1 <<<"$story")" 'g1.out time_ms='
+grep -q 'request=s1 ' <<<"$story" && problem "a story tells of another request"
+"$BIN/chicory_timeline" --log "$FLEET/g1.out" >/dev/null 2>&1
+[ $? -eq 2 ] || problem "a log without a request's id is wrong usage"
+"$BIN/chicory_timeline" --log "$FLEET/none.out" --request x >/dev/null 2>&1
+[ $? -eq 3 ] || problem "a log that cannot be read is told"
 expect sent "$(log_of g1 request_sent)" 'request=s1 .*scheduler=127.0.0.1 decided_after_ms=[0-9]+ upstreams_age_ms=[0-9]+ '
 expect membership "$(log_of g1 membership_changed)" 'scheduler=127.0.0.1 .*live_instances=1'
 metrics=$(curl -s "http://$(address g1 operators)/metrics")
