The table of upstreams and the following of the store in classes of their own

Change: UpstreamBoard is the table that the scheduler places at; SourceFollower decides when the store is read. No behaviour is meant to change.

--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -10,7 +10,7 @@
     LeastBusyPlacement, PrefixIndex, RequestQueue, RetryBudget, CrashGuard,
     UpstreamTable, AccountLimits, GossipNode, OnceCall, LeaseKeeper,
     OrphanSystem, ConfigurationGate; for gateways SchedulerGroups,
-    FleetScheduler, InstanceRoster, CrashRecord, RetryWindow. */
+    FleetScheduler, UpstreamBoard, InstanceRoster, CrashRecord, RetryWindow. */
 
 #include "modules/decisions/dispatcher.h"
 #include "modules/decisions/least_busy_placement.h"
--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -1,19 +1,12 @@
 #include "modules/decisions/fleet_scheduler.h"
 
 #include <algorithm>
-#include <array>
-#include <cmath>
 #include <tuple>
 
-#include "modules/core/hashing.h"
-
 namespace chicory {
 
 namespace {
 
-/** The most that a scheduler's own preference costs: less than the advantage of
-    an engine with streams. */
-constexpr double kPreferenceCost = 0.004;
 /** Requests at a plain service beyond its slots, as a share of the slots. */
 constexpr double kPlainOverflow = 0.5;
 /** Reading owed by an engine on average up to which it costs others nothing,
@@ -34,7 +27,6 @@
 /** A request has time to spare when it has so many times the time left that its
     first part takes. */
 constexpr double kTimeToSpare = 1.3;
-constexpr absl::Duration kFullPause = absl::Milliseconds(100);
 /** A waiting prompt can still be on time when it has so many times the time
    left that its first part takes at best. */
 constexpr double kFeasibleMargin = 1.25;
@@ -55,14 +47,6 @@
 constexpr absl::Duration kLeastRetryAfter = absl::Milliseconds(500);
 constexpr absl::Duration kMostRetryAfter = absl::Seconds(3);
 
-double PreferenceOf(UpstreamKey key, uint64_t seed) {
-  const std::array<uint64_t, 2> pair = {key, seed};
-  const uint64_t hash = StableHash(std::string_view(
-      reinterpret_cast<const char*>(pair.data()), sizeof(pair)));
-  constexpr double kSteps = 1024;
-  return kPreferenceCost * static_cast<double>(hash % 1024) / kSteps;
-}
-
 /** How long a waiting prompt is left before it is weighed again. */
 absl::Duration LookInterval(const WorkRequest& request, absl::Time now) {
   return std::clamp((request.deadline - now) * kLookShare, kLeastLook,
@@ -77,21 +61,6 @@
   return kNames[static_cast<int>(cause)];
 }
 
-void FleetScheduler::SetUpstreams(
-    const std::vector<SchedulerUpstream>& upstreams) {
-  for (auto& [key, state] : upstreams_)
-    state.eligible = false;
-  for (const SchedulerUpstream& upstream : upstreams) {
-    ScheduledUpstream& state = upstreams_[upstream.key];
-    state.info = upstream;
-    state.preference = PreferenceOf(upstream.key, preference_seed_);
-    state.eligible = true;
-  }
-  std::erase_if(upstreams_, [](const auto& entry) {
-    return !entry.second.eligible && entry.second.loads.empty();
-  });
-}
-
 void FleetScheduler::SetEngine(const std::string& service,
                                const EngineProfile& engine) {
   engines_[service] = engine;
@@ -108,10 +77,10 @@
   if (running_.contains(request.key))
     return;
   waiting_.erase(request.key);
-  auto found = upstreams_.find(work.upstream);
-  if (found == upstreams_.end())
+  ScheduledUpstream* upstream = upstreams_.Find(work.upstream);
+  if (!upstream)
     return;
-  PlacementOption choice{.upstreams = {&found->second}};
+  const PlacementOption choice{.upstreams = {upstream}};
   Place(request, choice, now);
   if (work.answering)
     OnFirstPart(request.key, now);
@@ -121,39 +90,8 @@
   auto found = running_.find(key);
   if (found == running_.end() || found->second.answering)
     return;
-  Placement& placement = found->second;
-  placement.answering = true;
-  for (UpstreamKey upstream : placement.upstreams) {
-    auto state = upstreams_.find(upstream);
-    if (state == upstreams_.end())
-      continue;
-    std::erase_if(state->second.loads, [&](const UpstreamLoad& load) {
-      return load.key == key && load.is_part && load.tokens == 0;
-    });
-    bool reading = false;
-    for (UpstreamLoad& load : state->second.loads) {
-      if (load.key == key)
-        load.answering = true;
-      reading |= !load.answering;
-    }
-    if (!reading)
-      state->second.read_until = std::min(state->second.read_until, now);
-  }
-}
-
-void FleetScheduler::RemoveLoads(WorkKey key, const Placement& placement) {
-  for (UpstreamKey upstream : placement.upstreams) {
-    auto state = upstreams_.find(upstream);
-    if (state == upstreams_.end())
-      continue;
-    std::erase_if(state->second.loads,
-                  [&](const UpstreamLoad& load) { return load.key == key; });
-    if (state->second.loads.empty()) {
-      state->second.read_until = absl::InfinitePast();
-      if (!state->second.eligible)
-        upstreams_.erase(state);
-    }
-  }
+  found->second.answering = true;
+  upstreams_.OnFirstPart(key, found->second.upstreams, now);
 }
 
 void FleetScheduler::OnEnded(WorkKey key,
@@ -167,7 +105,7 @@
   }
   const Placement placement = std::move(found->second);
   running_.erase(found);
-  RemoveLoads(key, placement);
+  upstreams_.Remove(key, placement.upstreams);
   const UpstreamKey blamed =
       fault_at != 0 ? fault_at : placement.upstreams.front();
   if (const uint64_t fingerprint = placement.request.fingerprint) {
@@ -176,25 +114,7 @@
     else if (result == SendResult::kDone)
       crashes_.OnCompleted(fingerprint);
   }
-  auto state = upstreams_.find(blamed);
-  if (state == upstreams_.end())
-    return;
-  switch (result) {
-    case SendResult::kDone:
-      state->second.faults = state->second.FaultsAt(now) / 2;
-      state->second.faults_at = now;
-      break;
-    case SendResult::kFull:
-      state->second.full_until =
-          std::max(state->second.full_until, now + kFullPause);
-      break;
-    case SendResult::kFault:
-    case SendResult::kCrash:
-      state->second.AddFault(1, now);
-      break;
-    case SendResult::kCancelled:
-      break;
-  }
+  upstreams_.OnSendEnded(blamed, result, now);
 }
 
 void FleetScheduler::Forget(WorkKey key) {
@@ -215,45 +135,17 @@
   return keys;
 }
 
-int FleetScheduler::RunningAt(UpstreamKey upstream) const {
-  auto found = upstreams_.find(upstream);
-  if (found == upstreams_.end())
-    return 0;
-  const std::vector<UpstreamLoad>& loads = found->second.loads;
-  return static_cast<int>(
-      std::count_if(loads.begin(), loads.end(),
-                    [](const UpstreamLoad& load) { return !load.is_part; }));
-}
-
 const EngineProfile* FleetScheduler::EngineOf(
     const std::string& service) const {
   auto found = engines_.find(service);
   return found == engines_.end() ? nullptr : &found->second;
 }
 
-std::vector<ScheduledUpstream*> FleetScheduler::Usable(
-    const WorkRequest& request,
-    absl::Time now) {
-  std::vector<ScheduledUpstream*> sound;
-  std::vector<ScheduledUpstream*> suspended;
-  for (auto& [key, state] : upstreams_) {
-    if (!state.eligible || state.info.service != request.service ||
-        state.full_until > now)
-      continue;
-    if (state.suspended_until > now)
-      suspended.push_back(&state);
-    else
-      sound.push_back(&state);
-  }
-  // When all fail, the failures say little about any of them.
-  return sound.empty() ? suspended : sound;
-}
-
 PlacementOption FleetScheduler::ChoosePlain(const WorkRequest& request,
                                             absl::Time now) {
   PlacementOption best;
   std::tuple<bool, double, absl::Time, double> best_rank;
-  for (ScheduledUpstream* state : Usable(request, now)) {
+  for (ScheduledUpstream* state : upstreams_.Usable(request.service, now)) {
     const double slots = std::max(state->info.slots, 1);
     const double running = static_cast<double>(state->loads.size());
     if (running >= slots * (1 + kPlainOverflow))
@@ -273,16 +165,8 @@
 }
 
 bool FleetScheduler::IsShortOfSlots(const WorkRequest& request) const {
-  int slots = 0;
-  int taken = 0;
-  for (const auto& [key, state] : upstreams_) {
-    if (!state.eligible || state.info.service != request.service)
-      continue;
-    slots += state.info.slots;
-    for (const UpstreamLoad& load : state.loads)
-      taken += load.is_part ? 0 : 1;
-  }
-  return slots - taken < kReservedSlots * slots;
+  const UpstreamBoard::Slots slots = upstreams_.SlotsOf(request.service);
+  return slots.all - slots.taken < kReservedSlots * slots.all;
 }
 
 absl::Duration FleetScheduler::OwedReading(const WorkRequest& request,
@@ -290,22 +174,16 @@
   const EngineProfile* engine = EngineOf(request.service);
   if (!engine)
     return absl::ZeroDuration();
-  absl::Duration owed;
-  double engines = 0;
-  for (const auto& [key, state] : upstreams_) {
-    if (!state.eligible || state.info.service != request.service)
-      continue;
-    ++engines;
-    owed += std::max(state.read_until - now, absl::ZeroDuration());
-  }
+  UpstreamBoard::Reading reading = upstreams_.ReadingOf(request.service, now);
   for (const auto& [key, entry] : waiting_) {
     const WorkRequest& other = entry.request;
     if (key == request.key || other.service != request.service ||
         other.due < now)
       continue;
-    owed += ReadTime(*engine, other.prompt_tokens);
+    reading.owed += ReadTime(*engine, other.prompt_tokens);
   }
-  return engines == 0 ? absl::ZeroDuration() : owed / engines;
+  return reading.engines == 0 ? absl::ZeroDuration()
+                              : reading.owed / reading.engines;
 }
 
 double FleetScheduler::ReadPrice(const WorkRequest& request,
@@ -358,40 +236,14 @@
 void FleetScheduler::Place(const WorkRequest& request,
                            const PlacementOption& choice,
                            absl::Time now) {
-  Placement placement{.request = request};
   const EngineProfile* engine = EngineOf(request.service);
   const double parts = static_cast<double>(choice.upstreams.size());
   const absl::Duration read =
       engine ? ReadTime(*engine, request.prompt_tokens) / parts
              : absl::ZeroDuration();
-  const int64_t needed = request.prompt_tokens + request.output_tokens;
-  std::map<UpstreamKey, int64_t> shares;
-  int64_t shared = 0;
-  for (const MemoryShare& share : choice.memory) {
-    shares[share.upstream] = share.tokens;
-    shared += share.tokens;
-  }
-  for (size_t i = 0; i < choice.upstreams.size(); ++i) {
-    ScheduledUpstream& state = *choice.upstreams[i];
-    placement.upstreams.push_back(state.info.key);
-    for (UpstreamLoad& load : state.loads) {
-      if (!load.answering)
-        load.expected += read;
-    }
-    const int64_t share = shares[state.info.key];
-    state.loads.push_back(
-        {.key = request.key,
-         .is_part = i > 0,
-         .tokens = i > 0 ? share : needed - shared,
-         .due = request.due,
-         .deadline = request.deadline,
-         .expected = now + choice.first_part,
-         .gap_ms = absl::ToDoubleMilliseconds(request.event_gap),
-         .value = RequestValue(request.prompt_tokens, request.output_tokens)});
-    state.read_until = std::max(state.read_until, now) + read;
-    state.last_placed = now;
-  }
-  running_[request.key] = std::move(placement);
+  running_[request.key] = {
+      .request = request,
+      .upstreams = upstreams_.Add(request, choice, read, now)};
   if (choice.upstreams.size() == 1 && choice.first_part > read &&
       choice.first_part < absl::InfiniteDuration()) {
     absl::Duration& overhead = overhead_[request.service];
@@ -460,7 +312,8 @@
   const absl::Duration read =
       engine ? ReadTime(*engine, request.prompt_tokens) : absl::ZeroDuration();
   const PlacementOption choice =
-      engine ? ChooseEngines(*engine, request, Usable(request, now), now)
+      engine ? ChooseEngines(*engine, request,
+                             upstreams_.Usable(request.service, now), now)
              : ChoosePlain(request, now);
   const Judgement judgement = Judge(request, choice, read, now);
   switch (judgement.verdict) {
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -2,7 +2,6 @@
 #define MODULES_DECISIONS_FLEET_SCHEDULER_H_
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -14,22 +13,10 @@
 #include "modules/decisions/engine_timing.h"
 #include "modules/decisions/prompt_placement.h"
 #include "modules/decisions/scheduled_upstream.h"
+#include "modules/decisions/upstream_board.h"
 
 namespace chicory {
 
-/** How one send ended, for the scheduler's view of the upstream. */
-enum class SendResult {
-  kDone,
-  /** The upstream said that it is full. */
-  kFull,
-  /** Reset, garbled, silent or answered with an error. */
-  kFault,
-  /** Ended for reasons of the caller or of this side. */
-  kCancelled,
-  /** The upstream broke off while it may have run the request. */
-  kCrash,
-};
-
 /** Why a request is refused. */
 enum class RefusalCause {
   /** Its deadline passed while it waited. */
@@ -83,12 +70,11 @@
     Run; nothing else calls out. */
 class FleetScheduler {
  public:
-  /** Replaces the upstreams that may get new work. Work at others goes on. */
-  void SetUpstreams(const std::vector<SchedulerUpstream>& upstreams);
-  /** Makes schedulers with different seeds begin with different upstreams where
-      all are equal, so that those that do not know of each other do not all
-      choose the same one. */
-  void SetPreference(uint64_t seed) { preference_seed_ = seed; }
+  /** @see UpstreamBoard */
+  void SetUpstreams(const std::vector<SchedulerUpstream>& upstreams) {
+    upstreams_.SetUpstreams(upstreams);
+  }
+  void SetPreference(uint64_t seed) { upstreams_.SetPreference(seed); }
   /** Sets the published speed of a service's engines. */
   void SetEngine(const std::string& service, const EngineProfile& engine);
 
@@ -117,7 +103,9 @@
   size_t waiting() const { return waiting_.size(); }
   size_t running() const { return running_.size(); }
   /** Requests that run at an upstream, for tests and metrics. */
-  int RunningAt(UpstreamKey upstream) const;
+  int RunningAt(UpstreamKey upstream) const {
+    return upstreams_.RunningAt(upstream);
+  }
 
  private:
   struct Placement {
@@ -126,9 +114,6 @@
     bool answering = false;
   };
   const EngineProfile* EngineOf(const std::string& service) const;
-  /** Upstreams of the request's service that may get it now. */
-  std::vector<ScheduledUpstream*> Usable(const WorkRequest& request,
-                                         absl::Time now);
   PlacementOption ChoosePlain(const WorkRequest& request, absl::Time now);
   /** What becomes of a request whose best choice is known. */
   enum class Verdict { kPlace, kWait, kRefuse };
@@ -155,13 +140,11 @@
   void Place(const WorkRequest& request,
              const PlacementOption& choice,
              absl::Time now);
-  void RemoveLoads(WorkKey key, const Placement& placement);
   std::vector<WorkKey> InOrder(absl::Time now) const;
   /** Drops what ran past its deadline and whose end was never told. */
   void ExpireRunning(absl::Time now);
 
-  /** Ordered, so that a run depends on nothing but its inputs. */
-  std::map<UpstreamKey, ScheduledUpstream> upstreams_;
+  UpstreamBoard upstreams_;
   absl::flat_hash_map<std::string, EngineProfile> engines_;
   /** A request without an upstream yet. */
   struct Waiting {
@@ -172,7 +155,6 @@
   absl::flat_hash_map<WorkKey, Waiting> waiting_;
   absl::flat_hash_map<WorkKey, Placement> running_;
   CrashRecord crashes_;
-  uint64_t preference_seed_ = 0;
   /** Time to the first part beyond the reading, by service, smoothed. */
   absl::flat_hash_map<std::string, absl::Duration> overhead_;
   absl::Time next_expiry_ = absl::InfinitePast();
--- a/modules/decisions/scheduled_upstream.h
+++ b/modules/decisions/scheduled_upstream.h
@@ -32,6 +32,19 @@
 /** An upstream by the stable hash of its id. */
 using UpstreamKey = uint64_t;
 
+/** How one send ended, for the scheduler's view of the upstream. */
+enum class SendResult {
+  kDone,
+  /** The upstream said that it is full. */
+  kFull,
+  /** Reset, garbled, silent or answered with an error. */
+  kFault,
+  /** Ended for reasons of the caller or of this side. */
+  kCancelled,
+  /** The upstream broke off while it may have run the request. */
+  kCrash,
+};
+
 /** A request that asks for an upstream. */
 struct WorkRequest {
   WorkKey key;
--- /dev/null
+++ b/modules/decisions/upstream_board.cc
@@ -0,0 +1,196 @@
+#include "modules/decisions/upstream_board.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+#include "modules/core/hashing.h"
+
+namespace chicory {
+
+namespace {
+
+/** The most that a scheduler's own preference costs: less than the advantage of
+    an engine with streams. */
+constexpr double kPreferenceCost = 0.004;
+constexpr absl::Duration kFullPause = absl::Milliseconds(100);
+
+double PreferenceOf(UpstreamKey key, uint64_t seed) {
+  const std::array<uint64_t, 2> pair = {key, seed};
+  const uint64_t hash = StableHash(std::string_view(
+      reinterpret_cast<const char*>(pair.data()), sizeof(pair)));
+  constexpr double kSteps = 1024;
+  return kPreferenceCost * static_cast<double>(hash % 1024) / kSteps;
+}
+
+}  // namespace
+
+void UpstreamBoard::SetUpstreams(
+    const std::vector<SchedulerUpstream>& upstreams) {
+  for (auto& [key, state] : rows_)
+    state.eligible = false;
+  for (const SchedulerUpstream& upstream : upstreams) {
+    ScheduledUpstream& state = rows_[upstream.key];
+    state.info = upstream;
+    state.preference = PreferenceOf(upstream.key, preference_seed_);
+    state.eligible = true;
+  }
+  std::erase_if(rows_, [](const auto& entry) {
+    return !entry.second.eligible && entry.second.loads.empty();
+  });
+}
+
+ScheduledUpstream* UpstreamBoard::Find(UpstreamKey key) {
+  auto found = rows_.find(key);
+  return found == rows_.end() ? nullptr : &found->second;
+}
+
+std::vector<ScheduledUpstream*> UpstreamBoard::Usable(
+    const std::string& service,
+    absl::Time now) {
+  std::vector<ScheduledUpstream*> sound;
+  std::vector<ScheduledUpstream*> suspended;
+  for (auto& [key, state] : rows_) {
+    if (!state.eligible || state.info.service != service ||
+        state.full_until > now)
+      continue;
+    if (state.suspended_until > now)
+      suspended.push_back(&state);
+    else
+      sound.push_back(&state);
+  }
+  // When all fail, the failures say little about any of them.
+  return sound.empty() ? suspended : sound;
+}
+
+std::vector<UpstreamKey> UpstreamBoard::Add(const WorkRequest& request,
+                                            const PlacementOption& choice,
+                                            absl::Duration read,
+                                            absl::Time now) {
+  const int64_t needed = request.prompt_tokens + request.output_tokens;
+  std::map<UpstreamKey, int64_t> shares;
+  int64_t shared = 0;
+  for (const MemoryShare& share : choice.memory) {
+    shares[share.upstream] = share.tokens;
+    shared += share.tokens;
+  }
+  std::vector<UpstreamKey> upstreams;
+  for (ScheduledUpstream* state : choice.upstreams) {
+    const bool is_part = !upstreams.empty();
+    upstreams.push_back(state->info.key);
+    for (UpstreamLoad& load : state->loads) {
+      if (!load.answering)
+        load.expected += read;
+    }
+    const int64_t share = shares[state->info.key];
+    state->loads.push_back(
+        {.key = request.key,
+         .is_part = is_part,
+         .tokens = is_part ? share : needed - shared,
+         .due = request.due,
+         .deadline = request.deadline,
+         .expected = now + choice.first_part,
+         .gap_ms = absl::ToDoubleMilliseconds(request.event_gap),
+         .value = RequestValue(request.prompt_tokens, request.output_tokens)});
+    state->read_until = std::max(state->read_until, now) + read;
+    state->last_placed = now;
+  }
+  return upstreams;
+}
+
+void UpstreamBoard::OnFirstPart(WorkKey key,
+                                const std::vector<UpstreamKey>& upstreams,
+                                absl::Time now) {
+  for (UpstreamKey upstream : upstreams) {
+    ScheduledUpstream* state = Find(upstream);
+    if (!state)
+      continue;
+    std::erase_if(state->loads, [&](const UpstreamLoad& load) {
+      return load.key == key && load.is_part && load.tokens == 0;
+    });
+    bool reading = false;
+    for (UpstreamLoad& load : state->loads) {
+      if (load.key == key)
+        load.answering = true;
+      reading |= !load.answering;
+    }
+    if (!reading)
+      state->read_until = std::min(state->read_until, now);
+  }
+}
+
+void UpstreamBoard::Remove(WorkKey key,
+                           const std::vector<UpstreamKey>& upstreams) {
+  for (UpstreamKey upstream : upstreams) {
+    auto found = rows_.find(upstream);
+    if (found == rows_.end())
+      continue;
+    ScheduledUpstream& state = found->second;
+    std::erase_if(state.loads,
+                  [&](const UpstreamLoad& load) { return load.key == key; });
+    if (!state.loads.empty())
+      continue;
+    state.read_until = absl::InfinitePast();
+    if (!state.eligible)
+      rows_.erase(found);
+  }
+}
+
+void UpstreamBoard::OnSendEnded(UpstreamKey upstream,
+                                SendResult result,
+                                absl::Time now) {
+  ScheduledUpstream* state = Find(upstream);
+  if (!state)
+    return;
+  switch (result) {
+    case SendResult::kDone:
+      state->faults = state->FaultsAt(now) / 2;
+      state->faults_at = now;
+      break;
+    case SendResult::kFull:
+      state->full_until = std::max(state->full_until, now + kFullPause);
+      break;
+    case SendResult::kFault:
+    case SendResult::kCrash:
+      state->AddFault(1, now);
+      break;
+    case SendResult::kCancelled:
+      break;
+  }
+}
+
+int UpstreamBoard::RunningAt(UpstreamKey upstream) const {
+  auto found = rows_.find(upstream);
+  if (found == rows_.end())
+    return 0;
+  const std::vector<UpstreamLoad>& loads = found->second.loads;
+  return static_cast<int>(
+      std::count_if(loads.begin(), loads.end(),
+                    [](const UpstreamLoad& load) { return !load.is_part; }));
+}
+
+UpstreamBoard::Slots UpstreamBoard::SlotsOf(const std::string& service) const {
+  Slots slots;
+  for (const auto& [key, state] : rows_) {
+    if (!state.eligible || state.info.service != service)
+      continue;
+    slots.all += state.info.slots;
+    for (const UpstreamLoad& load : state.loads)
+      slots.taken += load.is_part ? 0 : 1;
+  }
+  return slots;
+}
+
+UpstreamBoard::Reading UpstreamBoard::ReadingOf(const std::string& service,
+                                                absl::Time now) const {
+  Reading reading;
+  for (const auto& [key, state] : rows_) {
+    if (!state.eligible || state.info.service != service)
+      continue;
+    ++reading.engines;
+    reading.owed += std::max(state.read_until - now, absl::ZeroDuration());
+  }
+  return reading;
+}
+
+}  // namespace chicory
--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -17,10 +17,6 @@
 /** Tick interval while nothing waits or runs. */
 constexpr absl::Duration kIdleTick = absl::Milliseconds(250);
 constexpr absl::Duration kHousekeeping = absl::Seconds(1);
-/** The source is followed for this long after it was last needed. */
-constexpr absl::Duration kFollowOn = absl::Seconds(2);
-/** A source that did not answer is worth another try after this time. */
-constexpr absl::Duration kLostMemory = absl::Seconds(5);
 /** How long a stopping instance still takes new connections: the balancer asks
     once a second and takes an instance out after two misses. */
 constexpr absl::Duration kBalancerGrace = absl::Milliseconds(2600);
@@ -111,6 +107,10 @@
                   .first_sequence = options_.first_sequence},
                  this,
                  this),
+      follower_(source,
+                &placement_.membership(),
+                log,
+                options_.refresh_interval),
       state_{.loop = loop,
              .codec = codec,
              .log = log,
@@ -245,14 +245,9 @@
 void Gateway::OnSourceReachable(const std::string& source,
                                 bool reachable,
                                 const std::string& reason) {
-  if (reachable) {
-    lost_sources_.erase(source);
-  } else {
-    lost_sources_.insert(source);
-    source_lost_ = SteadyNow();
-  }
   log_.Write(reachable ? "source_regained" : "source_lost",
              {{"source", source}, {"reason", reason}});
+  follower_.OnReachable(source, reachable);
 }
 
 void Gateway::OnUnreadable(const std::string& what, const std::string& reason) {
@@ -272,59 +267,13 @@
   found->second->OnDecision(decision, scheduler);
 }
 
-std::optional<Freshness> Gateway::TakeRefresh(Refresh* refresh,
-                                              uint64_t wanted,
-                                              uint64_t known) {
-  const absl::Time now = SteadyNow();
-  if (now - refresh->asked < options_.refresh_interval)
-    return std::nullopt;
-  // When the last answer fell short, it was too old.
-  const bool fell_short = known < refresh->wanted;
-  *refresh = {.asked = now, .wanted = wanted};
-  return fell_short ? Freshness::kNewest : Freshness::kMayBeStale;
-}
-
 void Gateway::OnNewerConfiguration(uint64_t version) {
-  const uint64_t known = state_.table ? state_.table->version() : 0;
-  const auto freshness = TakeRefresh(&configuration_refresh_, version, known);
-  if (!freshness)
-    return;
-  log_.Write("configuration_behind_peer",
-             {{"version", version}, {"in_force", known}});
-  source_->RefreshConfiguration(*freshness);
+  follower_.OnNewerConfiguration(version,
+                                 state_.table ? state_.table->version() : 0);
 }
 
 void Gateway::OnUpstreamsBehind(uint64_t last_change) {
-  const uint64_t known = placement_.membership().news().complete_until();
-  const auto freshness = TakeRefresh(&upstreams_refresh_, last_change, known);
-  if (!freshness)
-    return;
-  log_.Write("upstreams_behind_peer",
-             {{"last_change", last_change}, {"known", known}});
-  source_->RefreshUpstreams(*freshness);
-}
-
-SourceState Gateway::StateOfSource(absl::Time now) const {
-  const bool is_lost =
-      !lost_sources_.empty() && (follows_ || now - source_lost_ < kLostMemory);
-  if (is_lost)
-    return SourceState::kLost;
-  return follows_ ? SourceState::kFollowing : SourceState::kHearing;
-}
-
-void Gateway::FollowAsNeeded(absl::Time now) {
-  Membership& membership = placement_.membership();
-  membership.SetSourceState(StateOfSource(now), now);
-  if (membership.ShouldFollowSource(now))
-    follow_needed_ = now;
-  const bool follow = now - follow_needed_ < kFollowOn;
-  if (follow == follows_)
-    return;
-  follows_ = follow;
-  log_.Write(follow ? "source_followed" : "source_left_to_others",
-             {{"live_instances", membership.LiveInstances(now)},
-              {"lost", lost_sources_.size()}});
-  source_->Follow(follow);
+  follower_.OnUpstreamsBehind(last_change);
 }
 
 void Gateway::SetSeeds(const std::vector<InstanceIp>& seeds) {
@@ -351,7 +300,7 @@
   if (state_.upstreams.Expire(now))
     TellUpstreams();
   placement_.Tick(now);
-  FollowAsNeeded(now);
+  follower_.Tick(now);
   if (now >= next_housekeeping_) {
     next_housekeeping_ = now + kHousekeeping;
     state_.pool.Expire(now);
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -5,14 +5,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
-#include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "modules/core/error.h"
 #include "modules/gateway/gateway_inputs.h"
 #include "modules/gateway/gateway_state.h"
+#include "modules/gateway/source_follower.h"
 #include "modules/net/datagram_socket.h"
 #include "modules/net/http_server.h"
 
@@ -100,9 +99,6 @@
   /** Takes over changes from the source or from `teller`. */
   void ApplyUpstreams(const UpstreamBatch& batch, const char* teller);
   void TellUpstreams();
-  /** Follows the source when the others need this instance to. */
-  void FollowAsNeeded(absl::Time now);
-  SourceState StateOfSource(absl::Time now) const;
   /** Logs a change of the instance that schedules and of the live instances.
    */
   void NoteMembership(absl::Time now);
@@ -117,6 +113,7 @@
   EventLog& log_;
   GatewayMetrics metrics_;
   PlacementNode placement_;
+  SourceFollower follower_;
   GatewayState state_;
   std::unique_ptr<CallerSite> caller_site_;
   std::unique_ptr<ReadySite> ready_site_;
@@ -130,25 +127,6 @@
   bool tick_is_soon_ = false;
   boost::asio::steady_timer stop_timer_;
   absl::Time next_housekeeping_ = absl::InfinitePast();
-  /** A question to the source about what others know already. */
-  struct Refresh {
-    absl::Time asked = absl::InfinitePast();
-    uint64_t wanted = 0;
-  };
-  /** How to ask for what reaches `wanted` when `known` is known here; nothing
-      when it was asked for just now. */
-  std::optional<Freshness> TakeRefresh(Refresh* refresh,
-                                       uint64_t wanted,
-                                       uint64_t known);
-
-  Refresh configuration_refresh_;
-  Refresh upstreams_refresh_;
-  bool follows_ = false;
-  /** When following was needed last. */
-  absl::Time follow_needed_ = absl::InfinitePast();
-  /** Sources that do not answer, and since when that is known. */
-  std::set<std::string> lost_sources_;
-  absl::Time source_lost_ = absl::InfinitePast();
   bool has_upstreams_ = false;
   InstanceIp scheduling_instance_ = 0;
   size_t live_instances_ = 0;
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -171,8 +171,9 @@
                     .address = change.getAddress(),
                     .data_centre = change.getDataCentre(),
                     .slots = change.getSlots(),
-                    .state = change.getIsDraining() ? RegistrationState::kDraining
-                                                    : RegistrationState::kReady,
+                    .state = change.getIsDraining()
+                                 ? RegistrationState::kDraining
+                                 : RegistrationState::kReady,
                     .started_ms = change.getStartedMilliseconds()},
          .removed = change.getRemoved()});
   }
--- a/modules/routing/routing_table.cc
+++ b/modules/routing/routing_table.cc
@@ -34,7 +34,7 @@
 }
 
 const RouteEntry* RoutingTable::Match(absl::string_view host,
-                                 absl::string_view path) const {
+                                      absl::string_view path) const {
   auto found = by_host_.find(HostKey(host));
   if (found == by_host_.end())
     return nullptr;
