--- a/modules/gateway/silence_watch.h
+++ b/modules/gateway/silence_watch.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <memory>
 
 #include "absl/time/time.h"
 
@@ -25,9 +26,12 @@
 
  private:
   void Arm();
+  void OnTimer();
 
   boost::asio::steady_timer timer_;
   std::function<void()> on_silence_;
+  /** Held weakly by timer callbacks, which may outlive this object. */
+  std::shared_ptr<SilenceWatch*> alive_;
   absl::Time due_ = absl::InfiniteFuture();
   /** When the timer under way ends. */
   absl::Time armed_ = absl::InfiniteFuture();
--- a/tests/logic/gateway_parts_test.cc
+++ b/tests/logic/gateway_parts_test.cc
@@ -1,6 +1,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <random>
@@ -8,9 +10,12 @@
 #include <vector>
 
 #include "absl/strings/match.h"
+#include "absl/time/clock.h"
 #include "modules/core/event_log.h"
 #include "modules/decisions/retry_window.h"
 #include "modules/gateway/gateway_metrics.h"
+#include "modules/gateway/silence_watch.h"
+#include "modules/net/loop_time.h"
 #include "modules/net/socket_options.h"
 #include "modules/routing/upstream_directory.h"
 
@@ -206,6 +211,36 @@
   CHECK(absl::StrContains(text, "{service=\"other\"} 128\n"));
 }
 
+TEST_CASE("a silence watch calls once what it waits for stays out") {
+  boost::asio::io_context loop;
+  int calls = 0;
+  SilenceWatch watch(loop, [&] { ++calls; });
+  watch.Expect(SteadyNow() + absl::Milliseconds(5));
+  watch.Expect(SteadyNow() + absl::Milliseconds(30));
+  loop.run_for(std::chrono::milliseconds(15));
+  CHECK(calls == 0);
+  loop.restart();
+  loop.run_for(std::chrono::milliseconds(200));
+  CHECK(calls == 1);
+  watch.Expect(SteadyNow() + absl::Milliseconds(5));
+  watch.Stop();
+  loop.restart();
+  loop.run_for(std::chrono::milliseconds(20));
+  CHECK(calls == 1);
+}
+
+TEST_CASE("a silence watch that is gone calls nobody") {
+  boost::asio::io_context loop;
+  int calls = 0;
+  auto watch = std::make_unique<SilenceWatch>(loop, [&] { ++calls; });
+  watch->Expect(SteadyNow() + absl::Milliseconds(1));
+  absl::SleepFor(absl::Milliseconds(5));
+  // The timer has ended and its callback waits behind this one.
+  boost::asio::post(loop, [&] { watch.reset(); });
+  loop.run_for(std::chrono::milliseconds(20));
+  CHECK(calls == 0);
+}
+
 TEST_CASE("addresses are read exactly") {
   struct Case {
     const char* text;
