The platform's stand-in ends although watches wait at it

Ruled out: load as the cause; it only decides whether a watch waits at the end. Change: the calls share the table; a check that the stand-in ends while watches wait. The new check was not run against the former stand-in.

--- a/stand_ins/platform_store.cc
+++ b/stand_ins/platform_store.cc
@@ -47,8 +47,9 @@
 class PlatformStore::Call : public HttpHandler,
                             public std::enable_shared_from_this<Call> {
  public:
-  explicit Call(PlatformStore* store) : store_(store), timer_(store->loop_) {}
-  ~Call() override { store_->watches_.erase(this); }
+  explicit Call(PlatformStore* store)
+      : store_(store), watches_(store->watches_), timer_(store->loop_) {}
+  ~Call() override { watches_->erase(this); }
 
   void Start(HttpRequest request, AnswerSink* sink) override {
     sink_ = sink;
@@ -89,17 +90,17 @@
       Answer();
       return;
     }
-    store_->watches_.insert(this);
+    watches_->insert(this);
     timer_.expires_after(std::chrono::milliseconds(wait_ms));
     timer_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
-          if (!error && self->store_->watches_.count(self.get()) != 0)
+          if (!error && self->watches_->count(self.get()) != 0)
             self->Answer();
         });
   }
 
   void OnCallerLeft() override {
-    store_->watches_.erase(this);
+    watches_->erase(this);
     timer_.cancel();
   }
 
@@ -111,19 +112,21 @@
 
   void Cut() {
     const auto self = shared_from_this();
-    store_->watches_.erase(this);
+    watches_->erase(this);
     timer_.cancel();
     sink_->Abort();
   }
 
  private:
   void Answer() {
-    store_->watches_.erase(this);
+    watches_->erase(this);
     timer_.cancel();
     sink_->SendWhole(kOk, {}, store_->Events(kind_, revision_));
   }
 
   PlatformStore* store_;
+  /** Shared, because a loop that ends drops its calls after the store. */
+  const std::shared_ptr<std::set<Call*>> watches_;
   boost::asio::steady_timer timer_;
   AnswerSink* sink_ = nullptr;
   std::string kind_;
@@ -150,7 +153,7 @@
 void PlatformStore::Wake() {
   if (mode_ != StoreMode::kOk)
     return;
-  const std::vector<Call*> waiting(watches_.begin(), watches_.end());
+  const std::vector<Call*> waiting(watches_->begin(), watches_->end());
   for (Call* call : waiting)
     call->Look();
 }
@@ -161,14 +164,14 @@
     Wake();
     return;
   }
-  const std::vector<Call*> waiting(watches_.begin(), watches_.end());
+  const std::vector<Call*> waiting(watches_->begin(), watches_->end());
   for (Call* call : waiting)
     call->Cut();
 }
 
 void PlatformStore::ForgetHistory() {
   history_from_ = revision_ + 1;
-  const std::vector<Call*> waiting(watches_.begin(), watches_.end());
+  const std::vector<Call*> waiting(watches_->begin(), watches_->end());
   for (Call* call : waiting)
     call->Cut();
   ++revision_;
--- a/stand_ins/platform_store.h
+++ b/stand_ins/platform_store.h
@@ -69,7 +69,8 @@
   uint64_t history_from_ = 0;
   int64_t calls_ = 0;
   std::map<std::string, std::map<std::string, Object>> kinds_;
-  std::set<Call*> watches_;
+  std::shared_ptr<std::set<Call*>> watches_ =
+      std::make_shared<std::set<Call*>>();
 };
 
 }  // namespace chicory
--- a/tests/process/gateway_requests.sh
+++ b/tests/process/gateway_requests.sh
@@ -141,4 +141,15 @@
 expect "metrics" "$(curl -s "http://127.0.0.1:$port/metrics")" '^chicory_upstreams 4'
 gateway g3 --set "metrics_listen=127.0.0.1:$port"
 expect "told" "$(log_of g3 metrics_not_served)" 'reason='
+say "the stand-in ends although watches wait at it"
+for i in 1 2 3; do
+  start "other$i" stand_in_platform --set engines=2 --set desks=2
+  for kind in servers config servers; do
+    curl -s -m 5 "http://$(address "other$i" store)/objects/$kind?watch=9999&wait-ms=15000" >/dev/null &
+  done
+  sleep 0.2
+  kill -TERM "$(cat "$FLEET/other$i.pid")"
+  has_ended() { ! kill -0 "$(cat "$FLEET/other$i.pid")" 2>/dev/null; }
+  wait_for 3 has_ended || problem "the stand-in has not ended"
+done
 finish
