--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -103,14 +103,14 @@
       log_(log),
       placement_({.self = options_.peers.ip,
                   .seeds = options_.seeds,
-                  .source_silence = options_.source_silence,
+                  .watcher_timeout = options_.watcher_timeout,
                   .first_sequence = options_.first_sequence},
                  this,
                  this),
-      follower_(source,
-                &placement_.membership(),
-                log,
-                options_.refresh_interval),
+      source_watcher_(source,
+                      &placement_.membership(),
+                      log,
+                      options_.refresh_interval),
       state_{.loop = loop,
              .codec = codec,
              .log = log,
@@ -196,10 +196,10 @@
 void Gateway::OnUpstreams(const std::vector<UpstreamRecord>& upstreams,
                           uint64_t revision,
                           bool after_outage) {
-  UpstreamNews& news = placement_.membership().news();
-  if (!news.OnListed(revision)) {
+  UpstreamChangeLog& changes = placement_.membership().upstream_changes();
+  if (!changes.OnListed(revision)) {
     log_.Write("upstreams_ignored",
-               {{"revision", revision}, {"known", news.complete_until()}});
+               {{"revision", revision}, {"known", changes.complete_until()}});
     return;
   }
   state_.upstreams_heard = SteadyNow();
@@ -212,15 +212,15 @@
 }
 
 void Gateway::OnUpstreamChanges(const UpstreamBatch& batch) {
-  if (placement_.membership().news().Add(batch))
+  if (placement_.membership().upstream_changes().Add(batch))
     ApplyUpstreams(batch, "source");
 }
 
-void Gateway::OnUpstreamNews(const UpstreamBatch& batch) {
+void Gateway::OnPeerUpstreamChanges(const UpstreamBatch& batch) {
   ApplyUpstreams(batch, "instance");
 }
 
-void Gateway::ApplyUpstreams(const UpstreamBatch& batch, const char* teller) {
+void Gateway::ApplyUpstreams(const UpstreamBatch& batch, const char* origin) {
   state_.upstreams_heard = SteadyNow();
   for (const UpstreamChange& change : batch.changes) {
     const UpstreamRecord& record = change.record;
@@ -236,7 +236,7 @@
                                               : ready        ? "ready"
                                                              : "draining"},
                                     {"revision", batch.to},
-                                    {"told_by", teller}});
+                                    {"origin", origin}});
   }
   if (!batch.changes.empty())
     TellUpstreams();
@@ -247,7 +247,7 @@
                                 const std::string& reason) {
   log_.Write(reachable ? "source_regained" : "source_lost",
              {{"source", source}, {"reason", reason}});
-  follower_.OnReachable(source, reachable);
+  source_watcher_.OnReachable(source, reachable);
 }
 
 void Gateway::OnUnreadable(const std::string& what, const std::string& reason) {
@@ -268,12 +268,12 @@
 }
 
 void Gateway::OnNewerConfiguration(uint64_t version) {
-  follower_.OnNewerConfiguration(version,
-                                 state_.table ? state_.table->version() : 0);
+  source_watcher_.OnNewerConfiguration(
+      version, state_.table ? state_.table->version() : 0);
 }
 
 void Gateway::OnUpstreamsBehind(uint64_t last_change) {
-  follower_.OnUpstreamsBehind(last_change);
+  source_watcher_.OnUpstreamsBehind(last_change);
 }
 
 void Gateway::SetSeeds(const std::vector<InstanceIp>& seeds) {
@@ -300,7 +300,7 @@
   if (state_.upstreams.Expire(now))
     TellUpstreams();
   placement_.Tick(now);
-  follower_.Tick(now);
+  source_watcher_.Tick(now);
   if (now >= next_housekeeping_) {
     next_housekeeping_ = now + kHousekeeping;
     state_.pool.Expire(now);
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -11,7 +11,7 @@
 #include "modules/core/error.h"
 #include "modules/gateway/gateway_inputs.h"
 #include "modules/gateway/gateway_state.h"
-#include "modules/gateway/source_follower.h"
+#include "modules/gateway/source_watcher.h"
 #include "modules/net/datagram_socket.h"
 #include "modules/net/http_server.h"
 
@@ -24,7 +24,7 @@
    configuration and upstreams come from.
 
     It listens for callers, for the balancer's question whether it is ready, and
-    for operators, follows its source, and talks to the other instances. All
+    for operators, reads its source, and talks to the other instances. All
     its methods belong to the loop's thread. */
 class Gateway : public GatewayInputs,
                 public PlacementNode::Transport,
@@ -39,8 +39,8 @@
     /** For datagrams of the other instances; they use the same port. */
     Endpoint peers;
     std::vector<InstanceIp> seeds;
-    /** Longest time without word from an instance that follows the source. */
-    absl::Duration source_silence = absl::Milliseconds(1000);
+    /** Longest time without word from an instance that watches the source. */
+    absl::Duration watcher_timeout = absl::Milliseconds(1000);
     /** News elsewhere make this instance ask the source at most so often. */
     absl::Duration refresh_interval = absl::Milliseconds(500);
     size_t max_connections = 1000;
@@ -58,7 +58,7 @@
           GatewaySource* source);
   ~Gateway() override;
 
-  /** Opens the listeners and follows the source. */
+  /** Opens the listeners and reads the source. */
   Result<void> Start();
   /** Leaves the balancer, finishes what is under way, then calls `done`. */
   void BeginStop(std::function<void()> done);
@@ -84,7 +84,7 @@
   void OnDecision(const ScheduleDecision& decision,
                   InstanceIp scheduler) override;
   void OnNewerConfiguration(uint64_t version) override;
-  void OnUpstreamNews(const UpstreamBatch& batch) override;
+  void OnPeerUpstreamChanges(const UpstreamBatch& batch) override;
   void OnUpstreamsBehind(uint64_t last_change) override;
 
  private:
@@ -96,8 +96,8 @@
   std::string Metrics();
   /** A metrics address that cannot be had is logged and does no other harm. */
   void ListenForMetrics();
-  /** Takes over changes from the source or from `teller`. */
-  void ApplyUpstreams(const UpstreamBatch& batch, const char* teller);
+  /** Takes over changes from the source or from `origin`. */
+  void ApplyUpstreams(const UpstreamBatch& batch, const char* origin);
   void TellUpstreams();
   /** Logs a change of the instance that schedules and of the live instances.
    */
@@ -113,7 +113,7 @@
   EventLog& log_;
   GatewayMetrics metrics_;
   PlacementNode placement_;
-  SourceFollower follower_;
+  SourceWatcher source_watcher_;
   GatewayState state_;
   std::unique_ptr<CallerSite> caller_site_;
   std::unique_ptr<ReadySite> ready_site_;
--- a/modules/gateway/gateway_inputs.h
+++ b/modules/gateway/gateway_inputs.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "modules/routing/routing_table.h"
-#include "modules/routing/upstream_news.h"
+#include "modules/routing/upstream_change_log.h"
 
 namespace chicory {
 
@@ -42,11 +42,11 @@
 class GatewaySource {
  public:
   virtual ~GatewaySource() = default;
-  /** Reads what there is and tells `inputs`, from the event loop. */
+  /** Reads what there is and reports it to `inputs`, from the event loop. */
   virtual void Start(GatewayInputs* inputs) = 0;
-  /** Begins or ends to follow changes. */
-  virtual void Follow(bool follow) = 0;
-  /** Something newer than what was told is known to exist. */
+  /** Begins or ends to watch for changes. */
+  virtual void SetWatching(bool watching) = 0;
+  /** Something newer than what was reported is known to exist. */
   virtual void RefreshConfiguration(Freshness freshness) = 0;
   virtual void RefreshUpstreams(Freshness freshness) = 0;
 };
--- a/modules/gateway/gateway_metrics.cc
+++ b/modules/gateway/gateway_metrics.cc
@@ -104,29 +104,33 @@
   Of(service).longest_gap->Observe(absl::ToDoubleSeconds(longest_gap));
 }
 
-void GatewayMetrics::SetLevel(const char* name,
-                              const char* help,
-                              double value) {
-  AddFamily(&registry_, prometheus::BuildGauge(), name, help)
-      .Add({})
-      .Set(value);
-}
-
 std::string GatewayMetrics::Exposition(const Levels& levels) {
-  SetLevel("chicory_requests_in_flight", "Requests that wait or run here",
-           static_cast<double>(levels.in_flight));
-  SetLevel("chicory_live_instances", "Live instances as believed here",
-           static_cast<double>(levels.live_instances));
-  SetLevel("chicory_scheduler_waiting", "Requests that wait in this scheduler",
-           static_cast<double>(levels.scheduler_waiting));
-  SetLevel("chicory_scheduler_running", "Requests that this scheduler placed",
-           static_cast<double>(levels.scheduler_running));
-  SetLevel("chicory_configuration_version", "Configuration in force",
-           static_cast<double>(levels.configuration_version));
-  SetLevel("chicory_upstreams", "Upstreams known",
-           static_cast<double>(levels.upstreams));
-  SetLevel("chicory_log_lines_dropped", "Log lines that were not written",
-           static_cast<double>(levels.log_lines_dropped));
+  struct Row {
+    const char* name;
+    const char* help;
+    double value;
+  };
+  const Row rows[] = {
+      {"chicory_requests_in_flight", "Requests that wait or run here",
+       static_cast<double>(levels.in_flight)},
+      {"chicory_live_instances", "Live instances as believed here",
+       static_cast<double>(levels.live_instances)},
+      {"chicory_scheduler_waiting", "Requests that wait in this scheduler",
+       static_cast<double>(levels.scheduler_waiting)},
+      {"chicory_scheduler_running", "Requests that this scheduler placed",
+       static_cast<double>(levels.scheduler_running)},
+      {"chicory_configuration_version", "Configuration in force",
+       static_cast<double>(levels.configuration_version)},
+      {"chicory_upstreams", "Upstreams known",
+       static_cast<double>(levels.upstreams)},
+      {"chicory_log_lines_dropped", "Log lines that were not written",
+       static_cast<double>(levels.log_lines_dropped)},
+  };
+  for (const Row& row : rows) {
+    AddFamily(&registry_, prometheus::BuildGauge(), row.name, row.help)
+        .Add({})
+        .Set(row.value);
+  }
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/modules/gateway/gateway_metrics.h
+++ b/modules/gateway/gateway_metrics.h
@@ -63,7 +63,6 @@
 
   const std::string& LabelOf(const std::string& service) const;
   ServiceMetrics& Of(const std::string& service);
-  void SetLevel(const char* name, const char* help, double value);
 
   prometheus::Registry registry_;
   prometheus::Family<prometheus::Counter>& requests_;
--- a/modules/gateway/request_run.cc
+++ b/modules/gateway/request_run.cc
@@ -26,9 +26,9 @@
 constexpr absl::Duration kLeastTime = absl::Milliseconds(30);
 /** Decisions that may be lost to a list of upstreams that has moved on. */
 constexpr int kMaxDecisions = 8;
-/** A plain upstream is silent when it has not answered after so many times the
+/** A plain upstream's response is overdue after so many times the
     route's target. */
-constexpr double kSilentTargets = 2;
+constexpr double kOverdueTargets = 2;
 /** Expected output over the caller's estimate. */
 constexpr double kOutputMargin = 1.2;
 
@@ -57,7 +57,7 @@
 
 RequestRun::RequestRun(GatewayState* state)
     : state_(state),
-      trail_(state->log, state->metrics),
+      telemetry_(state->log, state->metrics),
       timeout_(state->loop) {}
 
 RequestRun::~RequestRun() = default;
@@ -67,7 +67,7 @@
   request_ = std::move(request);
   caller_ = state_->codec.ReadRequest(request_);
   arrived_ = SteadyNow();
-  trail_.OnArrived(caller_.id, arrived_);
+  telemetry_.OnArrived(caller_.id, arrived_);
   if (!FindRoute())
     return;
   deadline_ = arrived_ + std::min(caller_.patience, route_->timeout);
@@ -78,12 +78,12 @@
     fingerprint_ = StableHash(
         request_.body, StableHash(request_.target, StableHash(account_)));
   }
-  trail_.OnAdmitted({.route = *route_,
-                     .service = service_,
-                     .account = account_,
-                     .configuration = table_->version(),
-                     .prompt_tokens = caller_.prompt_tokens,
-                     .patience = deadline_ - arrived_});
+  telemetry_.OnAdmitted({.route = *route_,
+                         .service = service_,
+                         .account = account_,
+                         .configuration = table_->version(),
+                         .prompt_tokens = caller_.prompt_tokens,
+                         .patience = deadline_ - arrived_});
   state_->retries.OnRequest(service_, arrived_);
   ArmTimeout();
   AskForUpstream();
@@ -170,7 +170,7 @@
   if (decision.kind == ScheduleDecision::Kind::kRefuse) {
     state_->runs.erase(decision.key);
     work_.reset();
-    trail_.OnRefused(decision, scheduler, SteadyNow());
+    telemetry_.OnRefused(decision, scheduler, SteadyNow());
     if (decision.cause == RefusalCause::kCrashesUpstreams) {
       may_have_run_ = true;
       AnswerWithoutUpstream("crashes_upstreams");
@@ -184,7 +184,7 @@
   if (!upstream) {
     EndSend(SendResult::kCancelled, 0);
     avoid_.push_back(decision.upstream);
-    trail_.OnUpstreamUnknown(decision.upstream);
+    telemetry_.OnUpstreamUnknown(decision.upstream);
     AskAgain("upstreams_unknown");
     return;
   }
@@ -219,7 +219,7 @@
     const std::shared_ptr<RequestRun> self = weak.lock();
     if (!self || self->finished_)
       return;
-    self->trail_.OnMemoryAsked(decision.memory.size(), held);
+    self->telemetry_.OnMemoryAsked(decision.memory.size(), held);
     if (held) {
       self->SendTo(upstream, decision);
       return;
@@ -256,15 +256,15 @@
                     .helpers = Helpers(decision)};
   if (!events_.last_event_id().empty())
     send.resume_after = events_.last_event_id();
-  trail_.OnSent({.upstream_id = upstream.id,
-                 .address = upstream.address,
-                 .helpers = AddressesOf(send.helpers),
-                 .scheduler = scheduler_,
-                 .decided_after = now - asked_at_,
-                 .upstreams_age = now - state_->upstreams_heard,
-                 .expected = decision.expected,
-                 .time_left = send.time_left},
-                now);
+  telemetry_.OnSent({.upstream_id = upstream.id,
+                     .address = upstream.address,
+                     .helpers = AddressesOf(send.helpers),
+                     .scheduler = scheduler_,
+                     .decided_after = now - asked_at_,
+                     .upstreams_age = now - state_->upstreams_heard,
+                     .expected = decision.expected,
+                     .time_left = send.time_left},
+                    now);
   exchange_ = std::make_shared<UpstreamExchange>(
       UpstreamExchange::Options{
           .upstream = upstream_,
@@ -278,23 +278,23 @@
                                .pool = state_->pool,
                                .directory = state_->upstreams},
       &events_, this);
-  WatchForSilence(now);
+  ArmWatchdog(now);
   exchange_->Send(
       absl::StrCat(state_->codec.UpstreamHead(request_, send), request_.body));
 }
 
-void RequestRun::WatchForSilence(absl::Time now) {
-  // An engine under load is silent for as long as it reads.
+void RequestRun::ArmWatchdog(absl::Time now) {
+  // An engine under load sends nothing for as long as it reads.
   if (caller_.prompt_tokens > 0)
     return;
-  if (!silence_) {
-    silence_ =
-        std::make_unique<SilenceWatch>(state_->loop, [weak = weak_from_this()] {
+  if (!watchdog_) {
+    watchdog_ = std::make_unique<ResponseWatchdog>(
+        state_->loop, [weak = weak_from_this()] {
           if (const auto self = weak.lock())
-            self->OnSilence();
+            self->OnResponseOverdue();
         });
   }
-  silence_->Expect(now + route_->target_latency * kSilentTargets);
+  watchdog_->Start(now + route_->target_latency * kOverdueTargets);
 }
 
 void RequestRun::BeginStream(const HttpResponseHead& head) {
@@ -309,7 +309,7 @@
   const auto self = shared_from_this();
   const absl::Time now = SteadyNow();
   BeginStream(head);
-  trail_.OnEvents(route_->target_latency, now);
+  telemetry_.OnEvents(route_->target_latency, now);
   if (!first_part_told_ && work_) {
     first_part_told_ = true;
     state_->placement->OnFirstPart(*work_, now);
@@ -341,8 +341,8 @@
   if (exchange_)
     exchange_->Cancel();
   exchange_.reset();
-  if (silence_)
-    silence_->Stop();
+  if (watchdog_)
+    watchdog_->Stop();
   if (memory_)
     memory_->Release();
   memory_.reset();
@@ -359,7 +359,7 @@
   // A stream that was begun can only go on after an event with an id.
   if (stream_begun_ && events_.last_event_id().empty())
     return false;
-  if (trail_.sends() >= route_->max_attempts || TimeLeft() < kLeastTime)
+  if (telemetry_.sends() >= route_->max_attempts || TimeLeft() < kLeastTime)
     return false;
   const absl::Time now = SteadyNow();
   return state_->retries.Spend(
@@ -374,21 +374,22 @@
     SendAgain(failure);
     return;
   }
-  trail_.OnSendFailed(failure, /*again=*/false, events_.events(), now);
+  telemetry_.OnSendFailed(failure, /*again=*/false, events_.events(), now);
   EndSend(failure.result, failure.fault_at);
   AnswerWithoutUpstream(failure.reason);
 }
 
 void RequestRun::SendAgain(const UpstreamExchange::Failure& failure) {
-  trail_.OnSendFailed(failure, /*again=*/true, events_.events(), SteadyNow());
+  telemetry_.OnSendFailed(failure, /*again=*/true, events_.events(),
+                          SteadyNow());
   avoid_.push_back(failure.fault_at != 0 ? failure.fault_at : upstream_);
   EndSend(failure.result, failure.fault_at);
   first_part_told_ = false;
   AskForUpstream();
 }
 
-void RequestRun::OnSilence() {
-  const UpstreamExchange::Failure failure{.reason = "upstream_silent"};
+void RequestRun::OnResponseOverdue() {
+  const UpstreamExchange::Failure failure{.reason = "response_overdue"};
   if (finished_ || !exchange_ || !MaySendAgain(failure))
     return;
   const auto self = shared_from_this();
@@ -443,18 +444,18 @@
   if (finished_)
     return;
   const auto self = shared_from_this();
-  const bool was_silent =
-      exchange_ && silence_ && silence_->IsOverdue(SteadyNow());
-  EndSend(was_silent ? SendResult::kFault : SendResult::kCancelled, 0);
+  const bool was_overdue =
+      exchange_ && watchdog_ && watchdog_->IsOverdue(SteadyNow());
+  EndSend(was_overdue ? SendResult::kFault : SendResult::kCancelled, 0);
   Finish(0, "caller_left");
 }
 
 void RequestRun::Finish(int status, const char* reason) {
   finished_ = true;
   timeout_.cancel();
-  if (silence_)
-    silence_->Stop();
-  trail_.OnEnded(status, reason, events_.events(), SteadyNow());
+  if (watchdog_)
+    watchdog_->Stop();
+  telemetry_.OnEnded(status, reason, events_.events(), SteadyNow());
 }
 
 }  // namespace chicory
--- a/modules/gateway/request_run.h
+++ b/modules/gateway/request_run.h
@@ -10,8 +10,8 @@
 #include "absl/time/time.h"
 #include "modules/gateway/gateway_state.h"
 #include "modules/gateway/memory_hold.h"
-#include "modules/gateway/request_trail.h"
-#include "modules/gateway/silence_watch.h"
+#include "modules/gateway/request_telemetry.h"
+#include "modules/gateway/response_watchdog.h"
 #include "modules/gateway/upstream_exchange.h"
 #include "modules/net/event_stream.h"
 #include "modules/net/http_server.h"
@@ -67,10 +67,10 @@
                              absl::Duration retry_after = kRefusedRetry);
   void AnswerOwn(int status, absl::Duration retry_after, const char* reason);
   void Finish(int status, const char* reason);
-  /** From now on an upstream that stays silent is left for another. */
-  void WatchForSilence(absl::Time now);
+  /** Begins to watch for a response that takes too long. */
+  void ArmWatchdog(absl::Time now);
   /** Sends the request elsewhere if it may be, and waits on otherwise. */
-  void OnSilence();
+  void OnResponseOverdue();
   /** Gives the send up and asks for another upstream. */
   void SendAgain(const UpstreamExchange::Failure& failure);
   void OnTimeout();
@@ -80,7 +80,7 @@
   static constexpr absl::Duration kRefusedRetry = absl::Milliseconds(500);
 
   GatewayState* state_;
-  RequestTrail trail_;
+  RequestTelemetry telemetry_;
   AnswerSink* sink_ = nullptr;
   HttpRequest request_;
   CallerRequest caller_;
@@ -95,7 +95,7 @@
   absl::Time arrived_;
   absl::Time deadline_;
   boost::asio::steady_timer timeout_;
-  std::unique_ptr<SilenceWatch> silence_;
+  std::unique_ptr<ResponseWatchdog> watchdog_;
 
   std::optional<WorkKey> work_;
   std::shared_ptr<MemoryHold> memory_;
--- a/modules/gateway/request_trail.cc
+++ b/modules/gateway/request_telemetry.cc
@@ -1,4 +1,4 @@
-#include "modules/gateway/request_trail.h"
+#include "modules/gateway/request_telemetry.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,12 +15,12 @@
 
 }  // namespace
 
-void RequestTrail::OnArrived(std::string request, absl::Time now) {
+void RequestTelemetry::OnArrived(std::string request, absl::Time now) {
   request_ = std::move(request);
   arrived_ = now;
 }
 
-void RequestTrail::OnAdmitted(const Admission& admission) {
+void RequestTelemetry::OnAdmitted(const Admission& admission) {
   service_ = admission.service;
   log_.WriteDetail("request_admitted",
                    {{"request", request_},
@@ -32,18 +32,18 @@
                     {"patience_ms", Ms(admission.patience)}});
 }
 
-void RequestTrail::OnUpstreamUnknown(UpstreamKey upstream) {
+void RequestTelemetry::OnUpstreamUnknown(UpstreamKey upstream) {
   log_.WriteDetail("upstream_unknown_here",
                    {{"request", request_}, {"upstream", upstream}});
 }
 
-void RequestTrail::OnMemoryAsked(size_t engines, bool held) {
+void RequestTelemetry::OnMemoryAsked(size_t engines, bool held) {
   log_.WriteDetail(
       "memory_asked",
       {{"request", request_}, {"engines", engines}, {"held", held ? 1 : 0}});
 }
 
-void RequestTrail::OnSent(const Send& send, absl::Time now) {
+void RequestTelemetry::OnSent(const Send& send, absl::Time now) {
   ++sends_;
   sent_at_ = now;
   upstream_id_ = send.upstream_id;
@@ -62,9 +62,9 @@
                     {"time_left_ms", Ms(send.time_left)}});
 }
 
-void RequestTrail::OnRefused(const ScheduleDecision& decision,
-                             InstanceIp scheduler,
-                             absl::Time now) {
+void RequestTelemetry::OnRefused(const ScheduleDecision& decision,
+                                 InstanceIp scheduler,
+                                 absl::Time now) {
   log_.WriteDetail("request_refused",
                    {{"request", request_},
                     {"cause", RefusalCauseName(decision.cause)},
@@ -73,7 +73,7 @@
                     {"retry_after_ms", Ms(decision.retry_after)}});
 }
 
-void RequestTrail::OnEvents(absl::Duration target_latency, absl::Time now) {
+void RequestTelemetry::OnEvents(absl::Duration target_latency, absl::Time now) {
   const bool is_first = last_event_ == absl::InfinitePast();
   if (!is_first)
     longest_gap_ = std::max(longest_gap_, now - last_event_);
@@ -88,10 +88,10 @@
                                    {"target_ms", Ms(target_latency)}});
 }
 
-void RequestTrail::OnSendFailed(const UpstreamExchange::Failure& failure,
-                                bool again,
-                                int events,
-                                absl::Time now) {
+void RequestTelemetry::OnSendFailed(const UpstreamExchange::Failure& failure,
+                                    bool again,
+                                    int events,
+                                    absl::Time now) {
   metrics_.OnSendFailed(service_, failure.reason);
   log_.Write("send_failed", {{"request", request_},
                              {"upstream", upstream_id_},
@@ -103,10 +103,10 @@
                              {"again", again ? 1 : 0}});
 }
 
-void RequestTrail::OnEnded(int status,
-                           const char* reason,
-                           int events,
-                           absl::Time now) {
+void RequestTelemetry::OnEnded(int status,
+                               const char* reason,
+                               int events,
+                               absl::Time now) {
   const absl::Duration took = now - arrived_;
   metrics_.OnRequestEnded(service_, status, reason, took);
   if (events > 0 && status != 0)
--- a/modules/gateway/request_trail.h
+++ b/modules/gateway/request_telemetry.h
@@ -1,5 +1,5 @@
-#ifndef MODULES_GATEWAY_REQUEST_TRAIL_H_
-#define MODULES_GATEWAY_REQUEST_TRAIL_H_
+#ifndef MODULES_GATEWAY_REQUEST_TELEMETRY_H_
+#define MODULES_GATEWAY_REQUEST_TELEMETRY_H_
 
 #include <string>
 
@@ -17,9 +17,9 @@
     decision, with what decided it. Belongs to the event loop's thread.
 
     @see docs/OPERATIONS.md for how to read the lines */
-class RequestTrail {
+class RequestTelemetry {
  public:
-  RequestTrail(EventLog& log, GatewayMetrics& metrics)
+  RequestTelemetry(EventLog& log, GatewayMetrics& metrics)
       : log_(log), metrics_(metrics) {}
 
   /** A request was read; `request` is its caller's id for it. */
@@ -85,4 +85,4 @@
 
 }  // namespace chicory
 
-#endif  // MODULES_GATEWAY_REQUEST_TRAIL_H_
+#endif  // MODULES_GATEWAY_REQUEST_TELEMETRY_H_
--- a/modules/gateway/source_follower.cc
+++ b/modules/gateway/source_watcher.cc
@@ -1,4 +1,4 @@
-#include "modules/gateway/source_follower.h"
+#include "modules/gateway/source_watcher.h"
 
 #include "modules/net/loop_time.h"
 
@@ -6,23 +6,23 @@
 
 namespace {
 
-/** The source is followed for this long after it was last needed. */
-constexpr absl::Duration kFollowOn = absl::Seconds(2);
+/** The source is watched for this long after it was last needed. */
+constexpr absl::Duration kKeepWatching = absl::Seconds(2);
 /** A source that did not answer is worth another try after this time. */
 constexpr absl::Duration kLostMemory = absl::Seconds(5);
 
 }  // namespace
 
-SourceFollower::SourceFollower(GatewaySource* source,
-                               Membership* membership,
-                               EventLog& log,
-                               absl::Duration refresh_interval)
+SourceWatcher::SourceWatcher(GatewaySource* source,
+                             Membership* membership,
+                             EventLog& log,
+                             absl::Duration refresh_interval)
     : source_(source),
       membership_(membership),
       log_(log),
       refresh_interval_(refresh_interval) {}
 
-void SourceFollower::OnReachable(const std::string& part, bool reachable) {
+void SourceWatcher::OnReachable(const std::string& part, bool reachable) {
   if (reachable) {
     lost_parts_.erase(part);
     return;
@@ -31,9 +31,9 @@
   lost_ = SteadyNow();
 }
 
-std::optional<Freshness> SourceFollower::TakeRefresh(Refresh* refresh,
-                                                     uint64_t wanted,
-                                                     uint64_t known) {
+std::optional<Freshness> SourceWatcher::TakeRefresh(Refresh* refresh,
+                                                    uint64_t wanted,
+                                                    uint64_t known) {
   const absl::Time now = SteadyNow();
   if (now - refresh->asked < refresh_interval_)
     return std::nullopt;
@@ -43,7 +43,7 @@
   return fell_short ? Freshness::kNewest : Freshness::kMayBeStale;
 }
 
-void SourceFollower::OnNewerConfiguration(uint64_t version, uint64_t in_force) {
+void SourceWatcher::OnNewerConfiguration(uint64_t version, uint64_t in_force) {
   const auto freshness = TakeRefresh(&configuration_, version, in_force);
   if (!freshness)
     return;
@@ -52,8 +52,8 @@
   source_->RefreshConfiguration(*freshness);
 }
 
-void SourceFollower::OnUpstreamsBehind(uint64_t last_change) {
-  const uint64_t known = membership_->news().complete_until();
+void SourceWatcher::OnUpstreamsBehind(uint64_t last_change) {
+  const uint64_t known = membership_->upstream_changes().complete_until();
   const auto freshness = TakeRefresh(&upstreams_, last_change, known);
   if (!freshness)
     return;
@@ -62,26 +62,26 @@
   source_->RefreshUpstreams(*freshness);
 }
 
-SourceState SourceFollower::StateOfSource(absl::Time now) const {
+SourceState SourceWatcher::StateOfSource(absl::Time now) const {
   const bool is_lost =
-      !lost_parts_.empty() && (follows_ || now - lost_ < kLostMemory);
+      !lost_parts_.empty() && (is_watching_ || now - lost_ < kLostMemory);
   if (is_lost)
     return SourceState::kLost;
-  return follows_ ? SourceState::kFollowing : SourceState::kHearing;
+  return is_watching_ ? SourceState::kWatching : SourceState::kPassive;
 }
 
-void SourceFollower::Tick(absl::Time now) {
+void SourceWatcher::Tick(absl::Time now) {
   membership_->SetSourceState(StateOfSource(now), now);
-  if (membership_->ShouldFollowSource(now))
+  if (membership_->ShouldWatchSource(now))
     needed_ = now;
-  const bool follow = now - needed_ < kFollowOn;
-  if (follow == follows_)
+  const bool watch = now - needed_ < kKeepWatching;
+  if (watch == is_watching_)
     return;
-  follows_ = follow;
-  log_.Write(follow ? "source_followed" : "source_left_to_others",
+  is_watching_ = watch;
+  log_.Write(watch ? "source_watched" : "source_unwatched",
              {{"live_instances", membership_->LiveInstances(now)},
               {"lost_parts", lost_parts_.size()}});
-  source_->Follow(follow);
+  source_->SetWatching(watch);
 }
 
 }  // namespace chicory
--- a/modules/gateway/source_follower.h
+++ b/modules/gateway/source_watcher.h
@@ -1,5 +1,5 @@
-#ifndef MODULES_GATEWAY_SOURCE_FOLLOWER_H_
-#define MODULES_GATEWAY_SOURCE_FOLLOWER_H_
+#ifndef MODULES_GATEWAY_SOURCE_WATCHER_H_
+#define MODULES_GATEWAY_SOURCE_WATCHER_H_
 
 #include <cstdint>
 #include <optional>
@@ -13,23 +13,24 @@
 
 namespace chicory {
 
-/** Decides when this instance follows its source, and when it asks for what
+/** Decides when this instance watches its source, and when it asks for what
     other instances know already. Belongs to the event loop's thread.
 
     @see Membership */
-class SourceFollower {
+class SourceWatcher {
  public:
   /** What others know is asked for once in `refresh_interval`. */
-  SourceFollower(GatewaySource* source,
-                 Membership* membership,
-                 EventLog& log,
-                 absl::Duration refresh_interval);
+  SourceWatcher(GatewaySource* source,
+                Membership* membership,
+                EventLog& log,
+                absl::Duration refresh_interval);
 
   /** A part of the source, by its name, stopped or began to answer. */
   void OnReachable(const std::string& part, bool reachable);
   /** Another instance has a newer configuration than `in_force`. */
   void OnNewerConfiguration(uint64_t version, uint64_t in_force);
-  /** Upstreams changed at the revision `last_change`, and nobody told how. */
+  /** Upstreams changed at the revision `last_change`, and no instance sent
+   * them. */
   void OnUpstreamsBehind(uint64_t last_change);
   /** Call several times a second. */
   void Tick(absl::Time now);
@@ -54,14 +55,14 @@
   const absl::Duration refresh_interval_;
   Refresh configuration_;
   Refresh upstreams_;
-  bool follows_ = false;
+  bool is_watching_ = false;
   /** When following was needed last. */
   absl::Time needed_ = absl::InfinitePast();
-  /** Parts that do not answer, and when the last one fell silent. */
+  /** Parts that do not answer, and when the last one stopped. */
   std::set<std::string> lost_parts_;
   absl::Time lost_ = absl::InfinitePast();
 };
 
 }  // namespace chicory
 
-#endif  // MODULES_GATEWAY_SOURCE_FOLLOWER_H_
+#endif  // MODULES_GATEWAY_SOURCE_WATCHER_H_
--- a/modules/peers/membership.cc
+++ b/modules/peers/membership.cc
@@ -7,36 +7,38 @@
 
 namespace {
 
-constexpr absl::Duration kGreetingInterval = absl::Milliseconds(500);
-/** After its start an instance greets more often, until it has met the others.
+constexpr absl::Duration kHelloInterval = absl::Milliseconds(500);
+/** After its start an instance sends hellos more often, until it knows the
+ * others.
  */
-constexpr absl::Duration kMeeting = absl::Seconds(2);
-constexpr absl::Duration kMeetingInterval = absl::Milliseconds(100);
+constexpr absl::Duration kJoining = absl::Seconds(2);
+constexpr absl::Duration kJoiningInterval = absl::Milliseconds(100);
 /** What a new instance has read at its start is enough for this long. */
 constexpr absl::Duration kFirstRead = absl::Seconds(1);
-/** Until the next greeting when the last answer was not complete. */
+/** Until the next hello when something is urgent. */
 constexpr absl::Duration kSoon = absl::Milliseconds(30);
 /** An instance asks for what it has missed at most so often. */
 constexpr absl::Duration kCatchUpInterval = absl::Milliseconds(100);
-/** Others have this long to tell what changed before the source is asked. */
-constexpr absl::Duration kTellingTime = absl::Milliseconds(300);
-/** Greetings without an answer after which an instance is passed over. */
+/** Others have this long to send what changed before the source is asked. */
+constexpr absl::Duration kPeerResponseTime = absl::Milliseconds(300);
+/** Hellos without a response after which an instance is passed over. */
 constexpr int kMaxUnanswered = 2;
-/** Instances that are told what runs here: the scheduler and the next one. */
-constexpr size_t kTold = 2;
-/** Instances that one answer names, and the candidates among them. */
-constexpr size_t kMembersTold = 24;
-constexpr size_t kCandidatesTold = 8;
+/** Instances that are informed of what runs here: the scheduler and the next
+ * one. */
+constexpr size_t kInformed = 2;
+/** Instances that one response names, and the candidates among them. */
+constexpr size_t kMembersSent = 24;
+constexpr size_t kCandidatesSent = 8;
 /** Changes of upstreams that fit into one message. */
 constexpr size_t kChangesInMessage = 6;
-/** Every so many greetings one also goes to a seed, so that parts of the fleet
+/** Every so many hellos one also goes to a seed, so that parts of the fleet
     that lost each other meet again. */
 constexpr uint64_t kSeedEvery = 4;
-/** Below this many live instances all seeds are greeted. */
+/** Below this many live instances hellos go to all seeds. */
 constexpr size_t kFewInstances = 3;
-/** Instances wait for a follower up to this share of the silence longer than
-    others, so that not all turn to the source at once. */
-constexpr double kSilenceSpread = 0.4;
+/** Instances wait up to this share of the timeout longer than others for a
+    watcher, so that not all turn to the source at once. */
+constexpr double kTimeoutSpread = 0.4;
 constexpr uint32_t kSpreadSteps = 16;
 
 }  // namespace
@@ -44,7 +46,7 @@
 Membership::Membership(Options options)
     : options_(std::move(options)),
       roster_(options_.self),
-      silence_extra_(options_.source_silence * kSilenceSpread *
+      timeout_extra_(options_.watcher_timeout * kTimeoutSpread *
                      (options_.self % kSpreadSteps) / kSpreadSteps) {}
 
 void Membership::SetSeeds(std::vector<InstanceIp> seeds) {
@@ -58,17 +60,17 @@
 void Membership::SetSourceState(SourceState state, absl::Time now) {
   // The next in order has to know soon that it is needed.
   if (state == SourceState::kLost && source_ != state)
-    GreetSoon(now);
+    HelloSoon(now);
   source_ = state;
 }
 
-bool Membership::ShouldFollowSource(absl::Time now) const {
+bool Membership::ShouldWatchSource(absl::Time now) const {
   if (leaving_ || now - started_ < kFirstRead)
     return false;
-  if (roster_.IsAmongFirst(kFollowers, source_ == SourceState::kLost, now))
+  if (roster_.IsAmongFirst(kWatchers, source_ == SourceState::kLost, now))
     return true;
-  return now - std::max(follower_heard_, started_) >
-         options_.source_silence + silence_extra_;
+  return now - std::max(watcher_heard_, started_) >
+         options_.watcher_timeout + timeout_extra_;
 }
 
 void Membership::FillHeader(PeerMessage* message) const {
@@ -77,8 +79,8 @@
       std::max(configuration_version_, configuration_heard_);
   message->live_instances = live_here_;
   message->leaving = leaving_;
-  message->upstreams_complete_until = news_.complete_until();
-  message->upstreams_last_change = news_.last_change();
+  message->upstreams_complete_until = upstream_changes_.complete_until();
+  message->upstreams_last_change = upstream_changes_.last_change();
   message->source = source_;
 }
 
@@ -91,8 +93,8 @@
   configuration_heard_ =
       std::max(configuration_heard_, message.configuration_version);
   // One that cannot reach the source is replaced by the next in order.
-  if (message.source != SourceState::kHearing)
-    follower_heard_ = now;
+  if (message.source != SourceState::kPassive)
+    watcher_heard_ = now;
   change_heard_ = std::max(change_heard_, message.upstreams_last_change);
   if (IsBehind(message))
     awaited_since_ = std::min(awaited_since_, now);
@@ -103,7 +105,7 @@
 }
 
 bool Membership::IsBehind(const PeerMessage& message) const {
-  return message.upstreams_last_change > news_.complete_until();
+  return message.upstreams_last_change > upstream_changes_.complete_until();
 }
 
 bool Membership::TakeCatchUp(const PeerMessage& message, absl::Time now) {
@@ -113,22 +115,22 @@
   return true;
 }
 
-std::optional<uint64_t> Membership::TakeUntold(absl::Time now) {
-  if (change_heard_ <= news_.complete_until()) {
+std::optional<uint64_t> Membership::TakeMissingChange(absl::Time now) {
+  if (change_heard_ <= upstream_changes_.complete_until()) {
     awaited_since_ = absl::InfiniteFuture();
     return std::nullopt;
   }
-  if (now - awaited_since_ < kTellingTime)
+  if (now - awaited_since_ < kPeerResponseTime)
     return std::nullopt;
   awaited_since_ = now;
   return change_heard_;
 }
 
-std::vector<WelcomeMessage> Membership::Welcome(const PeerMessage& greeting,
+std::vector<WelcomeMessage> Membership::Welcome(const PeerMessage& hello,
                                                 absl::Time now) {
-  std::vector<WelcomeMessage> answers = {{.members = MembersToTell(now)}};
+  std::vector<WelcomeMessage> answers = {{.members = MembersToSend(now)}};
   for (const UpstreamBatch& batch :
-       news_.Since(greeting.upstreams_complete_until)) {
+       upstream_changes_.Since(hello.upstreams_complete_until)) {
     for (UpstreamBatch& part : SplitBatch(batch, kChangesInMessage))
       answers.push_back({.missed = std::move(part)});
   }
@@ -142,26 +144,26 @@
   }
 }
 
-std::vector<InstanceRoster::Member> Membership::MembersToTell(absl::Time now) {
+std::vector<InstanceRoster::Member> Membership::MembersToSend(absl::Time now) {
   const std::vector<InstanceRoster::Member> all = roster_.Members(now);
-  if (all.size() <= kMembersTold)
+  if (all.size() <= kMembersSent)
     return all;
-  // All have to know the same candidates; the others are told in turn.
+  // All have to know the same candidates; the others take turns.
   const std::vector<InstanceIp> first =
-      roster_.SchedulerOrder(now, kCandidatesTold);
-  std::vector<InstanceRoster::Member> told;
+      roster_.SchedulerOrder(now, kCandidatesSent);
+  std::vector<InstanceRoster::Member> sent;
   for (const InstanceRoster::Member& member : all) {
     if (std::find(first.begin(), first.end(), member.ip) != first.end())
-      told.push_back(member);
+      sent.push_back(member);
   }
-  while (told.size() < kMembersTold)
-    told.push_back(all[next_told_++ % all.size()]);
-  return told;
+  while (sent.size() < kMembersSent)
+    sent.push_back(all[next_member_++ % all.size()]);
+  return sent;
 }
 
 std::vector<InstanceIp> Membership::Schedulers(absl::Time now,
                                                uint32_t group) const {
-  return roster_.SchedulerOrder(now, kTold, group);
+  return roster_.SchedulerOrder(now, kInformed, group);
 }
 
 InstanceIp Membership::SchedulingInstance(absl::Time now,
@@ -174,31 +176,32 @@
 }
 
 void Membership::OnLiveCount(size_t count, absl::Time now) {
-  if (count < live_told_ && now - live_told_at_ < InstanceRoster::kGoneAfter)
+  if (count < live_announced_ &&
+      now - live_announced_at_ < InstanceRoster::kGoneAfter)
     return;
-  live_told_ = count;
-  live_told_at_ = now;
+  live_announced_ = count;
+  live_announced_at_ = now;
 }
 
 size_t Membership::LiveInstances(absl::Time now) const {
   const size_t here = roster_.LiveCount(now);
-  if (now - live_told_at_ >= InstanceRoster::kGoneAfter)
+  if (now - live_announced_at_ >= InstanceRoster::kGoneAfter)
     return here;
-  return std::max(here, live_told_);
+  return std::max(here, live_announced_);
 }
 
-void Membership::GreetSoon(absl::Time now) {
-  next_greeting_ = std::min(next_greeting_, now + kSoon);
+void Membership::HelloSoon(absl::Time now) {
+  next_hello_ = std::min(next_hello_, now + kSoon);
 }
 
-std::vector<InstanceIp> Membership::TakeGreetings(absl::Time now) {
+std::vector<InstanceIp> Membership::TakeHelloTargets(absl::Time now) {
   if (started_ == absl::InfinitePast())
     started_ = now;
-  if (now < next_greeting_)
+  if (now < next_hello_)
     return {};
-  next_greeting_ =
-      now + (now - started_ < kMeeting ? kMeetingInterval : kGreetingInterval);
-  ++greetings_;
+  next_hello_ =
+      now + (now - started_ < kJoining ? kJoiningInterval : kHelloInterval);
+  ++hellos_;
   live_here_ = roster_.LiveCount(now);
   for (auto& [ip, count] : unanswered_) {
     if (count >= kMaxUnanswered) {
@@ -206,17 +209,17 @@
       count = 0;
     }
   }
-  // The second choice is greeted half as often.
+  // The second choice gets half as many.
   std::vector<InstanceIp> targets =
-      roster_.SchedulerOrder(now, greetings_ % 2 == 0 ? kTold : 1);
+      roster_.SchedulerOrder(now, hellos_ % 2 == 0 ? kInformed : 1);
   for (InstanceIp target : targets)
     unanswered_[target] += target == options_.self ? 0 : 1;
   const std::vector<InstanceIp>& seeds = options_.seeds;
   if (!seeds.empty()) {
     if (live_here_ < kFewInstances)
       targets.insert(targets.end(), seeds.begin(), seeds.end());
-    else if (greetings_ % kSeedEvery == 0)
-      targets.push_back(seeds[(greetings_ / kSeedEvery) % seeds.size()]);
+    else if (hellos_ % kSeedEvery == 0)
+      targets.push_back(seeds[(hellos_ / kSeedEvery) % seeds.size()]);
   }
   std::sort(targets.begin(), targets.end());
   targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -77,7 +77,7 @@
   sourceState @25 :UInt8;
   # Of hello: whether it is to be answered by welcome.
   wantsWelcome @27 :Bool;
-  # Of welcome: what the greeting instance has missed.
+  # Of welcome: the changes that the other is missing.
   missedUpstreams @26 :UpstreamBatch;
   union {
     # "I am alive, and this is what I have running."
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -297,6 +297,35 @@
 
 }  // namespace
 
+TravellingWork TravellingWork::From(const WorkRequest& request,
+                                    absl::Time now) {
+  return {.sequence = request.key.sequence,
+          .service = request.service,
+          .prompt_tokens = request.prompt_tokens,
+          .output_tokens = request.output_tokens,
+          .due_in = request.due - now,
+          .deadline_in = request.deadline - now,
+          .event_gap = request.event_gap,
+          .priority = request.priority,
+          .avoid = request.avoid,
+          .group = request.group,
+          .fingerprint = request.fingerprint};
+}
+
+WorkRequest TravellingWork::ToRequest(InstanceIp owner, absl::Time now) const {
+  return {.key = {.owner = owner, .sequence = sequence},
+          .service = service,
+          .prompt_tokens = prompt_tokens,
+          .output_tokens = output_tokens,
+          .due = now + due_in,
+          .deadline = now + deadline_in,
+          .event_gap = event_gap,
+          .priority = priority,
+          .avoid = avoid,
+          .group = group,
+          .fingerprint = fingerprint};
+}
+
 std::string EncodePeerMessage(const PeerMessage& message) {
   std::string bytes = Encode(message);
   const auto* welcome = std::get_if<WelcomeMessage>(&message.content);
--- a/modules/peers/placement_message.h
+++ b/modules/peers/placement_message.h
@@ -11,7 +11,7 @@
 #include "absl/time/time.h"
 #include "modules/decisions/fleet_scheduler.h"
 #include "modules/decisions/instance_roster.h"
-#include "modules/routing/upstream_news.h"
+#include "modules/routing/upstream_change_log.h"
 
 namespace chicory {
 
@@ -28,6 +28,9 @@
   std::vector<UpstreamKey> avoid;
   uint32_t group = 0;
   uint64_t fingerprint = 0;
+
+  static TravellingWork From(const WorkRequest& request, absl::Time now);
+  WorkRequest ToRequest(InstanceIp owner, absl::Time now) const;
 };
 
 /** Tells a scheduler that the sender lives, and what it has running. */
@@ -47,7 +50,7 @@
 /** Answers a HelloMessage with the live instances. */
 struct WelcomeMessage {
   std::vector<InstanceRoster::Member> members;
-  /** A part of what the greeting instance has missed of the upstreams. */
+  /** A part of the upstream changes that the other is missing. */
   std::optional<UpstreamBatch> missed;
 };
 
@@ -85,10 +88,10 @@
 /** What an instance has to do with the source of configuration and upstreams.
  */
 enum class SourceState {
-  /** It hears of changes from other instances. */
-  kHearing,
-  /** It follows the source, which answers. */
-  kFollowing,
+  /** It gets changes from other instances. */
+  kPassive,
+  /** It watches the source, which answers. */
+  kWatching,
   /** The source does not answer it. */
   kLost,
 };
@@ -102,10 +105,10 @@
   size_t live_instances = 1;
   /** The sender is leaving and schedules for nobody. */
   bool leaving = false;
-  /** What the sender knows of the upstreams. @see UpstreamNews */
+  /** What the sender knows of the upstreams. @see UpstreamChangeLog */
   uint64_t upstreams_complete_until = 0;
   uint64_t upstreams_last_change = 0;
-  SourceState source = SourceState::kHearing;
+  SourceState source = SourceState::kPassive;
   std::variant<HelloMessage,
                WelcomeMessage,
                SubmitMessage,
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -16,9 +16,8 @@
 constexpr int kMaxUnanswered = 2;
 /** A waiting request asks again this often, in case the answer was lost. */
 constexpr absl::Duration kWaitPoll = absl::Milliseconds(200);
-/** Schedulers of groups that are greeted at a time; the others follow in turn.
- */
-constexpr size_t kGreetedSchedulers = 3;
+/** Schedulers of groups that get a hello at a time; the others take turns. */
+constexpr size_t kHellosToSchedulers = 3;
 
 /** Spreads requests evenly over the groups. */
 uint32_t GroupFor(uint64_t sequence, uint32_t groups) {
@@ -38,7 +37,7 @@
       listener_(listener),
       membership_({.self = options.self,
                    .seeds = std::move(options.seeds),
-                   .source_silence = options.source_silence}),
+                   .watcher_timeout = options.watcher_timeout}),
       next_sequence_(options.first_sequence) {
   scheduler_.SetPreference(self_);
 }
@@ -61,37 +60,6 @@
   });
 }
 
-TravellingWork PlacementNode::ToTravel(const WorkRequest& request,
-                                       absl::Time now) const {
-  return {.sequence = request.key.sequence,
-          .service = request.service,
-          .prompt_tokens = request.prompt_tokens,
-          .output_tokens = request.output_tokens,
-          .due_in = request.due - now,
-          .deadline_in = request.deadline - now,
-          .event_gap = request.event_gap,
-          .priority = request.priority,
-          .avoid = request.avoid,
-          .group = request.group,
-          .fingerprint = request.fingerprint};
-}
-
-WorkRequest PlacementNode::FromTravel(InstanceIp owner,
-                                      const TravellingWork& work,
-                                      absl::Time now) const {
-  return {.key = {.owner = owner, .sequence = work.sequence},
-          .service = work.service,
-          .prompt_tokens = work.prompt_tokens,
-          .output_tokens = work.output_tokens,
-          .due = now + work.due_in,
-          .deadline = now + work.deadline_in,
-          .event_gap = work.event_gap,
-          .priority = work.priority,
-          .avoid = work.avoid,
-          .group = work.group,
-          .fingerprint = work.fingerprint};
-}
-
 void PlacementNode::Send(InstanceIp to, PeerMessage message) {
   membership_.FillHeader(&message);
   transport_->Send(to, message);
@@ -122,7 +90,8 @@
     return;
   }
   ++job->unanswered;
-  Send(scheduler, {.content = SubmitMessage{ToTravel(job->request, now)}});
+  Send(scheduler,
+       {.content = SubmitMessage{TravellingWork::From(job->request, now)}});
 }
 
 void PlacementNode::OnFirstPart(WorkKey key, absl::Time now) {
@@ -226,18 +195,18 @@
 
 void PlacementNode::OnHello(const PeerMessage& message, absl::Time now) {
   const auto& hello = std::get<HelloMessage>(message.content);
-  std::vector<WorkKey> told;
+  std::vector<WorkKey> listed;
   for (const HelloMessage::Item& item : hello.running) {
-    RunningWork work{.request = FromTravel(message.sender, item.work, now),
+    RunningWork work{.request = item.work.ToRequest(message.sender, now),
                      .upstream = item.upstream,
                      .answering = item.answering};
-    told.push_back(work.request.key);
+    listed.push_back(work.request.key);
     if (work.answering)
       scheduler_.OnFirstPart(work.request.key, now);
     scheduler_.Adopt(work, now);
   }
-  if (told.size() == hello.total)
-    ForgetUnlisted(message.sender, told);
+  if (listed.size() == hello.total)
+    ForgetUnlisted(message.sender, listed);
   if (hello.wants_welcome) {
     for (WelcomeMessage& answer : membership_.Welcome(message, now))
       Send(message.sender, {.content = std::move(answer)});
@@ -250,8 +219,8 @@
   if (!welcome.missed)
     return;
   const auto batch = missed_.Add(*welcome.missed);
-  if (batch && membership_.news().Add(*batch))
-    listener_->OnUpstreamNews(*batch);
+  if (batch && membership_.upstream_changes().Add(*batch))
+    listener_->OnPeerUpstreamChanges(*batch);
 }
 
 void PlacementNode::ForgetUnlisted(InstanceIp sender,
@@ -279,7 +248,7 @@
     Send(sender, {.content = GoodbyeMessage{}});
     return;
   }
-  const WorkRequest request = FromTravel(sender, submit.work, now);
+  const WorkRequest request = submit.work.ToRequest(sender, now);
   auto found = assigned_.find(request.key);
   if (found != assigned_.end()) {
     Send(sender, {.content = DecisionMessage{found->second.decision}});
@@ -341,8 +310,8 @@
     Ask(&job, now);
   }
   RunScheduler(now);
-  if (const auto untold = membership_.TakeUntold(now))
-    listener_->OnUpstreamsBehind(*untold);
+  if (const auto missing = membership_.TakeMissingChange(now))
+    listener_->OnUpstreamsBehind(*missing);
   SayHellos(now);
 }
 
@@ -357,7 +326,7 @@
     auto [found, is_new] = schedulers.try_emplace(group);
     if (is_new) {
       found->second = membership_.Schedulers(now, group);
-      // With many groups only the one that schedules is told.
+      // With many groups only the one that schedules is informed.
       if (scheduler_.has_groups())
         found->second.resize(1);
     }
@@ -372,31 +341,31 @@
   HelloMessage hello{.total = running.size()};
   for (uint64_t sequence : running) {
     const Job& job = jobs_.at(sequence);
-    hello.running.push_back({.work = ToTravel(job.request, now),
+    hello.running.push_back({.work = TravellingWork::From(job.request, now),
                              .upstream = job.upstream,
                              .answering = job.answering});
   }
   return hello;
 }
 
-std::vector<InstanceIp> PlacementNode::SchedulersToGreet(
+std::vector<InstanceIp> PlacementNode::SchedulersForHello(
     const JobsByScheduler& jobs) {
   std::vector<InstanceIp> schedulers;
   for (const auto& [scheduler, running] : jobs)
     schedulers.push_back(scheduler);
-  if (schedulers.size() <= kGreetedSchedulers)
+  if (schedulers.size() <= kHellosToSchedulers)
     return schedulers;
   std::rotate(schedulers.begin(),
               schedulers.begin() +
-                  static_cast<int64_t>(next_greeted_ % schedulers.size()),
+                  static_cast<int64_t>(next_scheduler_ % schedulers.size()),
               schedulers.end());
-  next_greeted_ += kGreetedSchedulers;
-  schedulers.resize(kGreetedSchedulers);
+  next_scheduler_ += kHellosToSchedulers;
+  schedulers.resize(kHellosToSchedulers);
   return schedulers;
 }
 
 void PlacementNode::SayHellos(absl::Time now) {
-  std::vector<InstanceIp> targets = membership_.TakeGreetings(now);
+  std::vector<InstanceIp> targets = membership_.TakeHelloTargets(now);
   if (targets.empty())
     return;
   absl::erase_if(assigned_, [this](const auto& entry) {
@@ -407,7 +376,7 @@
     Send(target, {.content = Hello(jobs[target], now)});
   if (!scheduler_.has_groups())
     return;
-  for (InstanceIp scheduler : SchedulersToGreet(jobs)) {
+  for (InstanceIp scheduler : SchedulersForHello(jobs)) {
     HelloMessage hello = Hello(jobs[scheduler], now);
     hello.wants_welcome = false;
     if (scheduler != self_)
--- a/modules/peers/placement_node.h
+++ b/modules/peers/placement_node.h
@@ -18,10 +18,11 @@
     for all, and schedules for the others when they ask this one.
 
     The first instance of the roster's order schedules. It keeps nothing that
-    must last: each instance tells the first two what it has running, repeats
-    what is not answered, goes on to the next when one is silent, and decides
-    by itself when none is left. Free of clocks and sockets: time comes in as
-    arguments and datagrams go out through Transport. Not thread-safe.
+    must last: each instance informs the first two of what it has running,
+   repeats what is not answered, goes on to the next when one does not respond,
+   and decides by itself when none is left. Free of clocks and sockets: time
+   comes in as arguments and datagrams go out through Transport. Not
+   thread-safe.
 
     The upstreams of a large service are cut into groups, which different
     instances schedule. @see SchedulerGroups, Membership */
@@ -43,17 +44,18 @@
                             InstanceIp scheduler) = 0;
     /** Another instance has a newer configuration. */
     virtual void OnNewerConfiguration(uint64_t version) = 0;
-    /** Another instance told of changes of the upstreams. */
-    virtual void OnUpstreamNews(const UpstreamBatch& batch) = 0;
-    /** Upstreams changed at the revision `last_change`, and nobody told how. */
+    /** Another instance sent changes of the upstreams. */
+    virtual void OnPeerUpstreamChanges(const UpstreamBatch& batch) = 0;
+    /** Upstreams changed at the revision `last_change`, and no
+        instance sent them. */
     virtual void OnUpstreamsBehind(uint64_t last_change) = 0;
   };
 
   struct Options {
     InstanceIp self = 0;
     std::vector<InstanceIp> seeds;
-    /** Longest time without word from an instance that follows the source. */
-    absl::Duration source_silence = absl::Milliseconds(1000);
+    /** Longest time without word from an instance that watches the source. */
+    absl::Duration watcher_timeout = absl::Milliseconds(1000);
     /** First sequence number; differs between starts of the instance. */
     uint64_t first_sequence = 1;
   };
@@ -110,8 +112,8 @@
   /** The running requests that an instance schedules, or is the next to. */
   using JobsByScheduler = std::map<InstanceIp, std::vector<uint64_t>>;
   JobsByScheduler RunningJobs(absl::Time now) const;
-  /** Schedulers of groups that are greeted this time. */
-  std::vector<InstanceIp> SchedulersToGreet(const JobsByScheduler& jobs);
+  /** Schedulers of groups that get a hello this time. */
+  std::vector<InstanceIp> SchedulersForHello(const JobsByScheduler& jobs);
   HelloMessage Hello(const std::vector<uint64_t>& running,
                      absl::Time now) const;
   void RunScheduler(absl::Time now);
@@ -125,10 +127,6 @@
   void OnWaits(InstanceIp sender, const WaitsMessage& waits);
   void OnRemoteDecision(InstanceIp sender, const DecisionMessage& message);
   void SayHellos(absl::Time now);
-  TravellingWork ToTravel(const WorkRequest& request, absl::Time now) const;
-  WorkRequest FromTravel(InstanceIp owner,
-                         const TravellingWork& work,
-                         absl::Time now) const;
 
   const InstanceIp self_;
   Transport* transport_;
@@ -137,7 +135,7 @@
   BatchAssembler missed_;
   SchedulerGroups scheduler_;
   uint64_t next_sequence_;
-  size_t next_greeted_ = 0;
+  size_t next_scheduler_ = 0;
   std::map<uint64_t, Job> jobs_;
   /** An assignment made here for another instance, to repeat a lost answer. */
   struct Assignment {
--- a/modules/routing/routing.h
+++ b/modules/routing/routing.h
@@ -4,10 +4,11 @@
 /** Face of the routing module: the configuration in force and the upstreams
     that are known, in memory. May include core and decisions.
 
-    Classes: RoutingTable, UpstreamDirectory, UpstreamNews, BatchAssembler. */
+    Classes: RoutingTable, UpstreamDirectory, UpstreamChangeLog, BatchAssembler.
+ */
 
 #include "modules/routing/routing_table.h"
+#include "modules/routing/upstream_change_log.h"
 #include "modules/routing/upstream_directory.h"
-#include "modules/routing/upstream_news.h"
 
 #endif  // MODULES_ROUTING_ROUTING_H_
--- a/modules/routing/upstream_news.cc
+++ b/modules/routing/upstream_change_log.cc
@@ -1,4 +1,4 @@
-#include "modules/routing/upstream_news.h"
+#include "modules/routing/upstream_change_log.h"
 
 #include <algorithm>
 #include <iterator>
@@ -50,7 +50,7 @@
   return whole;
 }
 
-bool UpstreamNews::OnListed(uint64_t revision) {
+bool UpstreamChangeLog::OnListed(uint64_t revision) {
   if (revision < complete_until_)
     return false;
   complete_until_ = revision;
@@ -59,7 +59,7 @@
   return true;
 }
 
-bool UpstreamNews::Add(const UpstreamBatch& batch) {
+bool UpstreamChangeLog::Add(const UpstreamBatch& batch) {
   if (batch.from > complete_until_ || batch.to <= complete_until_)
     return false;
   complete_until_ = batch.to;
@@ -76,8 +76,8 @@
   return true;
 }
 
-std::vector<UpstreamBatch> UpstreamNews::Since(uint64_t revision) const {
-  std::vector<UpstreamBatch> told;
+std::vector<UpstreamBatch> UpstreamChangeLog::Since(uint64_t revision) const {
+  std::vector<UpstreamBatch> missing;
   size_t changes = 0;
   for (const UpstreamBatch& batch : batches_) {
     if (batch.to <= revision)
@@ -86,9 +86,9 @@
     if (batch.from > revision || changes > kMaxChangesTold)
       break;
     revision = batch.to;
-    told.push_back(batch);
+    missing.push_back(batch);
   }
-  return told;
+  return missing;
 }
 
 }  // namespace chicory
--- a/modules/routing/upstream_news.h
+++ b/modules/routing/upstream_change_log.h
@@ -1,5 +1,5 @@
-#ifndef MODULES_ROUTING_UPSTREAM_NEWS_H_
-#define MODULES_ROUTING_UPSTREAM_NEWS_H_
+#ifndef MODULES_ROUTING_UPSTREAM_CHANGE_LOG_H_
+#define MODULES_ROUTING_UPSTREAM_CHANGE_LOG_H_
 
 #include <cstdint>
 #include <deque>
@@ -47,15 +47,15 @@
 };
 
 /** Latest changes of the upstreams, kept so that an instance which does not
-    follow the source can be told what it has missed.
+    watch the source can be sent what it is missing.
 
     Revisions are the source's, so that instances can compare theirs. Replaying
     a batch that overlaps what is known does no harm. Not thread-safe. */
-class UpstreamNews {
+class UpstreamChangeLog {
  public:
   /** Batches that are kept. */
   static constexpr size_t kMaxBatches = 32;
-  /** More changes than these are not told at once. */
+  /** More changes than these are not sent at once. */
   static constexpr size_t kMaxChangesTold = 60;
 
   /** All upstreams were read as of `revision`; false when more is known. */
@@ -82,4 +82,4 @@
 
 }  // namespace chicory
 
-#endif  // MODULES_ROUTING_UPSTREAM_NEWS_H_
+#endif  // MODULES_ROUTING_UPSTREAM_CHANGE_LOG_H_
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -24,9 +24,9 @@
 /** Longest wait of one watch at the store; a lost one is noticed after it. */
 constexpr absl::Duration kWatch = absl::Seconds(3);
 /** Part of the time for a changed configuration that an instance waits for
-    word from one that follows the store. */
-constexpr double kSourceSilence = 0.5;
-/** Part of that time in which what others know is asked for once. */
+    word from one that watches the store. */
+constexpr double kWatcherTimeout = 0.5;
+/** Part of that time in which the store is asked once for what others know. */
 constexpr double kRefreshInterval = 0.25;
 /** Parts of the bounds that changes are gathered for. */
 constexpr double kGatherConfiguration = 0.3;
@@ -142,7 +142,7 @@
        .gather_upstreams = settings.drain_within * kGatherUpstreams,
        .watch = kWatch});
   settings.gateway.first_sequence = FirstSequence();
-  settings.gateway.source_silence = settings.apply_within * kSourceSilence;
+  settings.gateway.watcher_timeout = settings.apply_within * kWatcherTimeout;
   settings.gateway.refresh_interval = settings.apply_within * kRefreshInterval;
   Gateway gateway(loop, settings.gateway, codec, log, &source);
   Supervisor supervisor(loop, path, overrides, log, &gateway);
--- a/programs/timeline/main.cc
+++ b/programs/timeline/main.cc
@@ -14,7 +14,7 @@
 #include "absl/time/time.h"
 #include "nlohmann/json.hpp"
 #include "programs/program.h"
-#include "programs/timeline/log_story.h"
+#include "programs/timeline/request_timeline.h"
 
 namespace chicory {
 namespace {
@@ -26,7 +26,7 @@
     "  chicory_timeline --from ip:port ... [--file FILE ...] [--request NAME]\n"
     "                   [--json]\n"
     "  chicory_timeline --log FILE ... --request ID\n\n"
-    "The second form reads logs of gateways and tells the story of one "
+    "The second form reads logs of gateways and prints the lines of one "
     "request.\n"
     "Exit codes: 0 done, 2 wrong usage, 3 a source cannot be read (the others\n"
     "are still printed).";
@@ -97,21 +97,21 @@
   std::cout << "\n";
 }
 
-/** Prints the story of `request` from logs of gateways. */
-int TellStory(const std::vector<std::string>& logs,
-              const std::string& request) {
+/** Prints the timeline of `request` from logs of gateways. */
+int PrintRequestTimeline(const std::vector<std::string>& logs,
+                         const std::string& request) {
   int exit_code = 0;
-  LogStory story(request);
+  RequestTimeline timeline(request);
   for (const std::string& name : logs) {
     std::ifstream file(name);
     if (file) {
-      story.Read(name, file);
+      timeline.Read(name, file);
       continue;
     }
     std::cerr << "chicory_timeline: cannot read " << name << "\n";
     exit_code = static_cast<int>(ExitCode::kUnavailable);
   }
-  const std::vector<LogLine> lines = story.Tell();
+  const std::vector<LogLine> lines = timeline.Lines();
   for (const LogLine& line : lines)
     std::cout << line.source << " " << line.text << "\n";
   if (lines.empty())
@@ -143,7 +143,7 @@
       std::cerr << "chicory_timeline: --log needs --request\n";
       return static_cast<int>(ExitCode::kUsage);
     }
-    return TellStory(logs, request);
+    return PrintRequestTimeline(logs, request);
   }
   int exit_code = 0;
   std::vector<Event> events;
--- a/programs/timeline/log_story.cc
+++ b/programs/timeline/request_timeline.cc
@@ -1,4 +1,4 @@
-#include "programs/timeline/log_story.h"
+#include "programs/timeline/request_timeline.h"
 
 #include <algorithm>
 #include <string_view>
@@ -16,7 +16,7 @@
 /** How long before and after a request's lines others may explain them. */
 constexpr int64_t kAroundMs = 3000;
 
-/** Events that tell of what an instance believes. */
+/** Events that change what an instance believes. */
 bool IsBelief(const std::string& event) {
   for (const char* name : {"upstream_changed", "source_lost", "source_regained",
                            "configuration_in_force", "membership_changed",
@@ -42,7 +42,7 @@
   return std::nullopt;
 }
 
-void LogStory::Read(const std::string& source, std::istream& lines) {
+void RequestTimeline::Read(const std::string& source, std::istream& lines) {
   for (std::string text; std::getline(lines, text);) {
     const auto time = LogValue(text, "time_ms");
     const auto event = LogValue(text, "event");
@@ -57,8 +57,8 @@
   }
 }
 
-std::vector<LogLine> LogStory::Tell() const {
-  std::vector<LogLine> story = own_;
+std::vector<LogLine> RequestTimeline::Lines() const {
+  std::vector<LogLine> lines = own_;
   std::set<std::string> upstreams;
   std::set<std::string> sources;
   for (const LogLine& line : own_) {
@@ -76,13 +76,13 @@
       continue;
     const auto upstream = LogValue(line.text, "upstream");
     if (!upstream || upstreams.count(*upstream) != 0)
-      story.push_back(line);
+      lines.push_back(line);
   }
   std::stable_sort(
-      story.begin(), story.end(), [](const LogLine& a, const LogLine& b) {
+      lines.begin(), lines.end(), [](const LogLine& a, const LogLine& b) {
         return std::tie(a.time_ms, a.source) < std::tie(b.time_ms, b.source);
       });
-  return story;
+  return lines;
 }
 
 }  // namespace chicory
--- a/programs/timeline/log_story.h
+++ b/programs/timeline/request_timeline.h
@@ -1,5 +1,5 @@
-#ifndef PROGRAMS_TIMELINE_LOG_STORY_H_
-#define PROGRAMS_TIMELINE_LOG_STORY_H_
+#ifndef PROGRAMS_TIMELINE_REQUEST_TIMELINE_H_
+#define PROGRAMS_TIMELINE_REQUEST_TIMELINE_H_
 
 #include <cstdint>
 #include <istream>
@@ -21,17 +21,18 @@
   std::string text;
 };
 
-/** Reads the logs of several gateways and tells what became of one request: its
-    own lines, and what each instance that wrote them learned meanwhile of the
-    request's upstreams, of its store and of the others. */
-class LogStory {
+/** Reads the logs of several gateways and collects what became of one request:
+   its own lines, and what each instance that wrote them learned meanwhile of
+   the request's upstreams, of its store and of the others. */
+class RequestTimeline {
  public:
-  explicit LogStory(std::string request) : request_(std::move(request)) {}
+  explicit RequestTimeline(std::string request)
+      : request_(std::move(request)) {}
 
   /** Takes in one log; lines that are none are passed over. */
   void Read(const std::string& source, std::istream& lines);
-  /** The story in the order of time. */
-  std::vector<LogLine> Tell() const;
+  /** The lines in the order of time. */
+  std::vector<LogLine> Lines() const;
 
  private:
   std::string request_;
@@ -46,4 +47,4 @@
 
 }  // namespace chicory
 
-#endif  // PROGRAMS_TIMELINE_LOG_STORY_H_
+#endif  // PROGRAMS_TIMELINE_REQUEST_TIMELINE_H_
--- a/tests/logic/gateway_parts_test.cc
+++ b/tests/logic/gateway_parts_test.cc
@@ -14,7 +14,7 @@
 #include "modules/core/event_log.h"
 #include "modules/decisions/retry_window.h"
 #include "modules/gateway/gateway_metrics.h"
-#include "modules/gateway/silence_watch.h"
+#include "modules/gateway/response_watchdog.h"
 #include "modules/net/loop_time.h"
 #include "modules/net/socket_options.h"
 #include "modules/routing/upstream_directory.h"
@@ -164,7 +164,7 @@
   ::close(ends[1]);
 }
 
-TEST_CASE("latencies are told as histograms, a set for each service") {
+TEST_CASE("latencies are exposed as histograms, a set for each service") {
   GatewayMetrics metrics;
   metrics.OnSent("desk", absl::Milliseconds(2));
   metrics.OnRequestEnded("desk", 200, "answered", absl::Milliseconds(60));
@@ -211,29 +211,31 @@
   CHECK(absl::StrContains(text, "{service=\"other\"} 128\n"));
 }
 
-TEST_CASE("a silence watch calls once what it waits for stays out") {
+TEST_CASE("a watchdog fires once its response is overdue") {
   boost::asio::io_context loop;
   int calls = 0;
-  SilenceWatch watch(loop, [&] { ++calls; });
-  watch.Expect(SteadyNow() + absl::Milliseconds(5));
-  watch.Expect(SteadyNow() + absl::Milliseconds(30));
+  ResponseWatchdog watch(loop, [&] { ++calls; });
+  watch.Start(SteadyNow() + absl::Milliseconds(5));
+  watch.Start(SteadyNow() + absl::Milliseconds(30));
   loop.run_for(std::chrono::milliseconds(15));
   CHECK(calls == 0);
   loop.restart();
   loop.run_for(std::chrono::milliseconds(200));
   CHECK(calls == 1);
-  watch.Expect(SteadyNow() + absl::Milliseconds(5));
-  watch.Stop();
+  // The timer has ended, and its callback waits behind the stop.
+  watch.Start(SteadyNow() + absl::Milliseconds(1));
+  absl::SleepFor(absl::Milliseconds(5));
+  boost::asio::post(loop, [&] { watch.Stop(); });
   loop.restart();
   loop.run_for(std::chrono::milliseconds(20));
   CHECK(calls == 1);
 }
 
-TEST_CASE("a silence watch that is gone calls nobody") {
+TEST_CASE("a watchdog that is gone does not fire") {
   boost::asio::io_context loop;
   int calls = 0;
-  auto watch = std::make_unique<SilenceWatch>(loop, [&] { ++calls; });
-  watch->Expect(SteadyNow() + absl::Milliseconds(1));
+  auto watch = std::make_unique<ResponseWatchdog>(loop, [&] { ++calls; });
+  watch->Start(SteadyNow() + absl::Milliseconds(1));
   absl::SleepFor(absl::Milliseconds(5));
   // The timer has ended and its callback waits behind this one.
   boost::asio::post(loop, [&] { watch.reset(); });
--- a/tests/logic/membership_test.cc
+++ b/tests/logic/membership_test.cc
@@ -47,7 +47,7 @@
           node({.self = ip, .seeds = {1, 2, 3}, .first_sequence = ip},
                this,
                this) {
-      node.membership().news().OnListed(fleet->revision);
+      node.membership().upstream_changes().OnListed(fleet->revision);
     }
     void Send(InstanceIp to, const PeerMessage& message) override {
       const std::string bytes = EncodePeerMessage(message);
@@ -59,19 +59,19 @@
     }
     void OnDecision(const ScheduleDecision&, InstanceIp) override {}
     void OnNewerConfiguration(uint64_t version) override { heard = version; }
-    void OnUpstreamNews(const UpstreamBatch& batch) override {
+    void OnPeerUpstreamChanges(const UpstreamBatch& batch) override {
       told += batch.changes.size();
     }
     void OnUpstreamsBehind(uint64_t) override {
       ++fleet->questions;
       if (!is_denied)
-        node.membership().news().OnListed(fleet->revision);
+        node.membership().upstream_changes().OnListed(fleet->revision);
     }
     /** Asks the source if it is this instance's turn. */
-    void Follow() {
+    void SetWatching() {
       Membership& membership = node.membership();
-      const bool follows = membership.ShouldFollowSource(fleet->now);
-      if (follows) {
+      const bool watches = membership.ShouldWatchSource(fleet->now);
+      if (watches) {
         ++fleet->questions;
         lost_at = is_denied ? fleet->now : absl::InfinitePast();
       }
@@ -80,12 +80,12 @@
         return;
       }
       membership.SetSourceState(
-          follows ? SourceState::kFollowing : SourceState::kHearing,
-          fleet->now);
-      const uint64_t known = membership.news().complete_until();
-      if (follows && known < fleet->revision)
-        membership.news().Add(Batch(int(known) + 1, int(fleet->revision)));
-      if (follows)
+          watches ? SourceState::kWatching : SourceState::kPassive, fleet->now);
+      const uint64_t known = membership.upstream_changes().complete_until();
+      if (watches && known < fleet->revision)
+        membership.upstream_changes().Add(
+            Batch(int(known) + 1, int(fleet->revision)));
+      if (watches)
         membership.SetConfigurationVersion(fleet->configuration);
     }
 
@@ -119,24 +119,25 @@
       for (auto& [ip, member] : members) {
         member->node.Tick(now);
         if (asks)
-          member->Follow();
+          member->SetWatching();
       }
     }
   }
 
-  std::set<InstanceIp> Followers() const {
-    std::set<InstanceIp> followers;
+  std::set<InstanceIp> Watchers() const {
+    std::set<InstanceIp> watchers;
     for (const auto& [ip, member] : members) {
-      if (member->node.membership().ShouldFollowSource(now))
-        followers.insert(ip);
+      if (member->node.membership().ShouldWatchSource(now))
+        watchers.insert(ip);
     }
-    return followers;
+    return watchers;
   }
   /** Instances that do not know the source's last change of upstreams. */
   int Behind() const {
     int behind = 0;
     for (const auto& [ip, member] : members)
-      behind += member->node.membership().news().complete_until() < revision;
+      behind += member->node.membership().upstream_changes().complete_until() <
+                revision;
     return behind;
   }
   /** Instances that have not heard of the source's configuration version. */
@@ -168,15 +169,15 @@
 
 // Pattern: registrations change, one or many at once, while most instances do
 // not ask the source.
-TEST_CASE("few instances follow the source and all hear of its changes") {
+TEST_CASE("few instances watch the source and all hear of its changes") {
   for (const int count : {1, 3, 20, 111, 340}) {
     for (const double loss : {0.0, 0.1}) {
       INFO(count << " instances, loss " << loss);
       Fleet fleet(count, loss);
-      const size_t followers = fleet.Followers().size();
-      CHECK(followers >= 1);
+      const size_t watchers = fleet.Watchers().size();
+      CHECK(watchers >= 1);
       if (loss == 0)
-        CHECK(followers <= Membership::kFollowers);
+        CHECK(watchers <= Membership::kWatchers);
       fleet.questions = 0;
       for (const int changes : {1, 13, 60}) {
         fleet.revision += uint64_t(changes);
@@ -189,17 +190,17 @@
       }
       // Far fewer than if each asked at its own time.
       if (loss == 0)
-        CHECK(fleet.questions <= 20 * int(Membership::kFollowers));
+        CHECK(fleet.questions <= 20 * int(Membership::kWatchers));
     }
   }
 }
 
-// Pattern: the source turns some instances away, first those that follow it.
-TEST_CASE("instances that the source answers take over and tell the others") {
+// Pattern: the source turns some instances away, first those that watch it.
+TEST_CASE("instances that the source answers take over and inform the others") {
   for (const int count : {20, 111}) {
     INFO(count);
     Fleet fleet(count, 0);
-    const std::set<InstanceIp> denied = fleet.Followers();
+    const std::set<InstanceIp> denied = fleet.Watchers();
     for (InstanceIp ip : denied)
       fleet.members.at(ip)->is_denied = true;
     fleet.revision += 13;
@@ -207,14 +208,14 @@
     fleet.Run(absl::Milliseconds(2000));
     CHECK(fleet.Behind() == 0);
     CHECK(fleet.Unaware() == 0);
-    for (InstanceIp ip : fleet.Followers())
+    for (InstanceIp ip : fleet.Watchers())
       CHECK(denied.count(ip) == 0);
   }
 }
 
-TEST_CASE("instances take over from followers that are gone") {
+TEST_CASE("instances take over from watchers that are gone") {
   Fleet fleet(20, 0);
-  for (InstanceIp ip : fleet.Followers())
+  for (InstanceIp ip : fleet.Watchers())
     fleet.members.erase(ip);
   ++fleet.revision;
   ++fleet.configuration;
@@ -253,10 +254,10 @@
   CHECK(fleet.Unaware() == 0);
 }
 
-TEST_CASE("an instance cut off from the others follows the source itself") {
+TEST_CASE("an instance cut off from the others watches the source itself") {
   Fleet fleet(20, 0);
-  const std::set<InstanceIp> followers = fleet.Followers();
-  const InstanceIp alone = followers.count(7) == 0 ? 7 : 8;
+  const std::set<InstanceIp> watchers = fleet.Watchers();
+  const InstanceIp alone = watchers.count(7) == 0 ? 7 : 8;
   auto member = std::move(fleet.members.at(alone));
   fleet.members.clear();
   fleet.members[alone] = std::move(member);
@@ -265,15 +266,15 @@
   CHECK(fleet.Behind() == 0);
 }
 
-TEST_CASE("what was missed is told from the revision that is known") {
-  UpstreamNews news;
-  CHECK(news.OnListed(10));
-  CHECK_FALSE(news.OnListed(9));
-  CHECK(news.Add(Batch(11, 12)));
-  CHECK(news.Add({.from = 12, .to = 15}));
-  CHECK(news.Add(Batch(16, 16)));
-  CHECK(news.complete_until() == 16);
-  CHECK(news.last_change() == 16);
+TEST_CASE("what is missing is sent from the revision that is known") {
+  UpstreamChangeLog log;
+  CHECK(log.OnListed(10));
+  CHECK_FALSE(log.OnListed(9));
+  CHECK(log.Add(Batch(11, 12)));
+  CHECK(log.Add({.from = 12, .to = 15}));
+  CHECK(log.Add(Batch(16, 16)));
+  CHECK(log.complete_until() == 16);
+  CHECK(log.last_change() == 16);
   struct Case {
     const char* name;
     uint64_t known;
@@ -287,7 +288,7 @@
            {"before what is kept", 9, 0},
        }) {
     INFO(c.name);
-    const std::vector<UpstreamBatch> missed = news.Since(c.known);
+    const std::vector<UpstreamBatch> missed = log.Since(c.known);
     REQUIRE(missed.size() == c.batches);
     if (!missed.empty())
       CHECK(missed.back().to == 16);
@@ -295,22 +296,22 @@
 }
 
 TEST_CASE("batches that leave a gap or say nothing new are not taken") {
-  UpstreamNews news;
-  news.OnListed(10);
-  CHECK_FALSE(news.Add(Batch(12, 13)));
-  CHECK_FALSE(news.Add(Batch(8, 10)));
-  CHECK(news.Add(Batch(9, 11)));
-  CHECK(news.complete_until() == 11);
+  UpstreamChangeLog log;
+  log.OnListed(10);
+  CHECK_FALSE(log.Add(Batch(12, 13)));
+  CHECK_FALSE(log.Add(Batch(8, 10)));
+  CHECK(log.Add(Batch(9, 11)));
+  CHECK(log.complete_until() == 11);
 }
 
 TEST_CASE("kept batches are bounded") {
-  UpstreamNews news;
-  news.OnListed(10);
-  constexpr int kMany = 4 * int(UpstreamNews::kMaxBatches);
+  UpstreamChangeLog log;
+  log.OnListed(10);
+  constexpr int kMany = 4 * int(UpstreamChangeLog::kMaxBatches);
   for (int i = 11; i < 11 + kMany; ++i)
-    REQUIRE(news.Add(Batch(i, i)));
-  CHECK(news.Since(10).empty());
-  CHECK(news.Since(10 + kMany - 3).size() == 3);
+    REQUIRE(log.Add(Batch(i, i)));
+  CHECK(log.Since(10).empty());
+  CHECK(log.Since(10 + kMany - 3).size() == 3);
 }
 
 TEST_CASE("a batch is whole again after its parts came in any order") {
--- a/tests/logic/placement_node_test.cc
+++ b/tests/logic/placement_node_test.cc
@@ -37,7 +37,7 @@
       schedulers.insert(scheduler);
     }
     void OnNewerConfiguration(uint64_t version) override { newer = version; }
-    void OnUpstreamNews(const UpstreamBatch&) override {}
+    void OnPeerUpstreamChanges(const UpstreamBatch&) override {}
     void OnUpstreamsBehind(uint64_t) override {}
 
     Fleet* fleet;
--- a/tests/process/gateway_requests.sh
+++ b/tests/process/gateway_requests.sh
@@ -76,7 +76,7 @@
   upstream "desk-$desk" '"mode":"ok"'
   sleep 2
 done
-expect "lookup" "$(log_of g1 send_failed)" 'request=mute-l[12] .*reason=upstream_silent .*again=1'
+expect "lookup" "$(log_of g1 send_failed)" 'request=mute-l[12] .*reason=response_overdue .*again=1'
 
 say "the caller leaves, and the upstream hears of it"
 upstream engine-1 '"pace_ms":400'
@@ -119,11 +119,11 @@
 expect admitted "$(log_of g1 request_admitted)" 'request=once-reset route=once service=desk'
 expect failed "$(log_of g1 send_failed)" 'request=once-reset .*reason=connection_broken not_run=0'
 expect ended "$(log_of g1 request_ended)" 'request=once-reset status=502 reason=connection_broken'
-story=$("$BIN/chicory_timeline" --log "$FLEET/g1.out" --request once-reset)
-expect "its lines in order" "$(sed -n 's/.*event=\([a-z_]*\) request=once-reset .*/\1/p' <<<"$story" | tr '\n' ' ')" \
+timeline=$("$BIN/chicory_timeline" --log "$FLEET/g1.out" --request once-reset)
+expect "its lines in order" "$(sed -n 's/.*event=\([a-z_]*\) request=once-reset .*/\1/p' <<<"$timeline" | tr '\n' ' ')" \
   '^request_admitted request_sent send_failed request_ended $'
-expect "where they are from" "$(head -1 <<<"$story")" 'g1.out time_ms='
-grep -q 'request=s1 ' <<<"$story" && problem "a story tells of another request"
+expect "where they are from" "$(head -1 <<<"$timeline")" 'g1.out time_ms='
+grep -q 'request=s1 ' <<<"$timeline" && problem "a timeline tells of another request"
 "$BIN/chicory_timeline" --log "$FLEET/g1.out" >/dev/null 2>&1
 [ $? -eq 2 ] || problem "a log without a request's id is wrong usage"
 "$BIN/chicory_timeline" --log "$FLEET/none.out" --request x >/dev/null 2>&1
@@ -151,5 +151,8 @@
   kill -TERM "$(cat "$FLEET/other$i.pid")"
   has_ended() { ! kill -0 "$(cat "$FLEET/other$i.pid")" 2>/dev/null; }
   wait_for 3 has_ended || problem "the stand-in has not ended"
+  wait "$(cat "$FLEET/other$i.pid")"
+  code=$?
+  [ "$code" -eq 0 ] || problem "the stand-in ended with $code"
 done
 finish
