A few busy engines do not make prefill at idle ones expensive

The price follows the mean backlog per engine, and late prompts are split over few engines, which then have backlogs of 3 to 12 s: two of them make 450 ms in the mean of 56. Change: for the price, an engine's backlog counts with at most 750 ms, from which on prefill has its full price. Test, red before: "a late prompt is served while most engines are idle".

--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -174,12 +174,13 @@
 }
 
 absl::Duration FleetScheduler::MeanPrefillBacklog(const WorkRequest& request,
+                                                  absl::Duration limit,
                                                   absl::Time now) const {
   const EngineProfile* engine = EngineOf(request.service);
   if (!engine)
     return absl::ZeroDuration();
   ScheduledUpstreamTable::PrefillBacklog backlog =
-      upstreams_.PrefillBacklogOf(request.service, now);
+      upstreams_.PrefillBacklogOf(request.service, limit, now);
   for (const auto& [key, entry] : waiting_) {
     const WorkRequest& other = entry.request;
     if (key == request.key || other.service != request.service ||
@@ -193,9 +194,11 @@
 
 double FleetScheduler::PrefillPrice(const WorkRequest& request,
                                     absl::Time now) const {
+  // With the limit a few engines that prefill for many seconds do not make
+  // prefill at idle ones expensive.
+  const absl::Duration backlog = MeanPrefillBacklog(request, kFullBacklog, now);
   const double share =
-      absl::FDivDuration(MeanPrefillBacklog(request, now) - kFreeBacklog,
-                         kFullBacklog - kFreeBacklog);
+      absl::FDivDuration(backlog - kFreeBacklog, kFullBacklog - kFreeBacklog);
   return kMaxPrefillPrice * std::clamp(share, 0.0, 1.0);
 }
 
@@ -309,8 +312,9 @@
   return {.kind = ScheduleDecision::Kind::kRefuse,
           .key = key,
           .cause = cause,
-          .retry_after = std::clamp(MeanPrefillBacklog(request, now),
-                                    kMinRetryAfter, kMaxRetryAfter)};
+          .retry_after = std::clamp(
+              MeanPrefillBacklog(request, absl::InfiniteDuration(), now),
+              kMinRetryAfter, kMaxRetryAfter)};
 }
 
 std::optional<ScheduleDecision> FleetScheduler::Decide(WorkKey key,
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -145,8 +145,10 @@
       that can still be on time. */
   bool IsShortOfSlots(const WorkRequest& request) const;
   /** Returns the prefill backlog per engine of the request's service, in placed
-      prompts and in waiting ones that are not late, without this one. */
+      prompts and in waiting ones that are not late, without this one. What is
+      placed at an engine counts with at most `limit`. */
   absl::Duration MeanPrefillBacklog(const WorkRequest& request,
+                                    absl::Duration limit,
                                     absl::Time now) const;
   /** Returns the value that other requests lose for each millisecond of prefill
       at the request's service, which grows with its prefill backlog. */
--- a/modules/decisions/scheduled_upstream_table.cc
+++ b/modules/decisions/scheduled_upstream_table.cc
@@ -189,6 +189,7 @@
 
 ScheduledUpstreamTable::PrefillBacklog ScheduledUpstreamTable::PrefillBacklogOf(
     const std::string& service,
+    absl::Duration limit,
     absl::Time now) const {
   PrefillBacklog backlog;
   for (const auto& [key, state] : rows_) {
@@ -196,7 +197,7 @@
       continue;
     ++backlog.engines;
     backlog.duration +=
-        std::max(state.prefill_until - now, absl::ZeroDuration());
+        std::clamp(state.prefill_until - now, absl::ZeroDuration(), limit);
   }
   return backlog;
 }
--- a/modules/decisions/scheduled_upstream_table.h
+++ b/modules/decisions/scheduled_upstream_table.h
@@ -67,9 +67,10 @@
     absl::Duration duration;
     int engines = 0;
   };
-  /** Returns the prefill backlog of the eligible engines of a service at
-      `now`. */
+  /** Returns the prefill backlog of the eligible engines of a service at `now`.
+      Each engine counts with at most `limit`. */
   PrefillBacklog PrefillBacklogOf(const std::string& service,
+                                  absl::Duration limit,
                                   absl::Time now) const;
 
  private:
--- a/tests/logic/fleet_scheduler_test.cc
+++ b/tests/logic/fleet_scheduler_test.cc
@@ -222,6 +222,34 @@
   CHECK(long_backlog <= absl::Seconds(3));
 }
 
+// Load: after a burst of the longest prompts a few engines still prefill late
+// ones for many seconds each, and the other engines are idle.
+TEST_CASE("a late prompt is served while most engines are idle") {
+  constexpr int kEngines = 14;
+  for (const int busy : {1, 2, 3}) {
+    INFO(busy << " busy engines");
+    SchedulerHarness harness(kEngines);
+    for (int engine = 1; engine <= busy; ++engine) {
+      for (uint64_t prompt = 0; prompt < 2; ++prompt)
+        harness.scheduler.Adopt(
+            {.request = {.key = {9, static_cast<uint64_t>(engine) * 2 + prompt},
+                         .service = "engines",
+                         .prompt_tokens = 300000,
+                         .due = harness.now,
+                         .deadline = harness.now + absl::Seconds(30)},
+             .upstream = UpstreamKey(engine)},
+            harness.now);
+    }
+    const WorkKey late = harness.SubmitPrompt(
+        300000, -absl::Seconds(1), absl::Seconds(1), {}, absl::Seconds(4));
+    const ScheduleDecision decision = harness.Run().at(late);
+    CHECK(decision.kind == ScheduleDecision::Kind::kAssign);
+    CHECK(decision.expected < absl::Seconds(4));
+    for (UpstreamKey engine : AllUpstreams(decision))
+      CHECK(engine > static_cast<UpstreamKey>(busy));
+  }
+}
+
 // Load: short prompts arrive 10 % faster than all slots can serve them.
 TEST_CASE("most short prompts are on time at slight overload") {
   constexpr int kEngines = 4;
