--- a/modules/peers/membership.cc
+++ b/modules/peers/membership.cc
@@ -1,8 +1,12 @@
 #include "modules/peers/membership.h"
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 #include <utility>
 
+#include "modules/core/hashing.h"
+
 namespace chicory {
 
 namespace {
@@ -19,9 +23,12 @@
 constexpr absl::Duration kEarlyHelloDelay = absl::Milliseconds(30);
 /** Shortest interval between hellos that request missed upstream changes. */
 constexpr absl::Duration kCatchUpInterval = absl::Milliseconds(100);
+/** About how many instances request a missed change from the one that announced
+    it, per kCatchUpInterval. The others request it from random instances. */
+constexpr uint64_t kDirectCatchUps = 8;
 /** Time for peers to deliver an announced change before it is read from the
     source. */
-constexpr absl::Duration kPeerResponseTime = absl::Milliseconds(300);
+constexpr absl::Duration kPeerResponseTime = absl::Milliseconds(700);
 /** Unanswered hellos after which an instance is suspected. */
 constexpr int kMaxUnansweredHellos = 2;
 /** Instances that are sent the running requests: the scheduler and the one next
@@ -38,7 +45,7 @@
     welcome. */
 constexpr absl::Duration kCandidateInterval = absl::Milliseconds(100);
 /** Upstream changes that fit into one datagram. */
-constexpr size_t kChangesPerMessage = 6;
+constexpr size_t kChangesPerMessage = 12;
 /** Every how many rounds a seed is sent a hello as well, so that a partitioned
     fleet merges again. */
 constexpr uint64_t kRoundsPerSeedHello = 4;
@@ -109,9 +116,11 @@
   // replaces it.
   if (message.source != SourceState::kPassive)
     last_watcher_message_ = now;
-  announced_change_ =
-      std::max(announced_change_, message.upstreams_last_change);
-  if (IsBehind(message))
+  if (message.upstreams_last_change > announced_change_) {
+    announced_change_ = message.upstreams_last_change;
+    change_announcer_ = message.sender;
+  }
+  if (IsBehind())
     change_awaited_since_ = std::min(change_awaited_since_, now);
   if (!std::holds_alternative<WelcomeMessage>(message.content))
     return;
@@ -119,19 +128,30 @@
   OnLiveCount(message.live_instances, now);
 }
 
-bool Membership::IsBehind(const PeerMessage& message) const {
-  return message.upstreams_last_change > upstream_changes_.complete_until();
+bool Membership::IsBehind() const {
+  return announced_change_ > upstream_changes_.complete_until();
 }
 
-bool Membership::StartCatchUp(const PeerMessage& message, absl::Time now) {
-  if (!IsBehind(message) || now < next_catch_up_)
-    return false;
+std::optional<InstanceIp> Membership::TakeCatchUpTarget(absl::Time now) {
+  if (!IsBehind() || now < next_catch_up_)
+    return std::nullopt;
   next_catch_up_ = now + kCatchUpInterval;
-  return true;
+  const std::vector<InstanceRoster::Member> members = roster_.Members(now);
+  const std::array<uint64_t, 2> round = {options_.self, ++catch_up_rounds_};
+  const uint64_t random = StableHash(std::string_view(
+      reinterpret_cast<const char*>(round.data()), sizeof(round)));
+  // The others hear of the change from the schedulers, which therefore request
+  // it first.
+  const bool asks_announcer =
+      members.empty() || random % members.size() < kDirectCatchUps ||
+      roster_.IsAmongFirst(kInformedSchedulers, /*self_lost=*/false, now);
+  if (asks_announcer)
+    return change_announcer_;
+  return members[random % members.size()].ip;
 }
 
 std::optional<uint64_t> Membership::TakeOverdueChange(absl::Time now) {
-  if (announced_change_ <= upstream_changes_.complete_until()) {
+  if (!IsBehind()) {
     change_awaited_since_ = absl::InfiniteFuture();
     return std::nullopt;
   }
@@ -144,6 +164,8 @@
 std::vector<WelcomeMessage> Membership::MakeWelcomes(const PeerMessage& hello,
                                                      absl::Time now) {
   std::vector<WelcomeMessage> replies = {{.members = MembersToSend(now)}};
+  if (!std::get<HelloMessage>(hello.content).wants_changes)
+    return replies;
   for (const UpstreamBatch& batch :
        upstream_changes_.Since(hello.upstreams_complete_until)) {
     for (UpstreamBatch& part : SplitBatch(batch, kChangesPerMessage))
@@ -226,8 +248,13 @@
 std::vector<InstanceIp> Membership::TakeHelloTargets(absl::Time now) {
   if (started_ == absl::InfinitePast())
     started_ = now;
-  if (now < next_hello_)
+  // The scheduler, which all others hear from, learns at once of a change that
+  // this instance has received from the source.
+  const bool has_news = source_ == SourceState::kWatching &&
+                        upstream_changes_.last_change() > hello_change_;
+  if (now < next_hello_ && !has_news)
     return {};
+  hello_change_ = upstream_changes_.last_change();
   next_hello_ =
       now + (now - started_ < kJoinPhase ? kJoinHelloInterval : kHelloInterval);
   ++hello_rounds_;
--- a/modules/peers/membership.h
+++ b/modules/peers/membership.h
@@ -63,12 +63,14 @@
   void FillHeader(PeerMessage* message) const;
   /** Processes the header fields of a received message. */
   void OnHeader(const PeerMessage& message, absl::Time now);
-  /** Returns whether this instance lacks an upstream change that the sender
-      of `message` announces. */
-  bool IsBehind(const PeerMessage& message) const;
-  /** Returns whether to send a hello to the sender of `message` now, to obtain
-      upstream changes that are missing here. Rate-limited over all senders. */
-  bool StartCatchUp(const PeerMessage& message, absl::Time now);
+  /** Returns whether this instance lacks an upstream change that another one
+      has announced. */
+  bool IsBehind() const;
+  /** Returns the instance to send a hello to now, to obtain upstream changes
+      that are missing here; nullopt if none are missing or the last such hello
+      is too recent. In a large fleet it is mostly a random instance, so that
+      those that announce a change to all others do not also send it to all. */
+  std::optional<InstanceIp> TakeCatchUpTarget(absl::Time now);
   /** Returns the revision of an announced upstream change that no instance has
       delivered for kPeerResponseTime, at most once per that time; nullopt
       otherwise. */
@@ -124,6 +126,9 @@
   /** Newest version announced by any instance. */
   uint64_t announced_configuration_version_ = 0;
   absl::Time next_catch_up_ = absl::InfinitePast();
+  uint64_t catch_up_rounds_ = 0;
+  /** The instance that announced `announced_change_` first. */
+  InstanceIp change_announcer_ = 0;
   /** Revision of the latest upstream change announced by any instance, and the
       time since which its delivery is pending. */
   uint64_t announced_change_ = 0;
@@ -138,6 +143,8 @@
   absl::Time started_ = absl::InfinitePast();
   absl::Time next_hello_ = absl::InfinitePast();
   uint64_t hello_rounds_ = 0;
+  /** The latest upstream change known at the last hello. */
+  uint64_t hello_change_ = 0;
   /** Hellos sent since the last reply, by instance. */
   std::map<InstanceIp, int> unanswered_hellos_;
   size_t next_member_to_send_ = 0;
--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -28,15 +28,16 @@
 }
 
 # A change of one upstream registration. @see chicory::UpstreamChange
+# `service` and `dataCentre` are indexes of UpstreamBatch.names.
 struct UpstreamChange {
   id @0 :Text;
-  service @1 :Text;
-  address @2 :Text;
-  dataCentre @3 :Text;
-  slots @4 :Int32;
-  isDraining @5 :Bool;
-  removed @6 :Bool;
-  startedMilliseconds @7 :Int64;
+  address @1 :Text;
+  startedMilliseconds @2 :Int64;
+  slots @3 :Int32;
+  service @4 :UInt8;
+  dataCentre @5 :UInt8;
+  isDraining @6 :Bool;
+  removed @7 :Bool;
 }
 
 # @see chicory::UpstreamBatch
@@ -45,9 +46,11 @@
   to @1 :UInt64;
   lastChange @2 :UInt64;
   afterOutage @3 :Bool;
-  changes @4 :List(UpstreamChange);
-  part @5 :UInt32;
-  parts @6 :UInt32;
+  part @4 :UInt32;
+  parts @5 :UInt32;
+  # Names that occur in the changes, each once.
+  names @6 :List(Text);
+  changes @7 :List(UpstreamChange);
 }
 
 # One datagram between instances. @see chicory::PeerMessage
@@ -69,8 +72,13 @@
   sourceState @25 :UInt8;
   # In hello: whether the receiver is to reply with welcome.
   wantsWelcome @27 :Bool;
+  # In hello: whether welcome is to carry the upstream changes that the sender
+  # is missing.
+  wantsChanges @31 :Bool;
+  # Changes in an encoding of earlier builds; not read.
+  formerMissedUpstreams @26 :AnyPointer;
   # In welcome: upstream changes that the receiver is missing.
-  missedUpstreams @26 :UpstreamBatch;
+  missedUpstreams @32 :UpstreamBatch;
   # In welcome: live instances, the time since a message from each was received,
   # and whether the source does not respond to it. Parallel lists, because a
   # struct would take 16 bytes a member.
--- a/modules/peers/placement.capnp.h
+++ b/modules/peers/placement.capnp.h
@@ -69,7 +69,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aaed7fd3b4aea498, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(aaed7fd3b4aea498, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -84,7 +84,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(950b2c0c70a38c21, 5, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(950b2c0c70a38c21, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -113,7 +113,7 @@
   struct Ended;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 8, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 8, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -128,7 +128,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 8, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 8, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -143,7 +143,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 8, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 8, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -158,7 +158,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 8, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 8, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -416,23 +416,21 @@
   inline bool hasId() const;
   inline  ::capnp::Text::Reader getId() const;
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
   inline bool hasAddress() const;
   inline  ::capnp::Text::Reader getAddress() const;
 
-  inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
+  inline  ::int64_t getStartedMilliseconds() const;
 
   inline  ::int32_t getSlots() const;
 
+  inline  ::uint8_t getService() const;
+
+  inline  ::uint8_t getDataCentre() const;
+
   inline bool getIsDraining() const;
 
   inline bool getRemoved() const;
 
-  inline  ::int64_t getStartedMilliseconds() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -468,13 +466,6 @@
   inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
   inline bool hasAddress();
   inline  ::capnp::Text::Builder getAddress();
   inline void setAddress( ::capnp::Text::Reader value);
@@ -482,25 +473,24 @@
   inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-  inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+  inline  ::int64_t getStartedMilliseconds();
+  inline void setStartedMilliseconds( ::int64_t value);
 
   inline  ::int32_t getSlots();
   inline void setSlots( ::int32_t value);
 
+  inline  ::uint8_t getService();
+  inline void setService( ::uint8_t value);
+
+  inline  ::uint8_t getDataCentre();
+  inline void setDataCentre( ::uint8_t value);
+
   inline bool getIsDraining();
   inline void setIsDraining(bool value);
 
   inline bool getRemoved();
   inline void setRemoved(bool value);
 
-  inline  ::int64_t getStartedMilliseconds();
-  inline void setStartedMilliseconds( ::int64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -552,13 +542,16 @@
 
   inline bool getAfterOutage() const;
 
-  inline bool hasChanges() const;
-  inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
-
   inline  ::uint32_t getPart() const;
 
   inline  ::uint32_t getParts() const;
 
+  inline bool hasNames() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNames() const;
+
+  inline bool hasChanges() const;
+  inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -599,6 +592,20 @@
   inline bool getAfterOutage();
   inline void setAfterOutage(bool value);
 
+  inline  ::uint32_t getPart();
+  inline void setPart( ::uint32_t value);
+
+  inline  ::uint32_t getParts();
+  inline void setParts( ::uint32_t value);
+
+  inline bool hasNames();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getNames();
+  inline void setNames( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setNames(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initNames(unsigned int size);
+  inline void adoptNames(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNames();
+
   inline bool hasChanges();
   inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Builder getChanges();
   inline void setChanges( ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Reader value);
@@ -606,12 +613,6 @@
   inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>> disownChanges();
 
-  inline  ::uint32_t getPart();
-  inline void setPart( ::uint32_t value);
-
-  inline  ::uint32_t getParts();
-  inline void setParts( ::uint32_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -701,8 +702,8 @@
 
   inline  ::uint8_t getSourceState() const;
 
-  inline bool hasMissedUpstreams() const;
-  inline  ::chicory::wire::UpstreamBatch::Reader getMissedUpstreams() const;
+  inline bool hasFormerMissedUpstreams() const;
+  inline ::capnp::AnyPointer::Reader getFormerMissedUpstreams() const;
 
   inline bool getWantsWelcome() const;
 
@@ -715,6 +716,11 @@
   inline bool hasMemberLostSource() const;
   inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader getMemberLostSource() const;
 
+  inline bool getWantsChanges() const;
+
+  inline bool hasMissedUpstreams() const;
+  inline  ::chicory::wire::UpstreamBatch::Reader getMissedUpstreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -812,12 +818,9 @@
   inline  ::uint8_t getSourceState();
   inline void setSourceState( ::uint8_t value);
 
-  inline bool hasMissedUpstreams();
-  inline  ::chicory::wire::UpstreamBatch::Builder getMissedUpstreams();
-  inline void setMissedUpstreams( ::chicory::wire::UpstreamBatch::Reader value);
-  inline  ::chicory::wire::UpstreamBatch::Builder initMissedUpstreams();
-  inline void adoptMissedUpstreams(::capnp::Orphan< ::chicory::wire::UpstreamBatch>&& value);
-  inline ::capnp::Orphan< ::chicory::wire::UpstreamBatch> disownMissedUpstreams();
+  inline bool hasFormerMissedUpstreams();
+  inline ::capnp::AnyPointer::Builder getFormerMissedUpstreams();
+  inline ::capnp::AnyPointer::Builder initFormerMissedUpstreams();
 
   inline bool getWantsWelcome();
   inline void setWantsWelcome(bool value);
@@ -846,6 +849,16 @@
   inline void adoptMemberLostSource(::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>> disownMemberLostSource();
 
+  inline bool getWantsChanges();
+  inline void setWantsChanges(bool value);
+
+  inline bool hasMissedUpstreams();
+  inline  ::chicory::wire::UpstreamBatch::Builder getMissedUpstreams();
+  inline void setMissedUpstreams( ::chicory::wire::UpstreamBatch::Reader value);
+  inline  ::chicory::wire::UpstreamBatch::Builder initMissedUpstreams();
+  inline void adoptMissedUpstreams(::capnp::Orphan< ::chicory::wire::UpstreamBatch>&& value);
+  inline ::capnp::Orphan< ::chicory::wire::UpstreamBatch> disownMissedUpstreams();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1465,162 +1478,122 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool UpstreamChange::Reader::hasService() const {
+inline bool UpstreamChange::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool UpstreamChange::Builder::hasService() {
+inline bool UpstreamChange::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader UpstreamChange::Reader::getService() const {
+inline  ::capnp::Text::Reader UpstreamChange::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder UpstreamChange::Builder::getService() {
+inline  ::capnp::Text::Builder UpstreamChange::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void UpstreamChange::Builder::setService( ::capnp::Text::Reader value) {
+inline void UpstreamChange::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder UpstreamChange::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder UpstreamChange::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void UpstreamChange::Builder::adoptService(
+inline void UpstreamChange::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> UpstreamChange::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> UpstreamChange::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool UpstreamChange::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool UpstreamChange::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader UpstreamChange::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder UpstreamChange::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void UpstreamChange::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder UpstreamChange::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void UpstreamChange::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> UpstreamChange::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::int64_t UpstreamChange::Reader::getStartedMilliseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool UpstreamChange::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool UpstreamChange::Builder::hasDataCentre() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader UpstreamChange::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder UpstreamChange::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void UpstreamChange::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder UpstreamChange::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void UpstreamChange::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::int64_t UpstreamChange::Builder::getStartedMilliseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> UpstreamChange::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void UpstreamChange::Builder::setStartedMilliseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::int32_t UpstreamChange::Reader::getSlots() const {
   return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline  ::int32_t UpstreamChange::Builder::getSlots() {
   return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void UpstreamChange::Builder::setSlots( ::int32_t value) {
   _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t UpstreamChange::Reader::getService() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t UpstreamChange::Builder::getService() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamChange::Builder::setService( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t UpstreamChange::Reader::getDataCentre() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t UpstreamChange::Builder::getDataCentre() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamChange::Builder::setDataCentre( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool UpstreamChange::Reader::getIsDraining() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
 }
 
 inline bool UpstreamChange::Builder::getIsDraining() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
 }
 inline void UpstreamChange::Builder::setIsDraining(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool UpstreamChange::Reader::getRemoved() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<113>() * ::capnp::ELEMENTS);
 }
 
 inline bool UpstreamChange::Builder::getRemoved() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<113>() * ::capnp::ELEMENTS);
 }
 inline void UpstreamChange::Builder::setRemoved(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t UpstreamChange::Reader::getStartedMilliseconds() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t UpstreamChange::Builder::getStartedMilliseconds() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void UpstreamChange::Builder::setStartedMilliseconds( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<113>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t UpstreamBatch::Reader::getFrom() const {
@@ -1679,40 +1652,6 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool UpstreamBatch::Reader::hasChanges() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool UpstreamBatch::Builder::hasChanges() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Reader UpstreamBatch::Reader::getChanges() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Builder UpstreamBatch::Builder::getChanges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void UpstreamBatch::Builder::setChanges( ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Builder UpstreamBatch::Builder::initChanges(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void UpstreamBatch::Builder::adoptChanges(
-    ::capnp::Orphan< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>> UpstreamBatch::Builder::disownChanges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
 inline  ::uint32_t UpstreamBatch::Reader::getPart() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<7>() * ::capnp::ELEMENTS);
@@ -1741,6 +1680,78 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool UpstreamBatch::Reader::hasNames() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamBatch::Builder::hasNames() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader UpstreamBatch::Reader::getNames() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder UpstreamBatch::Builder::getNames() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UpstreamBatch::Builder::setNames( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void UpstreamBatch::Builder::setNames(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder UpstreamBatch::Builder::initNames(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamBatch::Builder::adoptNames(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> UpstreamBatch::Builder::disownNames() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool UpstreamBatch::Reader::hasChanges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamBatch::Builder::hasChanges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Reader UpstreamBatch::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Builder UpstreamBatch::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void UpstreamBatch::Builder::setChanges( ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>::Builder UpstreamBatch::Builder::initChanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamBatch::Builder::adoptChanges(
+    ::capnp::Orphan< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>> UpstreamBatch::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chicory::wire::UpstreamChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::chicory::wire::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
@@ -2149,43 +2160,27 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Datagram::Reader::hasMissedUpstreams() const {
+inline bool Datagram::Reader::hasFormerMissedUpstreams() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasMissedUpstreams() {
+inline bool Datagram::Builder::hasFormerMissedUpstreams() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::chicory::wire::UpstreamBatch::Reader Datagram::Reader::getMissedUpstreams() const {
-  return ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::get(_reader.getPointerField(
+inline ::capnp::AnyPointer::Reader Datagram::Reader::getFormerMissedUpstreams() const {
+  return ::capnp::AnyPointer::Reader(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::chicory::wire::UpstreamBatch::Builder Datagram::Builder::getMissedUpstreams() {
-  return ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::get(_builder.getPointerField(
+inline ::capnp::AnyPointer::Builder Datagram::Builder::getFormerMissedUpstreams() {
+  return ::capnp::AnyPointer::Builder(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::chicory::wire::UpstreamBatch::Pipeline Datagram::Pipeline::getMissedUpstreams() {
-  return  ::chicory::wire::UpstreamBatch::Pipeline(_typeless.getPointerField(3));
-}
-#endif  // !CAPNP_LITE
-inline void Datagram::Builder::setMissedUpstreams( ::chicory::wire::UpstreamBatch::Reader value) {
-  ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::chicory::wire::UpstreamBatch::Builder Datagram::Builder::initMissedUpstreams() {
-  return ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::adoptMissedUpstreams(
-    ::capnp::Orphan< ::chicory::wire::UpstreamBatch>&& value) {
-  ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::chicory::wire::UpstreamBatch> Datagram::Builder::disownMissedUpstreams() {
-  return ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::disown(_builder.getPointerField(
+inline ::capnp::AnyPointer::Builder Datagram::Builder::initFormerMissedUpstreams() {
+  auto result = ::capnp::AnyPointer::Builder(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
+  result.clear();
+  return result;
 }
 
 inline bool Datagram::Reader::getWantsWelcome() const {
@@ -2316,6 +2311,59 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::getWantsChanges() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<50>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Builder::getWantsChanges() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<50>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setWantsChanges(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<50>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Reader::hasMissedUpstreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasMissedUpstreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::chicory::wire::UpstreamBatch::Reader Datagram::Reader::getMissedUpstreams() const {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::chicory::wire::UpstreamBatch::Builder Datagram::Builder::getMissedUpstreams() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::chicory::wire::UpstreamBatch::Pipeline Datagram::Pipeline::getMissedUpstreams() {
+  return  ::chicory::wire::UpstreamBatch::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void Datagram::Builder::setMissedUpstreams( ::chicory::wire::UpstreamBatch::Reader value) {
+  ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::chicory::wire::UpstreamBatch::Builder Datagram::Builder::initMissedUpstreams() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptMissedUpstreams(
+    ::capnp::Orphan< ::chicory::wire::UpstreamBatch>&& value) {
+  ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::chicory::wire::UpstreamBatch> Datagram::Builder::disownMissedUpstreams() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::UpstreamBatch>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Datagram::Assign::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -63,6 +63,23 @@
   return work;
 }
 
+/** The distinct names in a batch of upstream changes, which are sent once. */
+class NameTable {
+ public:
+  /** Returns the index of `name`, which is added if it is new. */
+  uint8_t IndexOf(const std::string& name) {
+    const auto found = std::find(names_.begin(), names_.end(), name);
+    const auto index = static_cast<uint8_t>(found - names_.begin());
+    if (found == names_.end())
+      names_.push_back(name);
+    return index;
+  }
+  const std::vector<std::string>& names() const { return names_; }
+
+ private:
+  std::vector<std::string> names_;
+};
+
 void WriteBatch(const UpstreamBatch& batch,
                 wire::UpstreamBatch::Builder builder) {
   builder.setFrom(batch.from);
@@ -71,19 +88,23 @@
   builder.setAfterOutage(batch.after_outage);
   builder.setPart(batch.part);
   builder.setParts(batch.parts);
+  NameTable table;
   auto list = builder.initChanges(static_cast<uint32_t>(batch.changes.size()));
   for (size_t i = 0; i < batch.changes.size(); ++i) {
     const UpstreamRecord& record = batch.changes[i].record;
     auto change = list[static_cast<uint32_t>(i)];
     change.setId(record.id);
-    change.setService(record.service);
+    change.setService(table.IndexOf(record.service));
     change.setAddress(record.address);
-    change.setDataCentre(record.data_centre);
+    change.setDataCentre(table.IndexOf(record.data_centre));
     change.setSlots(record.slots);
     change.setIsDraining(record.state == RegistrationState::kDraining);
     change.setRemoved(batch.changes[i].removed);
     change.setStartedMilliseconds(record.started_ms);
   }
+  auto names = builder.initNames(static_cast<uint32_t>(table.names().size()));
+  for (uint32_t i = 0; i < names.size(); ++i)
+    names.set(i, table.names()[i]);
 }
 
 /** Returns an age in milliseconds, at most the largest that the wire holds. */
@@ -100,6 +121,7 @@
     const size_t count = std::min(hello.running.size(), kMaxRunningPerMessage);
     builder.setRunningTotal(static_cast<uint32_t>(hello.total));
     builder.setWantsWelcome(hello.wants_welcome);
+    builder.setWantsChanges(hello.wants_changes);
     auto list = builder.initHello(static_cast<uint32_t>(count));
     for (size_t i = 0; i < count; ++i) {
       auto item = list[static_cast<uint32_t>(i)];
@@ -176,12 +198,16 @@
                       .after_outage = reader.getAfterOutage(),
                       .part = reader.getPart(),
                       .parts = reader.getParts()};
+  const auto names = reader.getNames();
+  const auto name_at = [&](uint8_t index) {
+    return index < names.size() ? std::string(names[index]) : std::string();
+  };
   for (auto change : reader.getChanges()) {
     batch.changes.push_back(
         {.record = {.id = change.getId(),
-                    .service = change.getService(),
+                    .service = name_at(change.getService()),
                     .address = change.getAddress(),
-                    .data_centre = change.getDataCentre(),
+                    .data_centre = name_at(change.getDataCentre()),
                     .slots = change.getSlots(),
                     .state = change.getIsDraining()
                                  ? RegistrationState::kDraining
@@ -194,7 +220,8 @@
 
 HelloMessage ReadHello(wire::Datagram::Reader reader) {
   HelloMessage hello{.total = reader.getRunningTotal(),
-                     .wants_welcome = reader.getWantsWelcome()};
+                     .wants_welcome = reader.getWantsWelcome(),
+                     .wants_changes = reader.getWantsChanges()};
   const auto list = reader.getHello();
   for (auto item : list) {
     hello.running.push_back({.work = ReadWork(item.getWork()),
--- a/modules/peers/placement_message.h
+++ b/modules/peers/placement_message.h
@@ -58,6 +58,9 @@
   size_t total = 0;
   /** Whether the receiver is to reply with a WelcomeMessage. */
   bool wants_welcome = true;
+  /** Whether the reply is to carry the upstream changes that the sender is
+      missing. */
+  bool wants_changes = false;
 };
 
 /** Reply to a HelloMessage: live instances and missed upstream changes. */
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -54,7 +54,7 @@
 }
 
 bool PlacementNode::IsBusy() const {
-  if (scheduler_.waiting() > 0)
+  if (scheduler_.waiting() > 0 || membership_.IsBehind())
     return true;
   return std::any_of(jobs_.begin(), jobs_.end(), [](const auto& entry) {
     return entry.second.stage != Stage::kRunning;
@@ -171,9 +171,7 @@
     OnWelcome(*welcome, now);
     return;
   }
-  if (membership_.StartCatchUp(message, now))
-    Send(message.sender,
-         {.content = MakeHello(RunningJobs(now)[message.sender], now)});
+  RequestMissedChanges(now);
   if (std::holds_alternative<HelloMessage>(message.content)) {
     OnHello(message, now);
   } else if (const auto* submit =
@@ -197,6 +195,15 @@
   }
 }
 
+void PlacementNode::RequestMissedChanges(absl::Time now) {
+  const auto target = membership_.TakeCatchUpTarget(now);
+  if (!target)
+    return;
+  HelloMessage hello = MakeHello(RunningJobs(now)[*target], now);
+  hello.wants_changes = true;
+  Send(*target, {.content = std::move(hello)});
+}
+
 void PlacementNode::OnHello(const PeerMessage& message, absl::Time now) {
   const auto& hello = std::get<HelloMessage>(message.content);
   std::vector<WorkKey> listed;
@@ -316,6 +323,7 @@
     SubmitToScheduler(&job, now);
   }
   RunScheduler(now);
+  RequestMissedChanges(now);
   if (const auto missing = membership_.TakeOverdueChange(now))
     listener_->OnMissingUpstreamChange(*missing);
   SendHellos(now);
--- a/modules/peers/placement_node.h
+++ b/modules/peers/placement_node.h
@@ -96,11 +96,11 @@
   /** Announces to the other instances that this one is shutting down. */
   void Leave(absl::Time now);
 
-  /** Interval of Tick calls while requests are queued. */
+  /** Interval of Tick calls while IsBusy. */
   static constexpr absl::Duration kTick = absl::Milliseconds(20);
 
-  /** Returns whether requests are queued here or at another scheduler, so that
-      Tick is to be called every kTick. */
+  /** Returns whether Tick is to be called every kTick: requests are queued here
+      or at another scheduler, or upstream changes are missing here. */
   bool IsBusy() const;
   const SchedulerGroups& scheduler() const { return scheduler_; }
 
@@ -138,6 +138,9 @@
   void DeliverDecision(const ScheduleDecision& decision);
   /** Applies a decision about a request of this instance. */
   void ApplyDecision(const ScheduleDecision& decision, InstanceIp scheduler);
+  /** Sends a hello to obtain upstream changes that are missing here, if one is
+      due. */
+  void RequestMissedChanges(absl::Time now);
   void OnHello(const PeerMessage& message, absl::Time now);
   void OnWelcome(const WelcomeMessage& welcome, absl::Time now);
   /** Drops placements of `sender` that its hello does not list. Those assigned
--- a/tests/logic/membership_test.cc
+++ b/tests/logic/membership_test.cc
@@ -53,6 +53,7 @@
       const std::string bytes = EncodePeerMessage(message);
       fleet->largest = std::max(fleet->largest, bytes.size());
       fleet->bytes_sent += static_cast<int64_t>(bytes.size());
+      bytes_sent += static_cast<int64_t>(bytes.size());
       if (std::uniform_real_distribution<double>(0, 1)(fleet->random_) >=
           fleet->loss_)
         fleet->in_flight_.push({fleet->now + kDelay, {to, bytes}});
@@ -96,6 +97,7 @@
     PlacementNode node;
     uint64_t announced_version = 0;
     size_t changes_received = 0;
+    int64_t bytes_sent = 0;
     bool is_refused = false;
     absl::Time lost_at = absl::InfinitePast();
   };
@@ -120,6 +122,8 @@
       }
       const bool reads_source = ++steps_ % kStepsPerSourceRead == 0;
       for (auto& [ip, member] : members) {
+        if (now < StartOf(ip))
+          continue;
         member->node.Tick(now);
         if (reads_source)
           member->UpdateSourceState();
@@ -143,6 +147,16 @@
                 revision;
     return behind;
   }
+  /** Runs the fleet and returns the most bytes that one instance sent. */
+  int64_t RunAndReturnMostBytes(absl::Duration length) {
+    for (auto& [ip, member] : members)
+      member->bytes_sent = 0;
+    Run(length);
+    int64_t most = 0;
+    for (const auto& [ip, member] : members)
+      most = std::max(most, member->bytes_sent);
+    return most;
+  }
   /** Returns how many instances do not know the latest configuration. */
   int CountUnaware() const {
     int unaware = 0;
@@ -164,8 +178,15 @@
  private:
   static constexpr int kStepsPerSourceRead = 20;
 
+  /** Instances start within half a second of each other, so that their hellos
+      are spread over time. */
+  absl::Time StartOf(InstanceIp ip) const {
+    return begin_ + absl::Milliseconds(ip * 37 % 500);
+  }
+
   double loss_;
   int steps_ = 0;
+  const absl::Time begin_ = now;
   std::mt19937 random_{11};
   std::queue<std::pair<absl::Time, std::pair<InstanceIp, std::string>>>
       in_flight_;
@@ -200,6 +221,28 @@
   }
 }
 
+// Guards against placements that are late because the instance that makes them
+// also sends every change to all others over its small link.
+TEST_CASE("a release of many upstreams does not fill an instance's link") {
+  // Half of 20 Mbit/s, the smallest link of the users' instances.
+  constexpr int64_t kMaxBytesPerWindow = 125000;
+  constexpr absl::Duration kWindow = absl::Milliseconds(100);
+  for (const int count : {111, 295, 340}) {
+    for (const int changes : {13, 36, 60}) {
+      INFO(count << " instances, " << changes << " changes");
+      Fleet fleet(count, 0);
+      fleet.source_reads = 0;
+      fleet.revision += uint64_t(changes);
+      for (int window = 0; window < 12; ++window)
+        CHECK(fleet.RunAndReturnMostBytes(kWindow) <= kMaxBytesPerWindow);
+      CHECK(fleet.CountBehind() == 0);
+      // The watchers' own reads, and at most one instance in 20 that reads the
+      // source because no other has sent it the changes in time.
+      CHECK(fleet.source_reads <= 6 * int(Membership::kWatchers) + count / 20);
+    }
+  }
+}
+
 // Guards against stale instances when the source is unavailable to those that
 // watch it: others must take over.
 TEST_CASE(
