The number of groups has hysteresis and is agreed on

Change: groups split above 96 upstreams and merge below 32 on average; the first scheduler announces its number in every message and the others adopt it; an instance that has just started adopts what it hears. Tests: "all instances use the same groups while upstreams are replaced" (fails on the former code by its arithmetic: 90 upstreams were one group; not run there), "the number of groups does not follow every change of size" (new function, cannot be built there).

--- a/modules/decisions/scheduler_groups.cc
+++ b/modules/decisions/scheduler_groups.cc
@@ -6,18 +6,41 @@
 
 namespace chicory {
 
+namespace {
+
+/** Returns the number of groups for a service of `size` upstreams that is
+    nearest to `preferred`. It is a power of two, so that a change moves whole
+    groups. */
+uint32_t GroupCountFor(size_t size, uint32_t preferred) {
+  const size_t needed = (size + SchedulerGroups::kMaxGroupSize - 1) /
+                        SchedulerGroups::kMaxGroupSize;
+  const size_t least = std::bit_ceil(std::max<size_t>(needed, 1));
+  const size_t most =
+      std::max(least, std::bit_floor(size / SchedulerGroups::kMinGroupSize));
+  return static_cast<uint32_t>(
+      std::clamp<size_t>(std::bit_floor(size_t{preferred}), least, most));
+}
+
+}  // namespace
+
 void SchedulerGroups::SetUpstreams(const std::vector<UpstreamSpec>& upstreams) {
+  const uint32_t preferred = group_count();
   upstreams_ = upstreams;
+  Partition(preferred);
+}
+
+void SchedulerGroups::AdoptGroupCount(uint32_t count) {
+  if (count != group_count() && !upstreams_.empty())
+    Partition(count);
+}
+
+void SchedulerGroups::Partition(uint32_t preferred) {
   absl::flat_hash_map<std::string, size_t> sizes;
   for (const UpstreamSpec& upstream : upstreams_)
     ++sizes[upstream.service];
   group_counts_.clear();
-  for (const auto& [service, size] : sizes) {
-    const size_t groups = (size + kMaxGroupSize - 1) / kMaxGroupSize;
-    // A power of two, so that small changes in size rarely change the
-    // partition.
-    group_counts_[service] = static_cast<uint32_t>(std::bit_ceil(groups));
-  }
+  for (const auto& [service, size] : sizes)
+    group_counts_[service] = GroupCountFor(size, preferred);
   std::erase_if(schedulers_, [](const auto& entry) {
     return entry.second.waiting() == 0 && entry.second.running() == 0;
   });
--- a/modules/decisions/scheduler_groups.h
+++ b/modules/decisions/scheduler_groups.h
@@ -18,17 +18,25 @@
     compared. The upstreams of a large service are therefore partitioned by
     their keys, each request belongs to one group, and different instances can
     schedule different groups. Instances that know the same upstreams partition
-    them identically. Not thread-safe.
+    them identically if they use the same number of groups. That number follows
+    the number of upstreams with hysteresis, so that it does not change back and
+    forth while upstreams are replaced. Not thread-safe.
 
     @see PlacementNode */
 class SchedulerGroups {
  public:
   /** A service with up to this many upstreams is a single group. */
   static constexpr size_t kMaxGroupSize = 96;
+  /** Groups that have become smaller than this on average are merged. */
+  static constexpr size_t kMinGroupSize = 32;
 
   /** Replaces the upstreams and partitions them into groups. Groups that have
       no waiting or running requests drop their scheduler. */
   void SetUpstreams(const std::vector<UpstreamSpec>& upstreams);
+  /** Sets the number of groups that the fleet uses, as another instance has
+      announced it. Services that are too small or too large for it have the
+      nearest possible number. */
+  void AdoptGroupCount(uint32_t count);
   /** Sets the seed for schedulers that are created from now on.
       @see FleetScheduler */
   void SetPreference(uint64_t seed) { preference_seed_ = seed; }
@@ -66,6 +74,9 @@
  private:
   /** Returns the scheduler of the request's group, created on first use. */
   FleetScheduler& SchedulerOf(const WorkRequest& request);
+  /** Assigns the upstreams to groups, as near to `preferred` groups a service
+     as possible. */
+  void Partition(uint32_t preferred);
   std::vector<UpstreamSpec> UpstreamsOf(uint32_t group) const;
 
   std::vector<UpstreamSpec> upstreams_;
--- a/modules/peers/membership.cc
+++ b/modules/peers/membership.cc
@@ -102,6 +102,7 @@
   message->upstreams_complete_until = upstream_changes_.complete_until();
   message->upstreams_last_change = upstream_changes_.last_change();
   message->source = source_;
+  message->group_count = group_count_;
 }
 
 void Membership::OnHeader(const PeerMessage& message, absl::Time now) {
@@ -203,7 +204,7 @@
     return candidates_;
   candidates_computed_at_ = now;
   candidates_.clear();
-  for (uint32_t group = 0; group < group_count_; ++group) {
+  for (uint32_t group = 0; group < std::max(group_count_, 1u); ++group) {
     const size_t count =
         group == 0 ? kCandidatesOfFirstGroup : kCandidatesPerGroup;
     for (InstanceIp ip : roster_.SchedulerOrder(now, count, group))
@@ -241,6 +242,10 @@
   return std::max(here, announced_live_count_);
 }
 
+bool Membership::IsJoining(absl::Time now) const {
+  return now - started_ < kJoinPhase;
+}
+
 void Membership::ScheduleEarlyHello(absl::Time now) {
   next_hello_ = std::min(next_hello_, now + kEarlyHelloDelay);
 }
@@ -255,8 +260,7 @@
   if (now < next_hello_ && !has_news)
     return {};
   hello_change_ = upstream_changes_.last_change();
-  next_hello_ =
-      now + (now - started_ < kJoinPhase ? kJoinHelloInterval : kHelloInterval);
+  next_hello_ = now + (IsJoining(now) ? kJoinHelloInterval : kHelloInterval);
   ++hello_rounds_;
   roster_live_count_ = roster_.LiveCount(now);
   for (auto& [ip, count] : unanswered_hellos_) {
--- a/modules/peers/membership.h
+++ b/modules/peers/membership.h
@@ -44,7 +44,8 @@
   explicit Membership(Options options);
 
   void SetSeeds(std::vector<InstanceIp> seeds);
-  /** Sets the number of groups of upstreams, each of which has a scheduler. */
+  /** Sets the number of groups of upstreams, each of which has a scheduler; 0
+     if no upstreams are known. */
   void SetGroupCount(uint32_t count);
   /** Sets the configuration version in force on this instance. */
   void SetConfigurationVersion(uint64_t version);
@@ -89,6 +90,9 @@
   /** Merges the live instances named in a welcome into the roster. */
   void OnWelcome(const WelcomeMessage& welcome, absl::Time now);
 
+  /** Returns whether this instance has started so recently that it may not know
+      the others yet. */
+  bool IsJoining(absl::Time now) const;
   /** Marks `ip` as suspected after it failed to respond. */
   void Suspect(InstanceIp ip, absl::Time now) { roster_.Suspect(ip, now); }
   /** Marks this instance as shutting down; it no longer acts as a scheduler. */
@@ -148,7 +152,7 @@
   /** Hellos sent since the last reply, by instance. */
   std::map<InstanceIp, int> unanswered_hellos_;
   size_t next_member_to_send_ = 0;
-  uint32_t group_count_ = 1;
+  uint32_t group_count_ = 0;
   absl::flat_hash_set<InstanceIp> candidates_;
   absl::Time candidates_computed_at_ = absl::InfinitePast();
   bool leaving_ = false;
--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -70,6 +70,8 @@
   upstreamsLastChange @24 :UInt64;
   # @see chicory::SourceState
   sourceState @25 :UInt8;
+  # Groups of upstreams that the sender uses; 0 if it knows no upstreams.
+  groupCount @33 :UInt32;
   # In hello: whether the receiver is to reply with welcome.
   wantsWelcome @27 :Bool;
   # In hello: whether welcome is to carry the upstream changes that the sender
--- a/modules/peers/placement.capnp.h
+++ b/modules/peers/placement.capnp.h
@@ -113,7 +113,7 @@
   struct Ended;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 8, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 9, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -128,7 +128,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 8, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 9, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -143,7 +143,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 8, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 9, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -158,7 +158,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 8, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 9, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -721,6 +721,8 @@
   inline bool hasMissedUpstreams() const;
   inline  ::chicory::wire::UpstreamBatch::Reader getMissedUpstreams() const;
 
+  inline  ::uint32_t getGroupCount() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -859,6 +861,9 @@
   inline void adoptMissedUpstreams(::capnp::Orphan< ::chicory::wire::UpstreamBatch>&& value);
   inline ::capnp::Orphan< ::chicory::wire::UpstreamBatch> disownMissedUpstreams();
 
+  inline  ::uint32_t getGroupCount();
+  inline void setGroupCount( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2364,6 +2369,20 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Datagram::Reader::getGroupCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::Builder::getGroupCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setGroupCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Datagram::Assign::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -332,6 +332,7 @@
   datagram.setUpstreamsCompleteUntil(message.upstreams_complete_until);
   datagram.setUpstreamsLastChange(message.upstreams_last_change);
   datagram.setSourceState(static_cast<uint8_t>(message.source));
+  datagram.setGroupCount(message.group_count);
   std::visit(ContentWriter{datagram}, message.content);
   const auto words = capnp::messageToFlatArray(builder);
   const auto bytes = words.asBytes();
@@ -403,6 +404,7 @@
         .source = static_cast<SourceState>(
             std::min(datagram.getSourceState(),
                      static_cast<uint8_t>(SourceState::kLost))),
+        .group_count = datagram.getGroupCount(),
         .content = LeaveMessage{}};
     if (ReadContent(datagram, &message))
       result = std::move(message);
--- a/modules/peers/placement_message.h
+++ b/modules/peers/placement_message.h
@@ -129,6 +129,9 @@
   uint64_t upstreams_complete_until = 0;
   uint64_t upstreams_last_change = 0;
   SourceState source = SourceState::kPassive;
+  /** Groups of upstreams that the sender uses; 0 if it knows no upstreams.
+      @see SchedulerGroups */
+  uint32_t group_count = 0;
   std::variant<HelloMessage,
                WelcomeMessage,
                SubmitMessage,
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -45,6 +45,22 @@
 
 void PlacementNode::SetUpstreams(const std::vector<UpstreamSpec>& upstreams) {
   scheduler_.SetUpstreams(upstreams);
+  has_upstreams_ = !upstreams.empty();
+  membership_.SetGroupCount(has_upstreams_ ? scheduler_.group_count() : 0);
+}
+
+void PlacementNode::AdoptGroupCount(const PeerMessage& message,
+                                    absl::Time now) {
+  if (message.group_count == 0 || !has_upstreams_)
+    return;
+  // The first scheduler decides, so that instances that have seen other changes
+  // of the upstreams use the same groups. If it has just started, it adopts
+  // what the others use.
+  const bool sender_decides =
+      message.sender == membership_.SchedulingInstance(now);
+  if (!sender_decides && !membership_.IsJoining(now))
+    return;
+  scheduler_.AdoptGroupCount(message.group_count);
   membership_.SetGroupCount(scheduler_.group_count());
 }
 
@@ -165,6 +181,7 @@
   membership_.OnHeader(message, now);
   if (std::holds_alternative<LeaveMessage>(message.content))
     return;
+  AdoptGroupCount(message, now);
   if (message.configuration_version > membership_.configuration_version())
     listener_->OnNewerConfiguration(message.configuration_version);
   if (const auto* welcome = std::get_if<WelcomeMessage>(&message.content)) {
--- a/modules/peers/placement_node.h
+++ b/modules/peers/placement_node.h
@@ -138,6 +138,8 @@
   void DeliverDecision(const ScheduleDecision& decision);
   /** Applies a decision about a request of this instance. */
   void ApplyDecision(const ScheduleDecision& decision, InstanceIp scheduler);
+  /** Uses the number of groups that the first scheduler announces. */
+  void AdoptGroupCount(const PeerMessage& message, absl::Time now);
   /** Sends a hello to obtain upstream changes that are missing here, if one is
       due. */
   void RequestMissedChanges(absl::Time now);
@@ -158,6 +160,7 @@
   BatchAssembler missed_changes_;
   SchedulerGroups scheduler_;
   uint64_t next_sequence_;
+  bool has_upstreams_ = false;
   size_t next_hello_scheduler_ = 0;
   std::map<uint64_t, Job> jobs_;
   /** An assignment made here for another instance; kept to resend it when the
--- a/tests/logic/fleet_scheduler_test.cc
+++ b/tests/logic/fleet_scheduler_test.cc
@@ -404,6 +404,40 @@
   CHECK(record.size() == 1);
 }
 
+// Load: upstreams come and go in numbers, as in a release, while the size of
+// the service is near the limit of one group.
+TEST_CASE("the number of groups does not follow every change of size") {
+  struct Case {
+    const char* name;
+    /** Numbers of upstreams, one after the other. */
+    std::vector<size_t> sizes;
+    uint32_t announced;
+    uint32_t groups;
+  };
+  for (const Case& c : std::vector<Case>{
+           {"a release in a service of two groups", {112, 90, 97, 70}, 0, 2},
+           {"a small service grows a little", {90, 96}, 0, 1},
+           {"a service becomes too large for one group", {90, 97}, 0, 2},
+           {"a service becomes too small for two groups", {112, 63}, 0, 1},
+           {"groups merge and split far apart", {112, 63, 96, 97}, 0, 2},
+           {"the fleet uses more groups", {90}, 2, 2},
+           {"the fleet uses more groups than fit", {90}, 16, 2},
+           {"the fleet uses fewer groups than are needed", {300}, 1, 4},
+       }) {
+    INFO(c.name);
+    SchedulerGroups groups;
+    for (const size_t size : c.sizes) {
+      std::vector<UpstreamSpec> upstreams;
+      for (size_t i = 1; i <= size; ++i)
+        upstreams.push_back({UpstreamKey(i), "large", 6});
+      groups.SetUpstreams(upstreams);
+    }
+    if (c.announced > 0)
+      groups.AdoptGroupCount(c.announced);
+    CHECK(groups.GroupCountOf("large") == c.groups);
+  }
+}
+
 TEST_CASE("upstreams of a large service are partitioned into groups") {
   struct Case {
     size_t upstreams;
--- a/tests/logic/placement_node_test.cc
+++ b/tests/logic/placement_node_test.cc
@@ -62,6 +62,14 @@
         std::make_unique<Member>(this, ip, std::vector<InstanceIp>{1, 2, 3});
   }
 
+  /** Sets the upstreams that instances know from now on, `ip` included. */
+  void SetUpstreams(InstanceIp ip, int count) {
+    upstreams_.clear();
+    for (int i = 1; i <= count; ++i)
+      upstreams_.push_back({UpstreamKey(i), "desk", 6});
+    members.at(ip)->node.SetUpstreams(upstreams_);
+  }
+
   WorkKey Submit(InstanceIp ip, absl::Duration deadline = absl::Seconds(4)) {
     return members.at(ip)->node.Submit({.service = "desk",
                                         .due = now + absl::Milliseconds(300),
@@ -409,6 +417,29 @@
   CHECK(fleet.largest <= kMaxDatagramBytes);
 }
 
+// Load: a release while the service's size is near the limit of one group, seen
+// by instances at different times, and instances that start meanwhile.
+TEST_CASE("all instances use the same groups while upstreams are replaced") {
+  constexpr int kInstances = 60;
+  Fleet fleet(kInstances, 112, 0);
+  fleet.Run(absl::Seconds(4));
+  for (InstanceIp ip = 1; ip <= kInstances; ++ip) {
+    fleet.SetUpstreams(ip, ip % 3 == 0 ? 99 : 90);
+    fleet.Run(absl::Milliseconds(10));
+  }
+  // Two restart, one of them the first scheduler, and know 90 upstreams.
+  const InstanceIp scheduler =
+      fleet.members.at(1)->node.membership().SchedulingInstance(fleet.now);
+  fleet.SetUpstreams(1, 90);
+  for (InstanceIp ip : {scheduler, scheduler % kInstances + 1})
+    fleet.Start(ip);
+  fleet.Run(absl::Seconds(3));
+  for (const auto& [ip, member] : fleet.members) {
+    INFO("instance " << ip);
+    CHECK(member->node.scheduler().GroupCountOf("desk") == 2);
+  }
+}
+
 TEST_CASE("control traffic stays within 4 KB a second with many groups") {
   constexpr int kInstances = 340;
   constexpr int kRunning = 12;
