Silent upstreams lose their streams in time; unsent attempts are free

New requests waited 0.4 s for a connection, which makes a short prompt late at once, and a second one that failed was refused (503), since both attempts were used up although no byte had been sent. At 295 instances the retry budget is two retries in ten seconds for each. Ruled out: shorter TCP probes (whole seconds only, at best 2 s). Change: an upstream may be silent for 0.6 of the time after which a caller abandons a stream (1.2 s and more; before the first event at least three times what the scheduler expects); then the stream is resumed elsewhere if its route and the budget allow it, and the fault is counted. Connections are given up after 150 ms in place of 400 ms, and cost neither an attempt nor a retry.

--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -31,6 +31,18 @@
 /** A response to a request without a prompt is overdue after this multiple of
     the route's target latency. */
 constexpr double kOverdueFactor = 2;
+/** A caller is assumed to abandon a stream that has been silent for
+    kMinAbandonTime, or for these multiples of the route's target latency or
+    event gap, whichever is longest. */
+constexpr absl::Duration kMinAbandonTime = absl::Seconds(2);
+constexpr double kAbandonLatencies = 4;
+constexpr double kAbandonGaps = 8;
+/** A stream that can be resumed is resumed at another upstream after this share
+    of that time, so that its next event is in time for the caller. */
+constexpr double kSilenceShare = 0.6;
+/** The first event is overdue after at least this multiple of the time in which
+    the scheduler expects it. */
+constexpr double kExpectedFactor = 3;
 /** Factor from the caller's estimate of the output to the planned output. */
 constexpr double kOutputMargin = 1.2;
 
@@ -284,14 +296,27 @@
                                .pool = state_->pool,
                                .directory = state_->upstreams},
       &events_, this);
-  ArmWatchdog(now);
+  ArmWatchdog(decision.expected, now);
   exchange_->Send(absl::StrCat(
       state_->codec.UpstreamHead(request_, request_fields), request_.body));
 }
 
-void RequestHandler::ArmWatchdog(absl::Time now) {
-  // An engine sends nothing during prefill, which can take long under load.
-  if (caller_.prompt_tokens > 0)
+absl::Duration RequestHandler::SilenceLimit() const {
+  if (caller_.prompt_tokens == 0)
+    return route_->target_latency * kOverdueFactor;
+  // A stream that cannot be resumed has nothing to gain from an end.
+  if (!route_->IsRetryable())
+    return absl::InfiniteDuration();
+  const absl::Duration abandoned_after =
+      std::max({kMinAbandonTime, route_->target_latency * kAbandonLatencies,
+                route_->event_gap * kAbandonGaps});
+  return abandoned_after * kSilenceShare;
+}
+
+void RequestHandler::ArmWatchdog(absl::Duration expected, absl::Time now) {
+  const absl::Duration limit =
+      std::max(SilenceLimit(), expected * kExpectedFactor);
+  if (limit == absl::InfiniteDuration())
     return;
   if (!watchdog_) {
     watchdog_ = std::make_unique<ResponseWatchdog>(
@@ -300,7 +325,7 @@
             self->OnResponseOverdue();
         });
   }
-  watchdog_->Start(now + route_->target_latency * kOverdueFactor);
+  watchdog_->Start(now + limit);
 }
 
 void RequestHandler::BeginStream(const HttpResponseHead& head) {
@@ -316,6 +341,8 @@
   const absl::Time now = SteadyNow();
   BeginStream(head);
   telemetry_.OnEvents(route_->target_latency, now);
+  if (watchdog_)
+    watchdog_->Extend(now + SilenceLimit());
   if (!response_start_reported_ && work_) {
     response_start_reported_ = true;
     state_->placement->OnResponseStarted(*work_, now);
@@ -367,8 +394,13 @@
   // A stream that has started can be resumed only after an event with an id.
   if (stream_started_ && events_.last_event_id().empty())
     return false;
-  if (telemetry_.attempts() >= route_->max_attempts ||
-      TimeLeft() < kMinTimeLeft)
+  if (TimeLeft() < kMinTimeLeft)
+    return false;
+  // What was not sent reached no upstream, and counts against no limit on
+  // requests that do.
+  if (failure.not_sent)
+    return decisions_ < kMaxDecisions;
+  if (telemetry_.attempts() - unsent_attempts_ >= route_->max_attempts)
     return false;
   const absl::Time now = SteadyNow();
   return state_->retries.Spend(
@@ -380,6 +412,7 @@
   const auto self = shared_from_this();
   const absl::Time now = SteadyNow();
   may_have_run_ |= !failure.not_run;
+  unsent_attempts_ += failure.not_sent ? 1 : 0;
   if (CanRetry(failure)) {
     Retry(failure);
     return;
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -93,9 +93,12 @@
                       const char* reason);
   /** Marks the request as finished and logs its end. */
   void Finish(int status, const char* reason);
-  /** Starts the timer for an overdue response, unless the request has a
-      prompt. */
-  void ArmWatchdog(absl::Time now);
+  /** Starts the timer for an overdue response. `expected` is the time in which
+      the scheduler expects the first event. */
+  void ArmWatchdog(absl::Duration expected, absl::Time now);
+  /** Returns how long an upstream may be silent before the response counts as
+      overdue; infinite if it never does. */
+  absl::Duration SilenceLimit() const;
   /** Retries the request if that is allowed; otherwise keeps waiting. */
   void OnResponseOverdue();
   /** Ends the current attempt and requests another upstream. */
@@ -137,6 +140,8 @@
   /** Kept over all attempts, so that a stream can be resumed. */
   EventStreamSplitter events_;
   int decisions_ = 0;
+  /** Attempts that ended before a byte of the request was sent. */
+  int unsent_attempts_ = 0;
   bool may_have_run_ = false;
   bool stream_started_ = false;
   bool response_start_reported_ = false;
--- a/modules/gateway/response_watchdog.cc
+++ b/modules/gateway/response_watchdog.cc
@@ -1,5 +1,6 @@
 #include "modules/gateway/response_watchdog.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "modules/net/loop_time.h"
@@ -14,14 +15,28 @@
 
 void ResponseWatchdog::Start(absl::Time due) {
   due_ = due;
-  timer_.expires_at(ToSteady(due));
+  Wait();
+}
+
+void ResponseWatchdog::Extend(absl::Time due) {
+  if (due_ != absl::InfiniteFuture())
+    due_ = std::max(due_, due);
+}
+
+void ResponseWatchdog::Wait() {
+  timer_.expires_at(ToSteady(due_));
   timer_.async_wait([weak = std::weak_ptr<ResponseWatchdog*>(alive_)](
                         const boost::system::error_code& error) {
     const auto alive = weak.lock();
+    if (error || !alive)
+      return;
     // The callback of an expired timer may already be queued when the timer is
-    // stopped or restarted, and is then called without an error.
-    if (!error && alive && (*alive)->IsOverdue(SteadyNow()))
-      (*alive)->on_overdue_();
+    // stopped, restarted or extended, and is then called without an error.
+    ResponseWatchdog& watchdog = **alive;
+    if (watchdog.IsOverdue(SteadyNow()))
+      watchdog.on_overdue_();
+    else if (watchdog.due_ != absl::InfiniteFuture())
+      watchdog.Wait();
   });
 }
 
--- a/modules/gateway/response_watchdog.h
+++ b/modules/gateway/response_watchdog.h
@@ -20,12 +20,18 @@
 
   /** Starts the timer, replacing any earlier `due`. */
   void Start(absl::Time due);
+  /** Replaces `due` by a later time without a call to the system, for callers
+      that do so often. Has no effect if the timer was not started. */
+  void Extend(absl::Time due);
   /** Stops the timer; `on_overdue` is not called after this. */
   void Stop();
   /** Whether the timer was started and `due` has been reached. */
   bool IsOverdue(absl::Time now) const { return now >= due_; }
 
  private:
+  /** Waits until `due_`. */
+  void Wait();
+
   boost::asio::steady_timer timer_;
   std::function<void()> on_overdue_;
   /** Referenced weakly by timer callbacks, which may outlive this object. */
--- a/modules/gateway/upstream_exchange.cc
+++ b/modules/gateway/upstream_exchange.cc
@@ -135,7 +135,7 @@
   const std::shared_ptr<HttpClientConnection> connection =
       std::move(connection_);
   if (failure == HttpClientConnection::Failure::kConnect) {
-    Fail({.reason = "no_connection", .not_run = true});
+    Fail({.reason = "no_connection", .not_run = true, .not_sent = true});
     return;
   }
   const bool is_stale = connection->is_reused() && !has_head_ &&
--- a/modules/gateway/upstream_exchange.h
+++ b/modules/gateway/upstream_exchange.h
@@ -30,6 +30,9 @@
     const char* reason;
     /** Set if it is certain that the upstream did not run the request. */
     bool not_run = false;
+    /** Set if no byte of the request was sent, because no connection came
+        about. */
+    bool not_sent = false;
     AttemptResult result = AttemptResult::kFault;
     /** Another upstream that caused the failure; 0 for none. */
     UpstreamKey faulty_upstream = 0;
--- a/modules/net/http_client_connection.cc
+++ b/modules/net/http_client_connection.cc
@@ -14,9 +14,9 @@
 
 namespace {
 
-/** TCP's retransmission of a lost SYN takes longer than an attempt at another
-    server. */
-constexpr std::chrono::milliseconds kConnectTimeout(400);
+/** Several round trips between data centres. TCP's retransmission of a lost SYN
+    takes longer than an attempt at another server. */
+constexpr std::chrono::milliseconds kConnectTimeout(150);
 
 }  // namespace
 
--- a/stand_ins/platform_main.cc
+++ b/stand_ins/platform_main.cc
@@ -158,6 +158,10 @@
     if (body.contains("pace_ms"))
       found->second.handler_factory->SetEventInterval(
           body.value("pace_ms", 20));
+    if (!body.value("accepting", true)) {
+      found->second.server->StopAccepting();
+      found->second.server->CloseIdle();
+    }
     const std::string state = body.value("state", "");
     if (state == "gone")
       store_.Remove("servers", name);
--- a/stand_ins/platform_upstream.cc
+++ b/stand_ins/platform_upstream.cc
@@ -17,13 +17,14 @@
 constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
 
-constexpr std::array<std::pair<const char*, UpstreamMode>, 9> kModes = {{
+constexpr std::array<std::pair<const char*, UpstreamMode>, 10> kModes = {{
     {"ok", UpstreamMode::kOk},
     {"full", UpstreamMode::kFull},
     {"error", UpstreamMode::kError},
     {"reset", UpstreamMode::kReset},
     {"mute", UpstreamMode::kNoResponse},
     {"break", UpstreamMode::kTruncated},
+    {"stall", UpstreamMode::kStalled},
     {"unsigned", UpstreamMode::kNoStamp},
     {"foreign", UpstreamMode::kOtherRequestId},
     {"forget", UpstreamMode::kResetNext},
@@ -127,6 +128,7 @@
       case UpstreamMode::kOk:
       case UpstreamMode::kFull:
       case UpstreamMode::kTruncated:
+      case UpstreamMode::kStalled:
       case UpstreamMode::kNoStamp:
       case UpstreamMode::kOtherRequestId:
       case UpstreamMode::kResetNext:
@@ -178,6 +180,8 @@
       return;
     }
     writer_->SendChunk(event);
+    if (upstream_->mode_ == UpstreamMode::kStalled && next_event_ == 1)
+      return;
     if (++next_event_ < kEvents) {
       ScheduleNext();
       return;
--- a/stand_ins/platform_upstream.h
+++ b/stand_ins/platform_upstream.h
@@ -26,6 +26,9 @@
   /** Closes the connection in the middle of the second event, or of the body of
       a response that is not a stream. */
   kTruncated,
+  /** Sends two events of a stream and then nothing; keeps the connection open.
+   */
+  kStalled,
   /** Responds without `Response-Stamp`, which names the upstream. */
   kNoStamp,
   /** Responds with the id of another request. */
--- a/tests/process/gateway_requests.sh
+++ b/tests/process/gateway_requests.sh
@@ -79,6 +79,25 @@
 done
 expect "overdue lookup" "$(log_of g1 send_failed)" 'request=mute-l[12] .*reason=response_overdue .*again=1'
 
+say "a stream is resumed elsewhere when its upstream falls silent"
+for mode in stall mute; do
+  for engine in 1 2; do
+    upstream "engine-$engine" "\"mode\":\"$mode\""
+    begin=$(date +%s%N)
+    response=$(call g1 /s/a -H "Request-Id: $mode-s$engine" -H "$TOKENS" -d "$mode $engine")
+    took=$((($(date +%s%N) - begin) / 1000000))
+    for token in 0 1 2 3 4; do
+      expect "$mode: token $token once" "$(grep -c "^data: token$token\$" <<<"$response")" '^1$'
+    done
+    # Callers abandon a stream of this route after 2 s of silence.
+    [ "$took" -lt 2000 ] || problem "a silent upstream ($mode) delayed a stream by $took ms"
+    upstream "engine-$engine" '"mode":"ok"'
+    sleep 2
+  done
+done
+expect "silent stream" "$(log_of g1 send_failed)" 'request=stall-s[12] .*reason=response_overdue .*again=1'
+expect "silent prompt" "$(log_of g1 send_failed)" 'request=mute-s[12] .*reason=response_overdue .*again=1'
+
 say "the request is cancelled at the upstream when its caller disconnects"
 upstream engine-1 '"pace_ms":400'
 upstream engine-2 '"pace_ms":400'
