--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -14,11 +14,14 @@
 start() {
   local name=$1 program=$2
   shift 2
+  # Otherwise the addresses of a killed process of this name could be read before
+  # the new process empties the file.
+  rm -f "$FLEET/$name.out"
   "$BIN/$program" "$@" >"$FLEET/$name.out" 2>"$FLEET/$name.log" &
   FLEET_PIDS+=($!)
   echo $! >"$FLEET/$name.pid"
   for _ in $(seq 200); do
-    grep -q '^listening' "$FLEET/$name.out" && return 0
+    grep -qs '^listening' "$FLEET/$name.out" && return 0
     kill -0 "$(cat "$FLEET/$name.pid")" 2>/dev/null || break
     sleep 0.05
   done
