--- a/bench/schedule_costs_main.cc
+++ b/bench/schedule_costs_main.cc
@@ -69,7 +69,7 @@
     if (placed)
       running.push_back(key);
     else
-      scheduler.Forget(key);
+      scheduler.Forget(key, now);
   };
   const size_t target_streams =
       static_cast<size_t>(engines) * kStreamsPerEngine;
--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -107,7 +107,7 @@
   }
   const Placement placement = std::move(found->second);
   running_.erase(found);
-  upstreams_.Remove(key, placement.upstreams);
+  upstreams_.Remove(key, placement.upstreams, now);
   const UpstreamKey attributed =
       faulty_upstream != 0 ? faulty_upstream : placement.upstreams.front();
   if (const uint64_t fingerprint = placement.request.fingerprint) {
@@ -119,8 +119,8 @@
   upstreams_.OnAttemptEnded(attributed, result, now);
 }
 
-void FleetScheduler::Forget(WorkKey key) {
-  OnEnded(key, AttemptResult::kCancelled, 0, absl::InfinitePast());
+void FleetScheduler::Forget(WorkKey key, absl::Time now) {
+  OnEnded(key, AttemptResult::kCancelled, 0, now);
 }
 
 std::vector<WorkKey> FleetScheduler::KeysOf(uint32_t owner) const {
@@ -211,6 +211,8 @@
   constexpr Evaluation kKeepWaiting{.action = Action::kWait};
   constexpr Evaluation kRefuseNoSlots{.action = Action::kRefuse,
                                       .cause = RefusalCause::kNoSlots};
+  constexpr Evaluation kRefuseTooLate{.action = Action::kRefuse,
+                                      .cause = RefusalCause::kDeadlineOver};
   constexpr Evaluation kRefuseCostsOthers{.action = Action::kRefuse,
                                           .cause = RefusalCause::kCostsOthers};
   const absl::Time slot_wait_end =
@@ -234,6 +236,12 @@
                ? kKeepWaiting
                : kPlaceNow;
   }
+  // A response after the deadline is of no use, and would delay others.
+  if (now + choice.time_to_first_event > request.deadline) {
+    return now + choice.min_time_to_first_event > request.deadline
+               ? kRefuseTooLate
+               : kKeepWaiting;
+  }
   if (IsShortOfSlots(request))
     return now < slot_wait_end ? kKeepWaiting : kRefuseNoSlots;
   const double loss =
@@ -301,7 +309,7 @@
       expired.push_back(key);
   }
   for (WorkKey key : expired)
-    Forget(key);
+    Forget(key, now);
 }
 
 ScheduleDecision FleetScheduler::Refuse(WorkKey key,
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -19,7 +19,8 @@
 
 /** Why a request is refused. */
 enum class RefusalCause {
-  /** Its deadline passed while it waited. */
+  /** Its deadline passed while it waited, or no upstream can respond before it.
+   */
   kDeadlineOver,
   /** The few free slots are reserved for prompts that can still be on time. */
   kNoSlots,
@@ -97,7 +98,7 @@
                UpstreamKey faulty_upstream,
                absl::Time now);
   /** Removes a request that its owner no longer holds. */
-  void Forget(WorkKey key);
+  void Forget(WorkKey key, absl::Time now);
 
   /** Returns the decisions that can be made now. Other requests keep
       waiting. */
--- a/modules/decisions/scheduled_upstream.cc
+++ b/modules/decisions/scheduled_upstream.cc
@@ -22,6 +22,15 @@
                  kTokensPerValueUnit;
 }
 
+void ScheduledUpstream::LimitBacklog(absl::Time now) {
+  absl::Duration pending = absl::ZeroDuration();
+  for (const UpstreamLoad& load : loads) {
+    if (!load.response_started)
+      pending += load.prefill;
+  }
+  prefill_until = std::min(prefill_until, now + pending);
+}
+
 double ScheduledUpstream::FaultScoreAt(absl::Time now) const {
   if (fault_score <= 0)
     return 0;
--- a/modules/decisions/scheduled_upstream.h
+++ b/modules/decisions/scheduled_upstream.h
@@ -100,6 +100,8 @@
   /** Expected time of the request's first event, including the prefill of
       prompts that were placed at the upstream since. */
   absl::Time expected;
+  /** Prefill that it adds to the engine's backlog until its response starts. */
+  absl::Duration prefill = absl::ZeroDuration();
   double gap_ms = 0;
   double value = 0;
 };
@@ -125,6 +127,9 @@
   /** Until then it gets no work, because it reported that it is at capacity. */
   absl::Time full_until = absl::InfinitePast();
 
+  /** Limits the prefill backlog to that of the loads whose responses have not
+      started. To be called when a load is removed or its response starts. */
+  void LimitBacklog(absl::Time now);
   /** Returns the fault score, decayed to `now`. */
   double FaultScoreAt(absl::Time now) const;
   /** Adds `amount` to the fault score, and suspends the upstream if the score
--- a/modules/decisions/scheduled_upstream_table.cc
+++ b/modules/decisions/scheduled_upstream_table.cc
@@ -94,6 +94,7 @@
          .due = request.due,
          .deadline = request.deadline,
          .expected = now + choice.time_to_first_event,
+         .prefill = prefill,
          .gap_ms = absl::ToDoubleMilliseconds(request.event_gap),
          .value = RequestValue(request.prompt_tokens, request.output_tokens)});
     state->prefill_until = std::max(state->prefill_until, now) + prefill;
@@ -113,19 +114,17 @@
     std::erase_if(state->loads, [&](const UpstreamLoad& load) {
       return load.key == key && load.is_prompt_part && load.tokens == 0;
     });
-    bool backlog = false;
     for (UpstreamLoad& load : state->loads) {
       if (load.key == key)
         load.response_started = true;
-      backlog |= !load.response_started;
     }
-    if (!backlog)
-      state->prefill_until = std::min(state->prefill_until, now);
+    state->LimitBacklog(now);
   }
 }
 
 void ScheduledUpstreamTable::Remove(WorkKey key,
-                                    const std::vector<UpstreamKey>& upstreams) {
+                                    const std::vector<UpstreamKey>& upstreams,
+                                    absl::Time now) {
   for (UpstreamKey upstream : upstreams) {
     auto found = rows_.find(upstream);
     if (found == rows_.end())
@@ -133,10 +132,8 @@
     ScheduledUpstream& state = found->second;
     std::erase_if(state.loads,
                   [&](const UpstreamLoad& load) { return load.key == key; });
-    if (!state.loads.empty())
-      continue;
-    state.prefill_until = absl::InfinitePast();
-    if (!state.eligible)
+    state.LimitBacklog(now);
+    if (state.loads.empty() && !state.eligible)
       rows_.erase(found);
   }
 }
--- a/modules/decisions/scheduled_upstream_table.h
+++ b/modules/decisions/scheduled_upstream_table.h
@@ -45,7 +45,9 @@
                          const std::vector<UpstreamKey>& upstreams,
                          absl::Time now);
   /** Removes the load of a request that has ended. */
-  void Remove(WorkKey key, const std::vector<UpstreamKey>& upstreams);
+  void Remove(WorkKey key,
+              const std::vector<UpstreamKey>& upstreams,
+              absl::Time now);
   /** Called when an attempt has ended whose result counts for `upstream`. */
   void OnAttemptEnded(UpstreamKey upstream,
                       AttemptResult result,
--- a/modules/decisions/scheduler_groups.cc
+++ b/modules/decisions/scheduler_groups.cc
@@ -110,9 +110,9 @@
     scheduler.OnEnded(key, result, faulty_upstream, now);
 }
 
-void SchedulerGroups::Forget(WorkKey key) {
+void SchedulerGroups::Forget(WorkKey key, absl::Time now) {
   for (auto& [group, scheduler] : schedulers_)
-    scheduler.Forget(key);
+    scheduler.Forget(key, now);
 }
 
 std::vector<ScheduleDecision> SchedulerGroups::Run(absl::Time now) {
--- a/modules/decisions/scheduler_groups.h
+++ b/modules/decisions/scheduler_groups.h
@@ -60,7 +60,7 @@
                AttemptResult result,
                UpstreamKey faulty_upstream,
                absl::Time now);
-  void Forget(WorkKey key);
+  void Forget(WorkKey key, absl::Time now);
   std::vector<ScheduleDecision> Run(absl::Time now);
 
   bool IsWaiting(WorkKey key) const;
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -234,7 +234,7 @@
     scheduler_.Adopt(work, now);
   }
   if (listed.size() == hello.total)
-    DropUnlisted(message.sender, listed);
+    DropUnlisted(message.sender, listed, now);
   if (hello.wants_welcome) {
     for (WelcomeMessage& reply : membership_.MakeWelcomes(message, now))
       Send(message.sender, {.content = std::move(reply)});
@@ -252,7 +252,8 @@
 }
 
 void PlacementNode::DropUnlisted(InstanceIp sender,
-                                 const std::vector<WorkKey>& listed) {
+                                 const std::vector<WorkKey>& listed,
+                                 absl::Time now) {
   for (WorkKey key : scheduler_.KeysOf(sender)) {
     // Queued requests are resubmitted by their owner.
     if (scheduler_.IsWaiting(key) ||
@@ -265,7 +266,7 @@
       continue;
     }
     assignments_.erase(key);
-    scheduler_.Forget(key);
+    scheduler_.Forget(key, now);
   }
 }
 
--- a/modules/peers/placement_node.h
+++ b/modules/peers/placement_node.h
@@ -147,7 +147,9 @@
   void OnWelcome(const WelcomeMessage& welcome, absl::Time now);
   /** Drops placements of `sender` that its hello does not list. Those assigned
       here are kept until the second such hello. */
-  void DropUnlisted(InstanceIp sender, const std::vector<WorkKey>& listed);
+  void DropUnlisted(InstanceIp sender,
+                    const std::vector<WorkKey>& listed,
+                    absl::Time now);
   void OnSubmit(InstanceIp sender, const SubmitMessage& submit, absl::Time now);
   void OnQueued(InstanceIp sender, const QueuedMessage& queued);
   void OnRemoteDecision(InstanceIp sender, const DecisionMessage& message);
--- a/tests/logic/fleet_scheduler_test.cc
+++ b/tests/logic/fleet_scheduler_test.cc
@@ -250,6 +250,74 @@
   }
 }
 
+// Load: a prompt comes back, late, with too little time left for any placement.
+TEST_CASE("a prompt that no placement serves before its deadline is refused") {
+  struct Case {
+    const char* name;
+    int64_t tokens;
+    absl::Duration deadline;
+    ScheduleDecision::Kind expected;
+  };
+  constexpr auto kAssign = ScheduleDecision::Kind::kAssign;
+  constexpr auto kRefuse = ScheduleDecision::Kind::kRefuse;
+  // Four engines prefill 280,000 tokens in 2.2 s, 600,000 tokens in 9.2 s.
+  for (const Case& c : std::vector<Case>{
+           {"no time", 280000, absl::Seconds(1), kRefuse},
+           {"late, but served", 280000, absl::Seconds(6), kAssign},
+           {"the longest, no time", 600000, absl::Seconds(8), kRefuse},
+           {"the longest, late, but served", 600000, absl::Seconds(15),
+            kAssign},
+       }) {
+    INFO(c.name);
+    SchedulerHarness harness(4);
+    const WorkKey key = harness.SubmitPrompt(c.tokens, absl::Milliseconds(1),
+                                             absl::Seconds(1), {}, c.deadline);
+    const ScheduleDecision decision = harness.Run().at(key);
+    CHECK(decision.kind == c.expected);
+    if (c.expected == kAssign)
+      CHECK(decision.expected < c.deadline);
+  }
+}
+
+// Load: short prompts beside a very long one that ends before its prefill does,
+// because its caller leaves, it was prefilled early, or it was only adopted.
+TEST_CASE("a prompt without further prefill leaves no backlog at its engine") {
+  enum class End { kCancelled, kStartedEarly, kAdoptedWhenStarted };
+  struct Case {
+    const char* name;
+    End end;
+  };
+  for (const Case& c : std::vector<Case>{
+           {"cancelled", End::kCancelled},
+           {"started early", End::kStartedEarly},
+           {"adopted when it had started", End::kAdoptedWhenStarted},
+       }) {
+    INFO(c.name);
+    SchedulerHarness harness(1);
+    // Its response does not start during the test.
+    REQUIRE(harness.Run().empty());
+    const WorkKey pending = harness.SubmitShort();
+    REQUIRE(harness.Run().count(pending) == 1);
+    const RunningWork work{
+        .request = {.key = {9, 1},
+                    .service = "engines",
+                    .prompt_tokens = 280000,
+                    .due = harness.now + absl::Seconds(3),
+                    .deadline = harness.now + absl::Seconds(15)},
+        .upstream = 1,
+        .response_started = c.end == End::kAdoptedWhenStarted};
+    harness.scheduler.Adopt(work, harness.now);
+    if (c.end == End::kCancelled)
+      harness.scheduler.Forget(work.request.key, harness.now);
+    if (c.end == End::kStartedEarly)
+      harness.scheduler.OnResponseStarted(work.request.key, harness.now);
+    const WorkKey key = harness.SubmitShort();
+    const auto decisions = harness.Run();
+    REQUIRE(decisions.count(key) == 1);
+    CHECK(decisions.at(key).expected < absl::Milliseconds(300));
+  }
+}
+
 // Load: short prompts arrive 10 % faster than all slots can serve them.
 TEST_CASE("most short prompts are on time at slight overload") {
   constexpr int kEngines = 4;
@@ -379,7 +447,7 @@
   CHECK(harness.scheduler.RunningAt(1) == 16);
   CHECK(harness.PlaceAndStart(harness.SubmitShort()).upstream == 2);
   for (WorkKey key : harness.scheduler.KeysOf(9))
-    harness.scheduler.Forget(key);
+    harness.scheduler.Forget(key, harness.now);
   CHECK(harness.scheduler.RunningAt(1) == 0);
 }
 
