--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -22,6 +22,10 @@
 /** After that it is placed if others lose at most this multiple of its gain,
     and refused otherwise. */
 constexpr double kFinalCostFactor = 2;
+/** A request is not placed where its first event is expected after this
+   multiple of the time to its deadline. Estimates for late requests are often
+   too high, because callers ahead of them leave. */
+constexpr double kDeadlineEstimateMargin = 1.5;
 /** A request with time to spare keeps waiting while its placement, recent
     faults aside, costs more than this share of its value. */
 constexpr double kMaxImmediateCostShare = 0.3;
@@ -237,11 +241,12 @@
                : kPlaceNow;
   }
   // A response after the deadline is of no use, and would delay others.
-  if (now + choice.time_to_first_event > request.deadline) {
-    return now + choice.min_time_to_first_event > request.deadline
-               ? kRefuseTooLate
-               : kKeepWaiting;
-  }
+  const absl::Time latest =
+      now + (request.deadline - now) * kDeadlineEstimateMargin;
+  if (now + choice.min_time_to_first_event > latest)
+    return kRefuseTooLate;
+  if (now + choice.time_to_first_event > latest)
+    return kKeepWaiting;
   if (IsShortOfSlots(request))
     return now < slot_wait_end ? kKeepWaiting : kRefuseNoSlots;
   const double loss =
--- a/modules/decisions/prompt_placement.cc
+++ b/modules/decisions/prompt_placement.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <tuple>
 #include <utility>
 
 namespace chicory {
@@ -110,17 +109,6 @@
                     1.0);
 }
 
-/** Returns the value that a request loses if its first event takes `time_ms`.
- */
-double OwnLoss(const WorkRequest& request, double time_ms, absl::Time now) {
-  const double due_ms = absl::ToDoubleMilliseconds(request.due - now);
-  const double deadline_ms = absl::ToDoubleMilliseconds(request.deadline - now);
-  const double value =
-      RequestValue(request.prompt_tokens, request.output_tokens);
-  return value * (kLateLoss * Risk(time_ms, due_ms) +
-                  (1 - kLateLoss) * Risk(time_ms, deadline_ms));
-}
-
 EngineView ViewOf(const EngineProfile& engine,
                   ScheduledUpstream* upstream,
                   absl::Time now) {
@@ -214,6 +202,7 @@
   const double value =
       RequestValue(request.prompt_tokens, request.output_tokens);
   const int64_t needed = request.prompt_tokens + request.output_tokens;
+  const double due_ms = absl::ToDoubleMilliseconds(request.due - now);
   std::vector<Candidate> candidates;
   for (const EngineView& view : views) {
     const bool can_be_only = view.has_slot && view.free_tokens >= needed;
@@ -225,12 +214,14 @@
     const double shared =
         estimate.cost_to_others + view.preference +
         std::min(view.fault_score, kMaxFaultScore) * kFaultCost * value;
-    candidate.cost_as_lead = shared + OwnLoss(request, estimate.lead_ms, now);
+    candidate.cost_as_lead =
+        shared + Risk(estimate.lead_ms, due_ms) * value * kLateLoss;
     if (parts == 1) {
       candidate.cost_as_lead -= kPackingBonus * view.requests;
       candidate.cost = candidate.cost_as_lead;
     } else {
-      candidate.cost = shared + OwnLoss(request, estimate.helper_ms, now);
+      candidate.cost =
+          shared + Risk(estimate.helper_ms, due_ms) * value * kLateLoss;
     }
     candidates.push_back(candidate);
   }
@@ -252,17 +243,14 @@
       lead = it;
   }
   if (lead == candidates->end()) {
-    // No engine can hold the whole request: choose the cheapest lead among the
-    // engines that take part, then the one with the most free memory.
+    // No engine can hold the whole request: choose the one with the most free
+    // memory among the cheapest.
     const auto end = candidates->begin() + std::min(parts, candidates->size());
-    const auto rank = [](const Candidate& candidate) {
-      return std::tuple(!candidate.view->has_slot, candidate.cost_as_lead,
-                        -candidate.view->free_tokens);
-    };
-    lead = std::min_element(candidates->begin(), end,
-                            [&](const Candidate& a, const Candidate& b) {
-                              return rank(a) < rank(b);
-                            });
+    lead = std::max_element(
+        candidates->begin(), end, [](const Candidate& a, const Candidate& b) {
+          return std::pair(a.view->has_slot, a.view->free_tokens) <
+                 std::pair(b.view->has_slot, b.view->free_tokens);
+        });
     if (lead == end || !lead->view->has_slot)
       return false;
   }
@@ -329,12 +317,13 @@
     fault_score += candidate.view->fault_score;
   }
   const Candidate& lead = candidates.front();
+  const double due_ms = absl::ToDoubleMilliseconds(request.due - now);
   const double gap_ms = absl::ToDoubleMilliseconds(request.event_gap);
   option.time_to_first_event = absl::Milliseconds(first_event_ms);
   option.fault_cost =
       std::min(fault_score, kMaxFaultScore) * kFaultCost * value;
   option.cost = option.cost_to_others + option.fault_cost +
-                OwnLoss(request, first_event_ms, now) +
+                Risk(first_event_ms, due_ms) * value * kLateLoss +
                 Risk(lead.estimate.pass_ms, gap_ms) * value * kOwnGapLoss +
                 kPerEngineCost * static_cast<double>(parts);
   if (parts == 1)
