An instance that knows no upstreams does not schedule for others

Instances were restarted in turn while the store was away; one that came back knew no upstreams, was first in the order, and kept the requests of all others in its queue until the store answered: 124 short prompts were never sent, 300 were placed late. Ruled out: suspicion (it answered every submission), lost datagrams. Change: the header's number of groups, 0 without upstreams, tells others that the sender cannot schedule; such instances come last in the order of schedulers and do not queue what others submit. Hellos still go by the order that all share. Test, red without the mechanism (60 checks): "an instance that knows no upstreams does not schedule for others".

--- a/modules/decisions/instance_roster.cc
+++ b/modules/decisions/instance_roster.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 #include "modules/core/hashing.h"
@@ -42,6 +43,13 @@
     found->second.lost_source = lost;
 }
 
+void InstanceRoster::SetCanSchedule(InstanceIp ip, bool can_schedule) {
+  if (ip == self_)
+    self_can_schedule_ = can_schedule;
+  else if (auto found = rows_.find(ip); found != rows_.end())
+    found->second.can_schedule = can_schedule;
+}
+
 void InstanceRoster::Suspect(InstanceIp ip, absl::Time now) {
   auto found = rows_.find(ip);
   if (found != rows_.end())
@@ -64,26 +72,42 @@
   return members;
 }
 
-std::vector<InstanceIp> InstanceRoster::SchedulerOrder(absl::Time now,
-                                                       size_t count,
-                                                       uint32_t group) const {
-  std::vector<std::pair<uint64_t, InstanceIp>> ranked = {
-      {Rank(self_, group), self_}};
-  for (const auto& [ip, row] : rows_) {
-    if (now - row.last_seen >= kLivenessTimeout || row.suspected_until > now)
-      continue;
-    ranked.emplace_back(Rank(ip, group), ip);
-  }
+std::vector<InstanceIp> InstanceRoster::FirstOf(std::vector<Preference> ranked,
+                                                size_t count) {
   const size_t wanted = std::min(count, ranked.size());
   std::partial_sort(ranked.begin(),
                     ranked.begin() + static_cast<int64_t>(wanted),
                     ranked.end());
   std::vector<InstanceIp> order;
   for (size_t i = 0; i < wanted; ++i)
-    order.push_back(ranked[i].second);
+    order.push_back(std::get<InstanceIp>(ranked[i]));
   return order;
 }
 
+std::vector<InstanceIp> InstanceRoster::SchedulerOrder(absl::Time now,
+                                                       size_t count,
+                                                       uint32_t group) const {
+  std::vector<Preference> ranked = {
+      {!self_can_schedule_, Rank(self_, group), self_}};
+  for (const auto& [ip, row] : rows_) {
+    if (now - row.last_seen >= kLivenessTimeout || row.suspected_until > now)
+      continue;
+    ranked.emplace_back(!row.can_schedule, Rank(ip, group), ip);
+  }
+  return FirstOf(std::move(ranked), count);
+}
+
+std::vector<InstanceIp> InstanceRoster::CommonOrder(absl::Time now,
+                                                    size_t count) const {
+  std::vector<Preference> ranked = {{false, Rank(self_), self_}};
+  for (const auto& [ip, row] : rows_) {
+    if (now - row.last_seen >= kLivenessTimeout || row.suspected_until > now)
+      continue;
+    ranked.emplace_back(false, Rank(ip), ip);
+  }
+  return FirstOf(std::move(ranked), count);
+}
+
 bool InstanceRoster::IsAmongFirst(size_t count,
                                   bool self_lost,
                                   absl::Time now) const {
--- a/modules/decisions/instance_roster.h
+++ b/modules/decisions/instance_roster.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <tuple>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -37,6 +38,9 @@
   void OnMessageReceived(InstanceIp ip, absl::Time now);
   /** Sets whether `ip` has lost the connection to its source. */
   void SetLostSource(InstanceIp ip, bool lost);
+  /** Sets whether `ip` knows upstreams, and so can schedule for others.
+     Instances that are only known from others are assumed to. */
+  void SetCanSchedule(InstanceIp ip, bool can_schedule);
   /** Called when `ip` did not respond to a request. */
   void Suspect(InstanceIp ip, absl::Time now);
   /** Called when `ip` announced that it leaves. */
@@ -53,11 +57,17 @@
   std::vector<Member> Members(absl::Time now) const;
 
   /** Returns up to `count` instances to choose as scheduler, most preferred
-      first, this one included. Each group of upstreams has its own order. */
+      first, this one included. Each group of upstreams has its own order. Those
+      that cannot schedule come last. */
   std::vector<InstanceIp> SchedulerOrder(absl::Time now,
                                          size_t count,
                                          uint32_t group = 0) const;
 
+  /** Returns up to `count` instances in the order of the first group, whether
+     they can schedule or not, so that all instances have the same order at any
+      time. */
+  std::vector<InstanceIp> CommonOrder(absl::Time now, size_t count) const;
+
   /** Returns true if this instance is among the first `count` in the order of
       those that are connected to their source. `self_lost` is true if this
       instance is not. If no instance is connected, all of them count. */
@@ -71,9 +81,17 @@
     absl::Time last_seen = absl::InfinitePast();
     absl::Time suspected_until = absl::InfinitePast();
     bool lost_source = false;
+    bool can_schedule = true;
   };
 
+  /** An instance and its place in an order: lower values come first. */
+  using Preference = std::tuple<bool, uint64_t, InstanceIp>;
+  /** Returns the first `count` of all live instances. */
+  static std::vector<InstanceIp> FirstOf(std::vector<Preference> ranked,
+                                         size_t count);
+
   InstanceIp self_;
+  bool self_can_schedule_ = false;
   std::map<InstanceIp, Row> rows_;
 };
 
--- a/modules/peers/membership.cc
+++ b/modules/peers/membership.cc
@@ -71,6 +71,7 @@
 
 void Membership::SetGroupCount(uint32_t count) {
   group_count_ = count;
+  roster_.SetCanSchedule(options_.self, count > 0);
 }
 
 void Membership::SetConfigurationVersion(uint64_t version) {
@@ -111,6 +112,7 @@
   else
     roster_.OnMessageReceived(message.sender, now);
   roster_.SetLostSource(message.sender, message.source == SourceState::kLost);
+  roster_.SetCanSchedule(message.sender, message.group_count > 0);
   announced_configuration_version_ =
       std::max(announced_configuration_version_, message.configuration_version);
   // An instance that has lost the source counts too, because the next in order
@@ -210,6 +212,8 @@
     for (InstanceIp ip : roster_.SchedulerOrder(now, count, group))
       candidates_.insert(ip);
   }
+  for (InstanceIp ip : roster_.CommonOrder(now, kCandidatesOfFirstGroup))
+    candidates_.insert(ip);
   return candidates_;
 }
 
@@ -270,8 +274,12 @@
     }
   }
   // The instance next in order is sent every other hello only.
-  std::vector<InstanceIp> targets = roster_.SchedulerOrder(
+  std::vector<InstanceIp> targets = roster_.CommonOrder(
       now, hello_rounds_ % 2 == 0 ? kInformedSchedulers : 1);
+  // Another one if the first knows no upstreams.
+  const InstanceIp scheduler = SchedulingInstance(now);
+  if (std::find(targets.begin(), targets.end(), scheduler) == targets.end())
+    targets.push_back(scheduler);
   for (InstanceIp target : targets)
     unanswered_hellos_[target] += target == options_.self ? 0 : 1;
   const std::vector<InstanceIp>& seeds = options_.seeds;
--- a/modules/peers/membership.h
+++ b/modules/peers/membership.h
@@ -45,7 +45,8 @@
 
   void SetSeeds(std::vector<InstanceIp> seeds);
   /** Sets the number of groups of upstreams, each of which has a scheduler; 0
-     if no upstreams are known. */
+     if no upstreams are known, in which case other instances are preferred as
+      schedulers. */
   void SetGroupCount(uint32_t count);
   /** Sets the configuration version in force on this instance. */
   void SetConfigurationVersion(uint64_t version);
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -278,6 +278,12 @@
     return;
   }
   const WorkRequest request = submit.work.ToRequest(sender, now);
+  if (!has_upstreams_ &&
+      membership_.SchedulingInstance(now, request.group) != self_) {
+    // The header of the reply shows that this instance cannot schedule.
+    Send(sender, {.content = WelcomeMessage{}});
+    return;
+  }
   auto found = assignments_.find(request.key);
   if (found != assignments_.end()) {
     Send(sender, {.content = DecisionMessage{found->second.decision}});
--- a/tests/logic/placement_node_test.cc
+++ b/tests/logic/placement_node_test.cc
@@ -417,6 +417,34 @@
   CHECK(fleet.largest <= kMaxDatagramBytes);
 }
 
+// Load: instances are restarted in turn while the source is away. Each of them
+// knows no upstreams at first, and the first scheduler is among them.
+TEST_CASE("an instance that knows no upstreams does not schedule for others") {
+  constexpr int kInstances = 20;
+  constexpr int kUpstreams = 30;
+  Fleet fleet(kInstances, kUpstreams, 0);
+  fleet.Run(absl::Seconds(4));
+  const InstanceIp scheduler =
+      fleet.members.at(1)->node.membership().SchedulingInstance(fleet.now);
+  fleet.SetUpstreams(scheduler, 0);
+  fleet.members.erase(scheduler);
+  fleet.Start(scheduler);
+  std::vector<WorkKey> keys;
+  for (int i = 0; i < 3; ++i) {
+    fleet.Run(absl::Milliseconds(500));
+    for (InstanceIp ip = 1; ip <= kInstances; ++ip)
+      keys.push_back(fleet.Submit(ip));
+  }
+  fleet.Run(absl::Milliseconds(300));
+  for (WorkKey key : keys) {
+    INFO("instance " << key.owner);
+    CHECK(fleet.IsDecided(key));
+  }
+  fleet.SetUpstreams(scheduler, kUpstreams);
+  fleet.Run(absl::Seconds(2));
+  CHECK(fleet.LargestAgreement(0) == kInstances);
+}
+
 // Load: a release while the service's size is near the limit of one group, seen
 // by instances at different times, and instances that start meanwhile.
 TEST_CASE("all instances use the same groups while upstreams are replaced") {
