--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -23,8 +23,8 @@
     and refused otherwise. */
 constexpr double kFinalCostFactor = 2;
 /** A request is not placed where its first event is expected after this
-   multiple of the time to its deadline. Estimates for late requests are often
-   too high, because callers ahead of them leave. */
+    multiple of the time to its deadline. Estimates for late requests are often
+    too high, because callers ahead of them leave. */
 constexpr double kDeadlineEstimateMargin = 1.5;
 /** A request with time to spare keeps waiting while its placement, recent
     faults aside, costs more than this share of its value. */
--- a/modules/decisions/instance_roster.cc
+++ b/modules/decisions/instance_roster.cc
@@ -72,40 +72,37 @@
   return members;
 }
 
-std::vector<InstanceIp> InstanceRoster::FirstOf(std::vector<Preference> ranked,
-                                                size_t count) {
-  const size_t wanted = std::min(count, ranked.size());
-  std::partial_sort(ranked.begin(),
-                    ranked.begin() + static_cast<int64_t>(wanted),
-                    ranked.end());
+std::vector<InstanceIp> InstanceRoster::Order(absl::Time now,
+                                              size_t count,
+                                              uint32_t group,
+                                              bool able_first) const {
+  using Place = std::tuple<bool, uint64_t, InstanceIp>;
+  std::vector<Place> places = {
+      {able_first && !self_can_schedule_, Rank(self_, group), self_}};
+  for (const auto& [ip, row] : rows_) {
+    if (now - row.last_seen >= kLivenessTimeout || row.suspected_until > now)
+      continue;
+    places.emplace_back(able_first && !row.can_schedule, Rank(ip, group), ip);
+  }
+  const size_t wanted = std::min(count, places.size());
+  std::partial_sort(places.begin(),
+                    places.begin() + static_cast<int64_t>(wanted),
+                    places.end());
   std::vector<InstanceIp> order;
   for (size_t i = 0; i < wanted; ++i)
-    order.push_back(std::get<InstanceIp>(ranked[i]));
+    order.push_back(std::get<InstanceIp>(places[i]));
   return order;
 }
 
 std::vector<InstanceIp> InstanceRoster::SchedulerOrder(absl::Time now,
                                                        size_t count,
                                                        uint32_t group) const {
-  std::vector<Preference> ranked = {
-      {!self_can_schedule_, Rank(self_, group), self_}};
-  for (const auto& [ip, row] : rows_) {
-    if (now - row.last_seen >= kLivenessTimeout || row.suspected_until > now)
-      continue;
-    ranked.emplace_back(!row.can_schedule, Rank(ip, group), ip);
-  }
-  return FirstOf(std::move(ranked), count);
+  return Order(now, count, group, /*able_first=*/true);
 }
 
 std::vector<InstanceIp> InstanceRoster::CommonOrder(absl::Time now,
                                                     size_t count) const {
-  std::vector<Preference> ranked = {{false, Rank(self_), self_}};
-  for (const auto& [ip, row] : rows_) {
-    if (now - row.last_seen >= kLivenessTimeout || row.suspected_until > now)
-      continue;
-    ranked.emplace_back(false, Rank(ip), ip);
-  }
-  return FirstOf(std::move(ranked), count);
+  return Order(now, count, /*group=*/0, /*able_first=*/false);
 }
 
 bool InstanceRoster::IsAmongFirst(size_t count,
--- a/modules/decisions/instance_roster.h
+++ b/modules/decisions/instance_roster.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <tuple>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -38,8 +37,8 @@
   void OnMessageReceived(InstanceIp ip, absl::Time now);
   /** Sets whether `ip` has lost the connection to its source. */
   void SetLostSource(InstanceIp ip, bool lost);
-  /** Sets whether `ip` knows upstreams, and so can schedule for others.
-     Instances that are only known from others are assumed to. */
+  /** Sets whether `ip` knows upstreams, and so can schedule for others. An
+      instance that is known only from others is assumed to. */
   void SetCanSchedule(InstanceIp ip, bool can_schedule);
   /** Called when `ip` did not respond to a request. */
   void Suspect(InstanceIp ip, absl::Time now);
@@ -64,7 +63,7 @@
                                          uint32_t group = 0) const;
 
   /** Returns up to `count` instances in the order of the first group, whether
-     they can schedule or not, so that all instances have the same order at any
+      they can schedule or not: an order that all instances share at any
       time. */
   std::vector<InstanceIp> CommonOrder(absl::Time now, size_t count) const;
 
@@ -84,11 +83,12 @@
     bool can_schedule = true;
   };
 
-  /** An instance and its place in an order: lower values come first. */
-  using Preference = std::tuple<bool, uint64_t, InstanceIp>;
-  /** Returns the first `count` of all live instances. */
-  static std::vector<InstanceIp> FirstOf(std::vector<Preference> ranked,
-                                         size_t count);
+  /** Returns the first `count` live instances in the order of `group`. With
+      `able_first` those that cannot schedule come last. */
+  std::vector<InstanceIp> Order(absl::Time now,
+                                size_t count,
+                                uint32_t group,
+                                bool able_first) const;
 
   InstanceIp self_;
   bool self_can_schedule_ = false;
--- a/modules/decisions/scheduler_groups.h
+++ b/modules/decisions/scheduler_groups.h
@@ -74,8 +74,8 @@
  private:
   /** Returns the scheduler of the request's group, created on first use. */
   FleetScheduler& SchedulerOf(const WorkRequest& request);
-  /** Assigns the upstreams to groups, as near to `preferred` groups a service
-     as possible. */
+  /** Assigns the upstreams to groups, in each service as near to `preferred`
+      groups as possible. */
   void Partition(uint32_t preferred);
   std::vector<UpstreamSpec> UpstreamsOf(uint32_t group) const;
 
--- a/modules/peers/membership.cc
+++ b/modules/peers/membership.cc
@@ -119,7 +119,7 @@
   // replaces it.
   if (message.source != SourceState::kPassive)
     last_watcher_message_ = now;
-  if (message.upstreams_last_change > announced_change_) {
+  if (message.upstreams_last_change >= announced_change_) {
     announced_change_ = message.upstreams_last_change;
     change_announcer_ = message.sender;
   }
--- a/modules/peers/membership.h
+++ b/modules/peers/membership.h
@@ -45,7 +45,7 @@
 
   void SetSeeds(std::vector<InstanceIp> seeds);
   /** Sets the number of groups of upstreams, each of which has a scheduler; 0
-     if no upstreams are known, in which case other instances are preferred as
+      if no upstreams are known, in which case other instances are preferred as
       schedulers. */
   void SetGroupCount(uint32_t count);
   /** Sets the configuration version in force on this instance. */
@@ -132,7 +132,7 @@
   uint64_t announced_configuration_version_ = 0;
   absl::Time next_catch_up_ = absl::InfinitePast();
   uint64_t catch_up_rounds_ = 0;
-  /** The instance that announced `announced_change_` first. */
+  /** The instance that announced `announced_change_` last. */
   InstanceIp change_announcer_ = 0;
   /** Revision of the latest upstream change announced by any instance, and the
       time since which its delivery is pending. */
