The log says how the end of a response was recognised

Ruled out: nothing; no decision changes. Change: send_failed and request_ended say how the end of the body was marked (framing) and how many bytes followed the last complete event (partial_event); HttpResponseParser::framing replaces is_close_delimited, which had no users. An attempt is ended before its failure is logged, so that the line describes that attempt.

--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -373,8 +373,10 @@
 
 void RequestHandler::EndAttempt(AttemptResult result,
                                 UpstreamKey faulty_upstream) {
-  if (exchange_)
+  if (exchange_) {
+    telemetry_.OnBodyEnded(exchange_->body_end());
     exchange_->Cancel();
+  }
   exchange_.reset();
   if (watchdog_)
     watchdog_->Stop();
@@ -417,18 +419,18 @@
     Retry(failure);
     return;
   }
+  EndAttempt(failure.result, failure.faulty_upstream);
   telemetry_.OnAttemptFailed(failure, /*will_retry=*/false, events_.events(),
                              now);
-  EndAttempt(failure.result, failure.faulty_upstream);
   RespondUnavailable(failure.reason);
 }
 
 void RequestHandler::Retry(const UpstreamExchange::Failure& failure) {
+  EndAttempt(failure.result, failure.faulty_upstream);
   telemetry_.OnAttemptFailed(failure, /*will_retry=*/true, events_.events(),
                              SteadyNow());
   avoided_upstreams_.push_back(
       failure.faulty_upstream != 0 ? failure.faulty_upstream : upstream_);
-  EndAttempt(failure.result, failure.faulty_upstream);
   response_start_reported_ = false;
   RequestPlacement();
 }
--- a/modules/gateway/request_telemetry.cc
+++ b/modules/gateway/request_telemetry.cc
@@ -103,6 +103,8 @@
                              {"send", attempts_},
                              {"after_ms", Ms(now - attempt_started_at_)},
                              {"events", events},
+                             {"framing", BodyFramingName(body_end_.framing)},
+                             {"partial_event", body_end_.partial_event_bytes},
                              {"again", will_retry ? 1 : 0}});
 }
 
@@ -114,13 +116,16 @@
   metrics_.OnRequestEnded(service_, status, reason, took);
   if (events > 0 && status != 0)
     metrics_.OnStreamComplete(service_, longest_gap_);
-  log_.WriteDetail("request_ended", {{"request", request_},
-                                     {"status", status},
-                                     {"reason", reason},
-                                     {"sends", attempts_},
-                                     {"events", events},
-                                     {"longest_gap_ms", Ms(longest_gap_)},
-                                     {"took_ms", Ms(took)}});
+  log_.WriteDetail("request_ended",
+                   {{"request", request_},
+                    {"status", status},
+                    {"reason", reason},
+                    {"sends", attempts_},
+                    {"events", events},
+                    {"framing", BodyFramingName(body_end_.framing)},
+                    {"partial_event", body_end_.partial_event_bytes},
+                    {"longest_gap_ms", Ms(longest_gap_)},
+                    {"took_ms", Ms(took)}});
 }
 
 }  // namespace chicory
--- a/modules/gateway/request_telemetry.h
+++ b/modules/gateway/request_telemetry.h
@@ -67,6 +67,8 @@
   /** Called when complete events were received for the caller.
       `target_latency` is the route's, which is logged with the first event. */
   void OnEvents(absl::Duration target_latency, absl::Time now);
+  /** Called at the end of each attempt, before OnAttemptFailed and OnEnded. */
+  void OnBodyEnded(const UpstreamExchange::BodyEnd& end) { body_end_ = end; }
   /** Called when an attempt has failed; `events` counts the events that the
       caller has received so far. */
   void OnAttemptFailed(const UpstreamExchange::Failure& failure,
@@ -89,6 +91,8 @@
   absl::Time attempt_started_at_;
   absl::Time last_event_ = absl::InfinitePast();
   absl::Duration longest_gap_;
+  /** Of the last attempt that has ended. */
+  UpstreamExchange::BodyEnd body_end_;
   int attempts_ = 0;
 };
 
--- a/modules/gateway/upstream_exchange.cc
+++ b/modules/gateway/upstream_exchange.cc
@@ -66,6 +66,7 @@
   if (!has_head_ && !CheckHead(parser.head()))
     return;
   has_head_ = true;
+  body_end_.framing = parser.framing();
   if (is_stream_)
     ProcessStream(parser);
   else
@@ -106,6 +107,7 @@
 void UpstreamExchange::ProcessStream(HttpResponseParser& parser) {
   events_->Add(parser.TakeBody());
   std::string events = events_->TakeEvents();
+  body_end_.partial_event_bytes = events_->pending_bytes();
   const bool is_complete = parser.state() == ParseState::kComplete;
   if (is_complete)
     events.append(events_->TakeRemainder());
--- a/modules/gateway/upstream_exchange.h
+++ b/modules/gateway/upstream_exchange.h
@@ -38,6 +38,13 @@
     UpstreamKey faulty_upstream = 0;
   };
 
+  /** What was received of a response's body when its attempt ended. */
+  struct BodyEnd {
+    BodyFraming framing = BodyFraming::kUnknown;
+    /** Bytes of a stream after its last complete event. */
+    size_t partial_event_bytes = 0;
+  };
+
   /** Receives the response. Callbacks may cancel or release the exchange. */
   class Listener {
    public:
@@ -93,6 +100,7 @@
 
   /** Whether the head was received and accepted. */
   bool has_head() const { return has_head_; }
+  const BodyEnd& body_end() const { return body_end_; }
 
  private:
   void OnResponse(HttpResponseParser& parser) override;
@@ -112,6 +120,7 @@
   std::shared_ptr<HttpClientConnection> connection_;
   absl::Time sent_at_;
   absl::Duration keep_alive_;
+  BodyEnd body_end_;
   bool has_head_ = false;
   bool is_stream_ = false;
   std::string body_;
--- a/modules/net/http_message.cc
+++ b/modules/net/http_message.cc
@@ -25,6 +25,9 @@
     "proxy-authenticate",  "te",         "trailer",
     "proxy-authorization", "upgrade",    "transfer-encoding"};
 
+constexpr std::array<absl::string_view, 4> kBodyFramingNames = {
+    "unknown", "length", "chunked", "connection_end"};
+
 std::string ToString(boost::beast::string_view text) {
   return std::string(text.data(), text.size());
 }
@@ -78,6 +81,10 @@
       http::int_to_status(static_cast<unsigned>(status))));
 }
 
+absl::string_view BodyFramingName(BodyFraming framing) {
+  return kBodyFramingNames[static_cast<size_t>(framing)];
+}
+
 struct HttpRequestParser::Impl {
   http::request_parser<http::string_body> parser;
 };
@@ -203,8 +210,13 @@
   state_ = is_complete ? ParseState::kComplete : ParseState::kMalformed;
 }
 
-bool HttpResponseParser::is_close_delimited() const {
-  return has_head_ && impl_->parser->need_eof();
+BodyFraming HttpResponseParser::framing() const {
+  if (!has_head_)
+    return BodyFraming::kUnknown;
+  if (impl_->parser->need_eof())
+    return BodyFraming::kConnectionEnd;
+  return impl_->parser->chunked() ? BodyFraming::kChunked
+                                  : BodyFraming::kLength;
 }
 
 std::string HttpResponseParser::TakeBody() {
--- a/modules/net/http_message.h
+++ b/modules/net/http_message.h
@@ -66,6 +66,20 @@
 /** Returns the standard reason phrase of a status code. */
 std::string HttpReason(int status);
 
+/** How the end of a response's body is marked. */
+enum class BodyFraming {
+  /** The head is incomplete so far. */
+  kUnknown,
+  /** By its length, 0 included. */
+  kLength,
+  kChunked,
+  /** By the end of the connection. */
+  kConnectionEnd
+};
+
+/** Returns the name of `framing` in log lines. */
+absl::string_view BodyFramingName(BodyFraming framing);
+
 /** The progress of a message parser. */
 enum class ParseState {
   /** The message is incomplete so far. */
@@ -155,9 +169,9 @@
   bool started() const { return started_; }
   /** Returns the head. Only valid once has_head() is true. */
   const HttpResponseHead& head() const { return head_; }
-  /** Returns true if the response has neither a length nor chunks, so that the
-      end of the connection marks the end of the body. */
-  bool is_close_delimited() const;
+  /** Returns how the end of the body is marked; kUnknown until has_head() is
+      true. */
+  BodyFraming framing() const;
   /** Returns the body bytes received since the last call. */
   std::string TakeBody();
 
