A stream that ends inside an event has broken off

Cause: UpstreamExchange::ProcessStream took a response that was parsed in full for a whole stream and forwarded the bytes after its last complete event. Without length and chunks the parser is done whenever the connection ends. Ruled out: resumed streams (sends=1), the writer's abort (reason=stream_complete), plain responses (a reset ends them as broken, rows of the test). Change: bytes after the last complete event, under any framing, end the attempt as stream_truncated; so does the end of the connection before any event, which a crash in front of the first event looks like. Such an attempt is handled as a broken connection: resumed after the last event with an id, otherwise aborted. Nothing but complete events is ever forwarded. A cut exactly between two events of a stream without framing cannot be recognised.

--- a/modules/gateway/upstream_exchange.cc
+++ b/modules/gateway/upstream_exchange.cc
@@ -34,7 +34,7 @@
 
 void UpstreamExchange::Send(std::string request) {
   sent_at_ = SteadyNow();
-  events_->TakeRemainder();
+  events_->DropPartialEvent();
   connection_ = shared_.pool.Acquire(options_.upstream, options_.address,
                                      !options_.is_retryable, sent_at_);
   connection_->Exchange(std::move(request), options_.head_only, this);
@@ -106,16 +106,23 @@
 
 void UpstreamExchange::ProcessStream(HttpResponseParser& parser) {
   events_->Add(parser.TakeBody());
-  std::string events = events_->TakeEvents();
+  const std::string events = events_->TakeEvents();
   body_end_.partial_event_bytes = events_->pending_bytes();
-  const bool is_complete = parser.state() == ParseState::kComplete;
-  if (is_complete)
-    events.append(events_->TakeRemainder());
-  if (!events.empty())
+  const bool has_ended = parser.state() == ParseState::kComplete;
+  if (!events.empty()) {
+    has_events_ = true;
     listener_->OnEvents(parser.head(), events);
+  }
   // The listener may have cancelled the exchange.
-  if (!is_complete || !connection_)
+  if (!has_ended || !connection_)
+    return;
+  if (IsTruncated()) {
+    const bool has_crashed = body_end_.framing == BodyFraming::kConnectionEnd;
+    Fail({.reason = "stream_truncated",
+          .result =
+              has_crashed ? AttemptResult::kCrash : AttemptResult::kFault});
     return;
+  }
   // From within the listener, the released connection and its parser may serve
   // another request; hence the copy of the head.
   const HttpResponseHead head = parser.head();
@@ -123,6 +130,14 @@
   listener_->OnStreamComplete(head);
 }
 
+bool UpstreamExchange::IsTruncated() const {
+  if (body_end_.partial_event_bytes > 0)
+    return true;
+  // The end of the connection is no sign of success: it also follows a crash
+  // of the upstream before its first event.
+  return body_end_.framing == BodyFraming::kConnectionEnd && !has_events_;
+}
+
 void UpstreamExchange::ProcessCompleteBody(HttpResponseParser& parser) {
   body_.append(parser.TakeBody());
   if (parser.state() != ParseState::kComplete)
--- a/modules/gateway/upstream_exchange.h
+++ b/modules/gateway/upstream_exchange.h
@@ -53,7 +53,9 @@
         response. */
     virtual void OnEvents(const HttpResponseHead& head,
                           const std::string& events) = 0;
-    /** Called after the last event of a stream that was received in full. */
+    /** Called after the last event of a stream that was received in full: one
+        whose end was marked, or that ended with its connection, after an
+        event. */
     virtual void OnStreamComplete(const HttpResponseHead& head) = 0;
     /** Called with a complete response that is not a stream, of any status.
         An upstream's refusal is a failure instead, unless its status is 400. */
@@ -109,6 +111,9 @@
   /** Checks the response's head; returns false if it ended the exchange. */
   bool CheckHead(const HttpResponseHead& head);
   void ProcessStream(HttpResponseParser& parser);
+  /** Returns whether a stream that has ended broke off before its last event
+      was complete. */
+  bool IsTruncated() const;
   void ProcessCompleteBody(HttpResponseParser& parser);
   void ReleaseConnection();
   void Fail(const Failure& failure);
@@ -123,6 +128,8 @@
   BodyEnd body_end_;
   bool has_head_ = false;
   bool is_stream_ = false;
+  /** A complete event was received. */
+  bool has_events_ = false;
   std::string body_;
 };
 
--- a/modules/net/event_stream.cc
+++ b/modules/net/event_stream.cc
@@ -1,7 +1,5 @@
 #include "modules/net/event_stream.h"
 
-#include <utility>
-
 #include "absl/strings/match.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
@@ -43,10 +41,6 @@
   return complete_events;
 }
 
-std::string EventStreamSplitter::TakeRemainder() {
-  return std::exchange(pending_, {});
-}
-
 void EventStreamSplitter::RecordEvent(absl::string_view event) {
   ++events_;
   for (absl::string_view line : absl::StrSplit(event, '\n')) {
--- a/modules/net/event_stream.h
+++ b/modules/net/event_stream.h
@@ -25,9 +25,9 @@
 
   /** Returns the number of bytes not yet returned by TakeEvents(). */
   size_t pending_bytes() const { return pending_.size(); }
-  /** Removes and returns the buffered bytes after the last complete event. To
-      be called at the end of the stream. */
-  std::string TakeRemainder();
+  /** Removes the bytes not yet returned by TakeEvents(). To be called before
+      the stream is resumed. */
+  void DropPartialEvent() { pending_.clear(); }
 
   /** Returns the most recent `id` field among the events taken, or an empty
       string if there was none. */
