--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -98,6 +98,7 @@
                          .account = account_,
                          .configuration = table_->version(),
                          .prompt_tokens = caller_.prompt_tokens,
+                         .shared_parts = caller_.shared_parts,
                          .time_limit = deadline_ - arrived_});
   state_->retries.OnRequest(service_, arrived_);
   ArmTimeout();
--- a/modules/gateway/request_telemetry.cc
+++ b/modules/gateway/request_telemetry.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "modules/net/socket_options.h"
 
 namespace chicory {
@@ -13,6 +15,14 @@
   return absl::ToInt64Milliseconds(duration);
 }
 
+std::string JoinParts(const std::vector<PromptPart>& parts) {
+  if (parts.empty())
+    return "none";
+  return absl::StrJoin(parts, ",", [](std::string* out, PromptPart part) {
+    absl::StrAppend(out, absl::Hex(part));
+  });
+}
+
 }  // namespace
 
 void RequestTelemetry::OnArrived(std::string request, absl::Time now) {
@@ -29,6 +39,7 @@
                     {"account", admission.account},
                     {"configuration", admission.configuration},
                     {"prompt_tokens", admission.prompt_tokens},
+                    {"shared_parts", JoinParts(admission.shared_parts)},
                     {"patience_ms", Ms(admission.time_limit)}});
 }
 
--- a/modules/gateway/request_telemetry.h
+++ b/modules/gateway/request_telemetry.h
@@ -2,6 +2,7 @@
 #define MODULES_GATEWAY_REQUEST_TELEMETRY_H_
 
 #include <string>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "modules/core/event_log.h"
@@ -33,6 +34,7 @@
     const std::string& account;
     uint64_t configuration = 0;
     int64_t prompt_tokens = 0;
+    const std::vector<PromptPart>& shared_parts;
     absl::Duration time_limit;
   };
   void OnAdmitted(const Admission& admission);
--- a/modules/gateway/wire_codec.h
+++ b/modules/gateway/wire_codec.h
@@ -8,6 +8,7 @@
 #include "absl/strings/string_view.h"
 
 #include "absl/time/time.h"
+#include "modules/decisions/scheduled_upstream.h"
 #include "modules/net/http_message.h"
 
 namespace chicory {
@@ -26,6 +27,11 @@
   int64_t max_output_tokens = 0;
   /** The caller's estimate of the number of generated tokens; 0 if not sent. */
   int64_t expected_output_tokens = 0;
+  /** Ids of the parts of the prompt that other requests may share, which are
+      all but the last; at most kMaxSharedParts. */
+  std::vector<PromptPart> shared_parts;
+
+  static constexpr size_t kMaxSharedParts = 32;
 };
 
 /** An engine that prefills a part of a prompt for another engine. */
--- a/tests/logic/platform_test.cc
+++ b/tests/logic/platform_test.cc
@@ -26,13 +26,16 @@
                                        {"Deadline-Ms", "1500"},
                                        {"Authorization", "Bearer k1"},
                                        {"Token-Count", "1460,80"},
-                                       {"Length-Hint", "60"}}));
+                                       {"Length-Hint", "60"},
+                                       {"Prefix-Hash", "5c:800,91bd:4,e4:2"}}));
     CHECK(caller.id == "9c41");
     CHECK(caller.time_limit == absl::Milliseconds(1500));
     CHECK(caller.key == "k1");
     CHECK(caller.prompt_tokens == 1460);
     CHECK(caller.max_output_tokens == 80);
     CHECK(caller.expected_output_tokens == 60);
+    // The last part belongs to the request alone.
+    CHECK(caller.shared_parts == std::vector<PromptPart>{0x5c, 0x91bd});
   }
   // Guards against a crash: splitting the null view of a missing Token-Count
   // field returned no parts, and the first part was accessed.
@@ -42,6 +45,15 @@
     CHECK(caller.time_limit == absl::InfiniteDuration());
     CHECK(caller.key.empty());
     CHECK(caller.prompt_tokens == 0);
+    CHECK(caller.shared_parts.empty());
+  }
+  SECTION("more parts than are considered") {
+    std::string parts;
+    for (int i = 0; i < 1000; ++i)
+      parts += "ab:1,";
+    const CallerRequest caller =
+        codec.ReadRequest(RequestWith({{"Prefix-Hash", parts}}));
+    CHECK(caller.shared_parts.size() == CallerRequest::kMaxSharedParts);
   }
   SECTION("malformed values") {
     const CallerRequest caller =
