--- a/stand_ins/platform_main.cc
+++ b/stand_ins/platform_main.cc
@@ -1,5 +1,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <csignal>
 #include <functional>
 #include <iostream>
@@ -18,6 +20,7 @@
 using Json = nlohmann::json;
 
 constexpr size_t kMaxConnections = 1000;
+constexpr std::chrono::milliseconds kRestartTime(1000);
 
 SectionRule SettingsRule() {
   SectionRule rule{"settings", false, "Settings of the stand-in platform.",
@@ -72,6 +75,7 @@
     std::string service;
     std::unique_ptr<PlatformUpstream> handler_factory;
     std::unique_ptr<HttpServer> server;
+    std::unique_ptr<boost::asio::steady_timer> restart_timer;
   };
 
   /** Handles a request of the test to the control port. */
@@ -97,6 +101,22 @@
         loop_, upstream.handler_factory.get(), kMaxConnections);
   }
 
+  /** Lets a crashed upstream accept no connections for kRestartTime. */
+  void Restart(Upstream* upstream) {
+    const Endpoint address{
+        .ip = boost::asio::ip::address_v4::loopback().to_uint(),
+        .port = upstream->server->port()};
+    upstream->server->StopAccepting();
+    upstream->server->CloseIdle();
+    upstream->restart_timer =
+        std::make_unique<boost::asio::steady_timer>(loop_, kRestartTime);
+    upstream->restart_timer->async_wait(
+        [upstream, address](const boost::system::error_code& error) {
+          if (!error)
+            Capture([&] { return upstream->server->Listen(address); });
+        });
+  }
+
   void RegisterUpstream(const std::string& name, const std::string& state) {
     const Upstream& upstream = upstreams_.at(name);
     store_.Put(
@@ -116,6 +136,8 @@
     if (path == "/book") {
       return {200, Json{{"runs", observations_.executions},
                         {"left", observations_.disconnects},
+                        {"crashing_requests", observations_.crashing_requests},
+                        {"crashes", observations_.crashes},
                         {"heads", observations_.request_headers},
                         {"calls", store_.calls()}}
                        .dump()};
@@ -158,6 +180,10 @@
     if (body.contains("pace_ms"))
       found->second.handler_factory->SetEventInterval(
           body.value("pace_ms", 20));
+    if (body.contains("crashing_part"))
+      found->second.handler_factory->SetCrashingPart(
+          body.value("crashing_part", ""),
+          [this, upstream = &found->second] { Restart(upstream); });
     if (!body.value("accepting", true)) {
       found->second.server->StopAccepting();
       found->second.server->CloseIdle();
--- a/stand_ins/platform_upstream.cc
+++ b/stand_ins/platform_upstream.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
@@ -46,17 +47,21 @@
       public std::enable_shared_from_this<Execution> {
  public:
   explicit Execution(PlatformUpstream* upstream)
-      : upstream_(upstream), timer_(upstream->loop_) {}
+      : upstream_(upstream), timer_(upstream->loop_) {
+    upstream_->executions_.insert(this);
+  }
+  ~Execution() override { upstream_->executions_.erase(this); }
 
   void Start(HttpRequest request, ResponseWriter* writer) override {
     writer_ = writer;
     if (upstream_->mode_ == UpstreamMode::kResetNext) {
       upstream_->mode_ = UpstreamMode::kOk;
-      ended_ = true;
-      writer_->Abort();
+      Break();
       return;
     }
     request_ = std::move(request);
+    if (HoldsCrashingPart())
+      ++upstream_->observations_->crashing_requests;
     id_ = std::string(request_.headers.Find("Request-Id"));
     std::vector<std::string>& request_headers =
         upstream_->observations_->request_headers[id_];
@@ -85,6 +90,15 @@
     ScheduleNext();
   }
 
+  /** Breaks the connection unless the execution has ended. */
+  void Break() {
+    if (ended_)
+      return;
+    ended_ = true;
+    timer_.cancel();
+    writer_->Abort();
+  }
+
   void OnCallerDisconnected() override {
     if (!ended_)
       ++upstream_->observations_->disconnects;
@@ -93,6 +107,14 @@
   }
 
  private:
+  /** Returns whether a part of the prompt, but the last, crashes upstreams. */
+  bool HoldsCrashingPart() const {
+    const std::string& part = upstream_->crashing_part_;
+    const std::string parts(request_.headers.Find("Prefix-Hash"));
+    return !part.empty() &&
+           absl::StrContains(parts.substr(0, parts.rfind(',')), part);
+  }
+
   void ScheduleNext() {
     timer_.expires_after(
         std::chrono::milliseconds(upstream_->event_interval_ms_));
@@ -118,8 +140,7 @@
       case UpstreamMode::kNoResponse:
         return;
       case UpstreamMode::kReset:
-        ended_ = true;
-        writer_->Abort();
+        Break();
         return;
       case UpstreamMode::kError:
         ended_ = true;
@@ -166,6 +187,10 @@
   }
 
   void SendEvent() {
+    if (!stream_started_ && HoldsCrashingPart()) {
+      upstream_->Crash();
+      return;
+    }
     if (!stream_started_) {
       HttpHeaders headers = Headers();
       headers.Add("Content-Type", "text/event-stream");
@@ -200,6 +225,16 @@
   bool ended_ = false;
 };
 
+void PlatformUpstream::Crash() {
+  ++observations_->crashes;
+  std::vector<std::shared_ptr<Execution>> running;
+  for (Execution* execution : executions_)
+    running.push_back(execution->shared_from_this());
+  for (const std::shared_ptr<Execution>& execution : running)
+    execution->Break();
+  on_crash_();
+}
+
 std::shared_ptr<HttpHandler> PlatformUpstream::NewHandler() {
   return std::make_shared<Execution>(this);
 }
--- a/stand_ins/platform_upstream.h
+++ b/stand_ins/platform_upstream.h
@@ -2,9 +2,12 @@
 #define STAND_INS_PLATFORM_UPSTREAM_H_
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "modules/net/http_server.h"
@@ -51,6 +54,10 @@
   /** Header fields of the requests received, as `name: value`, by request
       id. */
   std::map<std::string, std::vector<std::string>> request_headers;
+  /** Number of requests received that hold a part which crashes upstreams. */
+  int crashing_requests = 0;
+  /** Number of crashes of upstreams. */
+  int crashes = 0;
 };
 
 /** An upstream with the platform's HTTP interface: a request to any path is
@@ -69,6 +76,13 @@
   /** Sets the time before each event, and before a response that is not a
       stream. */
   void SetEventInterval(int milliseconds) { event_interval_ms_ = milliseconds; }
+  /** Sets the id of a prompt part on which the upstream crashes before it
+      writes the first event; empty for none. A crash breaks the connections of
+      all requests and then calls `on_crash`. */
+  void SetCrashingPart(std::string part, std::function<void()> on_crash) {
+    crashing_part_ = std::move(part);
+    on_crash_ = std::move(on_crash);
+  }
 
   std::shared_ptr<HttpHandler> NewHandler() override;
   HttpServer::Limits limits() const override {
@@ -77,11 +91,16 @@
 
  private:
   class Execution;
+  void Crash();
+
   boost::asio::io_context& loop_;
   const std::string id_;
   UpstreamObservations* observations_;
   UpstreamMode mode_ = UpstreamMode::kOk;
   int event_interval_ms_ = 20;
+  std::string crashing_part_;
+  std::function<void()> on_crash_;
+  std::set<Execution*> executions_;
 };
 
 }  // namespace chicory
