--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -11,7 +11,8 @@
     CrashingRequestTracker, UpstreamTable, AccountLimits, ResponseAssembler,
     GossipNode, AtMostOnceCall, LeaseManager, OrphanCollector,
     PendingCancellations; for gateways SchedulerGroups, FleetScheduler,
-    ScheduledUpstreamTable, InstanceRoster, CrashHistory, RetryWindow. */
+    ScheduledUpstreamTable, InstanceRoster, CrashHistory,
+    CrashingParts, RetryWindow. */
 
 #include "modules/decisions/dispatcher.h"
 #include "modules/decisions/least_busy_placement.h"
--- a/modules/decisions/scheduled_upstream.h
+++ b/modules/decisions/scheduled_upstream.h
@@ -32,6 +32,9 @@
 /** Identifies an upstream by the stable hash of its id. */
 using UpstreamKey = uint64_t;
 
+/** Identifies one incarnation of an upstream; a restart begins another. */
+using UpstreamIncarnation = uint64_t;
+
 /** Identifies a part of a prompt, such as a document, by its content. */
 using PromptPart = uint64_t;
 
--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -317,6 +317,7 @@
     state_.pool.Expire(now);
     LogMembershipChange(now);
   }
+  LogRefusedParts(now);
   ScheduleTick();
 }
 
@@ -333,6 +334,23 @@
   live_instances_ = live;
 }
 
+void Gateway::LogRefusedParts(absl::Time now) {
+  using Refusals = std::vector<CrashingParts::Refusal>;
+  const Refusals& current = placement_.crashing_parts().Refusals(now);
+  if (current == refused_parts_)
+    return;
+  const auto log_added = [this](const Refusals& refusals,
+                                const Refusals& former, const char* event) {
+    for (const CrashingParts::Refusal& refusal : refusals) {
+      if (std::find(former.begin(), former.end(), refusal) == former.end())
+        log_.Write(event, {{"parts", JoinParts(refusal.parts)}});
+    }
+  };
+  log_added(current, refused_parts_, "prompt_parts_refused");
+  log_added(refused_parts_, current, "prompt_parts_allowed");
+  refused_parts_ = current;
+}
+
 std::string Gateway::Metrics() {
   return metrics_.Exposition(
       {.in_flight = state_.handlers.size(),
@@ -341,6 +359,7 @@
        .scheduler_running = placement_.scheduler().running(),
        .configuration_version = state_.table ? state_.table->version() : 0,
        .upstreams = state_.upstreams.size(),
+       .refused_parts = refused_parts_.size(),
        .log_lines_dropped = log_.dropped()});
 }
 
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -122,6 +122,8 @@
   /** Logs a change of the scheduling instance or of the number of live
       instances. */
   void LogMembershipChange(absl::Time now);
+  /** Logs which parts of prompts are refused from now on, or no longer. */
+  void LogRefusedParts(absl::Time now);
   /** Performs the periodic work and schedules the next tick. */
   void Tick();
   void ScheduleTick();
@@ -154,6 +156,8 @@
   bool has_upstreams_ = false;
   InstanceIp scheduling_instance_ = 0;
   size_t live_instances_ = 0;
+  /** The refusals in force at the last tick. */
+  std::vector<CrashingParts::Refusal> refused_parts_;
   std::function<void()> on_stopped_;
   absl::Time stop_started_at_ = absl::InfiniteFuture();
 };
--- a/modules/gateway/gateway_metrics.cc
+++ b/modules/gateway/gateway_metrics.cc
@@ -128,6 +128,9 @@
        static_cast<double>(levels.configuration_version)},
       {"chicory_upstreams", "Upstreams known",
        static_cast<double>(levels.upstreams)},
+      {"chicory_refused_prompt_parts",
+       "Parts of prompts that are refused because they crash upstreams",
+       static_cast<double>(levels.refused_parts)},
       {"chicory_log_lines_dropped", "Log lines that were not written",
        static_cast<double>(levels.log_lines_dropped)},
   };
--- a/modules/gateway/gateway_metrics.h
+++ b/modules/gateway/gateway_metrics.h
@@ -50,6 +50,7 @@
     size_t scheduler_running = 0;
     uint64_t configuration_version = 0;
     size_t upstreams = 0;
+    size_t refused_parts = 0;
     int64_t log_lines_dropped = 0;
   };
   /** Returns all metrics in the Prometheus text format. */
--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -143,7 +143,25 @@
       });
 }
 
+bool RequestHandler::RefuseCrashingParts() {
+  const absl::Time now = SteadyNow();
+  const absl::Duration refused_for =
+      state_->placement->crashing_parts().RefusalTimeLeft(caller_.shared_parts,
+                                                          now);
+  if (refused_for == absl::ZeroDuration())
+    return false;
+  EndAttempt(AttemptResult::kCancelled, 0);
+  telemetry_.OnRefused({.kind = ScheduleDecision::Kind::kRefuse,
+                        .cause = RefusalCause::kCrashesUpstreams,
+                        .retry_after = refused_for},
+                       state_->placement->membership().self(), now);
+  RespondUnavailable("crashes_upstreams", refused_for);
+  return true;
+}
+
 void RequestHandler::RequestPlacement() {
+  if (RefuseCrashingParts())
+    return;
   placement_requested_at_ = SteadyNow();
   WorkRequest work{
       .service = service_,
@@ -197,6 +215,9 @@
     RespondUnavailable("no_upstream_in_time", decision.retry_after);
     return;
   }
+  // Other instances may have reported crashes while the request waited.
+  if (RefuseCrashingParts())
+    return;
   const UpstreamRecord* upstream =
       state_->upstreams.FindReady(decision.upstream);
   if (!upstream) {
@@ -268,6 +289,9 @@
                             const ScheduleDecision& decision) {
   const absl::Time now = SteadyNow();
   upstream_ = decision.upstream;
+  sent_at_ = now;
+  incarnation_ =
+      StableHash(upstream.id, static_cast<uint64_t>(upstream.started_ms));
   UpstreamRequestFields request_fields{.upstream_id = upstream.id,
                                        .account = account_,
                                        .time_left = TimeLeft(),
@@ -347,6 +371,7 @@
   if (!response_start_reported_ && work_) {
     response_start_reported_ = true;
     state_->placement->OnResponseStarted(*work_, now);
+    state_->placement->ReportPartsStarted(caller_.shared_parts, now);
   }
   writer_->SendChunk(events);
 }
@@ -416,6 +441,9 @@
   const absl::Time now = SteadyNow();
   may_have_run_ |= !failure.not_run;
   unsent_attempts_ += failure.not_sent ? 1 : 0;
+  if (failure.result == AttemptResult::kCrash && !response_start_reported_)
+    state_->placement->ReportCrash(caller_.shared_parts, incarnation_, sent_at_,
+                                   now);
   if (CanRetry(failure)) {
     Retry(failure);
     return;
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -60,8 +60,12 @@
   /** Sets the route, client account and priority. Responds to the caller and
       returns false if the request cannot be served. */
   bool FindRoute();
-  /** Submits the request to the scheduler. */
+  /** Submits the request to the scheduler, unless a part of its prompt crashes
+      upstreams. */
   void RequestPlacement();
+  /** Ends the request and returns true if a part of its prompt crashes
+      upstreams. */
+  bool RefuseCrashingParts();
   /** Starts an attempt at `upstream`. */
   void SendTo(const UpstreamRecord& upstream, const ScheduleDecision& decision);
   /** Reserves memory at the helpers and then forwards the request. */
@@ -134,6 +138,8 @@
   std::shared_ptr<MemoryReservation> memory_;
   std::shared_ptr<UpstreamExchange> exchange_;
   UpstreamKey upstream_ = 0;
+  UpstreamIncarnation incarnation_ = 0;
+  absl::Time sent_at_;
   /** The instance that made the last decision. */
   InstanceIp scheduler_ = 0;
   absl::Time placement_requested_at_;
--- a/modules/gateway/request_telemetry.cc
+++ b/modules/gateway/request_telemetry.cc
@@ -15,6 +15,8 @@
   return absl::ToInt64Milliseconds(duration);
 }
 
+}  // namespace
+
 std::string JoinParts(const std::vector<PromptPart>& parts) {
   if (parts.empty())
     return "none";
@@ -23,8 +25,6 @@
   });
 }
 
-}  // namespace
-
 void RequestTelemetry::OnArrived(std::string request, absl::Time now) {
   request_ = std::move(request);
   arrived_ = now;
--- a/modules/gateway/request_telemetry.h
+++ b/modules/gateway/request_telemetry.h
@@ -14,6 +14,10 @@
 
 namespace chicory {
 
+/** Returns the ids of `parts` in hexadecimal, comma-separated; "none" if there
+    are none. */
+std::string JoinParts(const std::vector<PromptPart>& parts);
+
 /** Logs the steps of one request and updates the metrics. Each decision is one
     log line with the values it was based on. All methods must be called on the
     event loop's thread.
--- a/modules/peers/membership.cc
+++ b/modules/peers/membership.cc
@@ -231,6 +231,10 @@
   return order.front();
 }
 
+std::vector<InstanceIp> Membership::HelloReceivers(absl::Time now) const {
+  return roster_.CommonOrder(now, kInformedSchedulers);
+}
+
 void Membership::OnLiveCount(size_t count, absl::Time now) {
   if (count < announced_live_count_ &&
       now - live_count_announced_at_ < InstanceRoster::kLivenessTimeout)
--- a/modules/peers/membership.h
+++ b/modules/peers/membership.h
@@ -106,6 +106,8 @@
   /** Returns the scheduler of a group, followed by the instance next in order
       to take over from it. */
   std::vector<InstanceIp> Schedulers(absl::Time now, uint32_t group) const;
+  /** Returns the instances that all others send hellos to. */
+  std::vector<InstanceIp> HelloReceivers(absl::Time now) const;
   /** Returns the number of live instances including this one: the larger of the
       roster's count and the count recently announced in replies to hellos. */
   size_t LiveInstances(absl::Time now) const;
--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -72,6 +72,8 @@
   sourceState @25 :UInt8;
   # Groups of upstreams that the sender uses; 0 if it knows no upstreams.
   groupCount @33 :UInt32;
+  # @see chicory::CrashingParts::digest
+  crashDigest @34 :UInt32;
   # In hello: whether the receiver is to reply with welcome.
   wantsWelcome @27 :Bool;
   # In hello: whether welcome is to carry the upstream changes that the sender
@@ -120,5 +122,16 @@
     }
     # The sender is shutting down.
     goodbye @16 :Void;
+    # @see chicory::CrashEvidence. Parallel lists, because a struct would take
+    # more bytes.
+    crashEvidence :group {
+      crashParts @35 :List(UInt64);
+      crashUpstreams @36 :List(UInt64);
+      crashAgesMicroseconds @37 :List(UInt32);
+      startParts @38 :List(UInt64);
+      startAgesMicroseconds @39 :List(UInt32);
+      wantsReply @40 :Bool;
+      crashWaitsMicroseconds @41 :List(UInt32);
+    }
   }
 }
--- a/modules/peers/placement.capnp.h
+++ b/modules/peers/placement.capnp.h
@@ -24,6 +24,7 @@
 CAPNP_DECLARE_SCHEMA(ceb049bfcf0fbed3);
 CAPNP_DECLARE_SCHEMA(e5ad0fab8ff98dfa);
 CAPNP_DECLARE_SCHEMA(d644d23b36b0b6f4);
+CAPNP_DECLARE_SCHEMA(cd9f06339fb45eaa);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -107,13 +108,15 @@
     FIRST_PART,
     ENDED,
     GOODBYE,
+    CRASH_EVIDENCE,
   };
   struct Assign;
   struct Refuse;
   struct Ended;
+  struct CrashEvidence;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 9, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -128,7 +131,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 9, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -143,7 +146,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 9, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -158,7 +161,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 9, 11)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Datagram::CrashEvidence {
+  CrashEvidence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cd9f06339fb45eaa, 9, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -723,6 +741,11 @@
 
   inline  ::uint32_t getGroupCount() const;
 
+  inline  ::uint32_t getCrashDigest() const;
+
+  inline bool isCrashEvidence() const;
+  inline typename CrashEvidence::Reader getCrashEvidence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -864,6 +887,13 @@
   inline  ::uint32_t getGroupCount();
   inline void setGroupCount( ::uint32_t value);
 
+  inline  ::uint32_t getCrashDigest();
+  inline void setCrashDigest( ::uint32_t value);
+
+  inline bool isCrashEvidence();
+  inline typename CrashEvidence::Builder getCrashEvidence();
+  inline typename CrashEvidence::Builder initCrashEvidence();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1182,6 +1212,148 @@
 };
 #endif  // !CAPNP_LITE
 
+class Datagram::CrashEvidence::Reader {
+public:
+  typedef CrashEvidence Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCrashParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashParts() const;
+
+  inline bool hasCrashUpstreams() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashUpstreams() const;
+
+  inline bool hasCrashAgesMicroseconds() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashAgesMicroseconds() const;
+
+  inline bool hasStartParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getStartParts() const;
+
+  inline bool hasStartAgesMicroseconds() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getStartAgesMicroseconds() const;
+
+  inline bool getWantsReply() const;
+
+  inline bool hasCrashWaitsMicroseconds() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashWaitsMicroseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Datagram::CrashEvidence::Builder {
+public:
+  typedef CrashEvidence Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCrashParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCrashParts();
+  inline void setCrashParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCrashParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCrashParts(unsigned int size);
+  inline void adoptCrashParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCrashParts();
+
+  inline bool hasCrashUpstreams();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCrashUpstreams();
+  inline void setCrashUpstreams( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCrashUpstreams(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCrashUpstreams(unsigned int size);
+  inline void adoptCrashUpstreams(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCrashUpstreams();
+
+  inline bool hasCrashAgesMicroseconds();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getCrashAgesMicroseconds();
+  inline void setCrashAgesMicroseconds( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCrashAgesMicroseconds(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initCrashAgesMicroseconds(unsigned int size);
+  inline void adoptCrashAgesMicroseconds(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownCrashAgesMicroseconds();
+
+  inline bool hasStartParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getStartParts();
+  inline void setStartParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setStartParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initStartParts(unsigned int size);
+  inline void adoptStartParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownStartParts();
+
+  inline bool hasStartAgesMicroseconds();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getStartAgesMicroseconds();
+  inline void setStartAgesMicroseconds( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setStartAgesMicroseconds(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initStartAgesMicroseconds(unsigned int size);
+  inline void adoptStartAgesMicroseconds(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownStartAgesMicroseconds();
+
+  inline bool getWantsReply();
+  inline void setWantsReply(bool value);
+
+  inline bool hasCrashWaitsMicroseconds();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getCrashWaitsMicroseconds();
+  inline void setCrashWaitsMicroseconds( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCrashWaitsMicroseconds(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initCrashWaitsMicroseconds(unsigned int size);
+  inline void adoptCrashWaitsMicroseconds(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownCrashWaitsMicroseconds();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::CrashEvidence::Pipeline {
+public:
+  typedef CrashEvidence Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint64_t Work::Reader::getSequence() const {
@@ -2383,6 +2555,48 @@
       ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Datagram::Reader::getCrashDigest() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::Builder::getCrashDigest() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setCrashDigest( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Reader::isCrashEvidence() const {
+  return which() == Datagram::CRASH_EVIDENCE;
+}
+inline bool Datagram::Builder::isCrashEvidence() {
+  return which() == Datagram::CRASH_EVIDENCE;
+}
+inline typename Datagram::CrashEvidence::Reader Datagram::Reader::getCrashEvidence() const {
+  KJ_IREQUIRE((which() == Datagram::CRASH_EVIDENCE),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::CrashEvidence::Reader(_reader);
+}
+inline typename Datagram::CrashEvidence::Builder Datagram::Builder::getCrashEvidence() {
+  KJ_IREQUIRE((which() == Datagram::CRASH_EVIDENCE),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::CrashEvidence::Builder(_builder);
+}
+inline typename Datagram::CrashEvidence::Builder Datagram::Builder::initCrashEvidence() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Datagram::CRASH_EVIDENCE);
+  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS).clear();
+  return typename Datagram::CrashEvidence::Builder(_builder);
+}
 inline  ::uint64_t Datagram::Assign::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
@@ -2623,6 +2837,248 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::CrashEvidence::Reader::hasCrashParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::CrashEvidence::Builder::hasCrashParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Datagram::CrashEvidence::Reader::getCrashParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::CrashEvidence::Builder::getCrashParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::CrashEvidence::Builder::setCrashParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::CrashEvidence::Builder::setCrashParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::CrashEvidence::Builder::initCrashParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::CrashEvidence::Builder::adoptCrashParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Datagram::CrashEvidence::Builder::disownCrashParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::CrashEvidence::Reader::hasCrashUpstreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::CrashEvidence::Builder::hasCrashUpstreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Datagram::CrashEvidence::Reader::getCrashUpstreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::CrashEvidence::Builder::getCrashUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Datagram::CrashEvidence::Builder::setCrashUpstreams( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::CrashEvidence::Builder::setCrashUpstreams(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::CrashEvidence::Builder::initCrashUpstreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::CrashEvidence::Builder::adoptCrashUpstreams(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Datagram::CrashEvidence::Builder::disownCrashUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::CrashEvidence::Reader::hasCrashAgesMicroseconds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::CrashEvidence::Builder::hasCrashAgesMicroseconds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Datagram::CrashEvidence::Reader::getCrashAgesMicroseconds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::CrashEvidence::Builder::getCrashAgesMicroseconds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Datagram::CrashEvidence::Builder::setCrashAgesMicroseconds( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::CrashEvidence::Builder::setCrashAgesMicroseconds(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::CrashEvidence::Builder::initCrashAgesMicroseconds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::CrashEvidence::Builder::adoptCrashAgesMicroseconds(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Datagram::CrashEvidence::Builder::disownCrashAgesMicroseconds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::CrashEvidence::Reader::hasStartParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::CrashEvidence::Builder::hasStartParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Datagram::CrashEvidence::Reader::getStartParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::CrashEvidence::Builder::getStartParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Datagram::CrashEvidence::Builder::setStartParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::CrashEvidence::Builder::setStartParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::CrashEvidence::Builder::initStartParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::CrashEvidence::Builder::adoptStartParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Datagram::CrashEvidence::Builder::disownStartParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::CrashEvidence::Reader::hasStartAgesMicroseconds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::CrashEvidence::Builder::hasStartAgesMicroseconds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Datagram::CrashEvidence::Reader::getStartAgesMicroseconds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::CrashEvidence::Builder::getStartAgesMicroseconds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Datagram::CrashEvidence::Builder::setStartAgesMicroseconds( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::CrashEvidence::Builder::setStartAgesMicroseconds(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::CrashEvidence::Builder::initStartAgesMicroseconds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::CrashEvidence::Builder::adoptStartAgesMicroseconds(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Datagram::CrashEvidence::Builder::disownStartAgesMicroseconds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::CrashEvidence::Reader::getWantsReply() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::CrashEvidence::Builder::getWantsReply() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::CrashEvidence::Builder::setWantsReply(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::CrashEvidence::Reader::hasCrashWaitsMicroseconds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::CrashEvidence::Builder::hasCrashWaitsMicroseconds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Datagram::CrashEvidence::Reader::getCrashWaitsMicroseconds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::CrashEvidence::Builder::getCrashWaitsMicroseconds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void Datagram::CrashEvidence::Builder::setCrashWaitsMicroseconds( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::CrashEvidence::Builder::setCrashWaitsMicroseconds(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::CrashEvidence::Builder::initCrashWaitsMicroseconds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::CrashEvidence::Builder::adoptCrashWaitsMicroseconds(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Datagram::CrashEvidence::Builder::disownCrashWaitsMicroseconds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -114,6 +114,14 @@
       std::clamp<int64_t>(absl::ToInt64Milliseconds(age), 0, kLargest));
 }
 
+/** Returns a duration in microseconds, at most the largest that the wire
+    holds. */
+uint32_t WireMicroseconds(absl::Duration duration) {
+  constexpr int64_t kLargest = std::numeric_limits<uint32_t>::max();
+  return static_cast<uint32_t>(
+      std::clamp<int64_t>(absl::ToInt64Microseconds(duration), 0, kLargest));
+}
+
 struct ContentWriter {
   wire::Datagram::Builder builder;
 
@@ -189,6 +197,29 @@
     ended.setFaultAt(message.faulty_upstream);
   }
   void operator()(const LeaveMessage&) { builder.setGoodbye(); }
+  void operator()(const CrashEvidenceMessage& message) {
+    const CrashEvidence& evidence = message.evidence;
+    const uint32_t crashes = static_cast<uint32_t>(evidence.crashes.size());
+    const uint32_t starts = static_cast<uint32_t>(evidence.starts.size());
+    auto group = builder.initCrashEvidence();
+    group.setWantsReply(message.wants_reply);
+    auto crash_parts = group.initCrashParts(crashes);
+    auto crash_upstreams = group.initCrashUpstreams(crashes);
+    auto crash_ages = group.initCrashAgesMicroseconds(crashes);
+    auto crash_waits = group.initCrashWaitsMicroseconds(crashes);
+    for (uint32_t i = 0; i < crashes; ++i) {
+      crash_parts.set(i, evidence.crashes[i].part);
+      crash_upstreams.set(i, evidence.crashes[i].upstream);
+      crash_ages.set(i, WireMicroseconds(evidence.crashes[i].age));
+      crash_waits.set(i, WireMicroseconds(evidence.crashes[i].wait));
+    }
+    auto start_parts = group.initStartParts(starts);
+    auto start_ages = group.initStartAgesMicroseconds(starts);
+    for (uint32_t i = 0; i < starts; ++i) {
+      start_parts.set(i, evidence.starts[i].part);
+      start_ages.set(i, WireMicroseconds(evidence.starts[i].age));
+    }
+  }
 };
 
 UpstreamBatch ReadBatch(wire::UpstreamBatch::Reader reader) {
@@ -284,6 +315,32 @@
           .faulty_upstream = ended.getFaultAt()};
 }
 
+CrashEvidenceMessage ReadCrashEvidence(
+    wire::Datagram::CrashEvidence::Reader group) {
+  CrashEvidenceMessage message{.wants_reply = group.getWantsReply()};
+  const auto crash_parts = group.getCrashParts();
+  const auto crash_upstreams = group.getCrashUpstreams();
+  const auto crash_ages = group.getCrashAgesMicroseconds();
+  const auto crash_waits = group.getCrashWaitsMicroseconds();
+  const uint32_t crashes = std::min({crash_parts.size(), crash_upstreams.size(),
+                                     crash_ages.size(), crash_waits.size()});
+  for (uint32_t i = 0; i < crashes; ++i) {
+    message.evidence.crashes.push_back(
+        {.part = crash_parts[i],
+         .upstream = crash_upstreams[i],
+         .age = absl::Microseconds(crash_ages[i]),
+         .wait = absl::Microseconds(crash_waits[i])});
+  }
+  const auto start_parts = group.getStartParts();
+  const auto start_ages = group.getStartAgesMicroseconds();
+  const uint32_t starts = std::min(start_parts.size(), start_ages.size());
+  for (uint32_t i = 0; i < starts; ++i) {
+    message.evidence.starts.push_back(
+        {.part = start_parts[i], .age = absl::Microseconds(start_ages[i])});
+  }
+  return message;
+}
+
 bool ReadContent(wire::Datagram::Reader reader, PeerMessage* message) {
   switch (reader.which()) {
     case wire::Datagram::HELLO:
@@ -314,6 +371,9 @@
     case wire::Datagram::GOODBYE:
       message->content = LeaveMessage{};
       return true;
+    case wire::Datagram::CRASH_EVIDENCE:
+      message->content = ReadCrashEvidence(reader.getCrashEvidence());
+      return true;
   }
   return false;
 }
@@ -333,6 +393,7 @@
   datagram.setUpstreamsLastChange(message.upstreams_last_change);
   datagram.setSourceState(static_cast<uint8_t>(message.source));
   datagram.setGroupCount(message.group_count);
+  datagram.setCrashDigest(message.crash_digest);
   std::visit(ContentWriter{datagram}, message.content);
   const auto words = capnp::messageToFlatArray(builder);
   const auto bytes = words.asBytes();
@@ -405,6 +466,7 @@
             std::min(datagram.getSourceState(),
                      static_cast<uint8_t>(SourceState::kLost))),
         .group_count = datagram.getGroupCount(),
+        .crash_digest = datagram.getCrashDigest(),
         .content = LeaveMessage{}};
     if (ReadContent(datagram, &message))
       result = std::move(message);
--- a/modules/peers/placement_message.h
+++ b/modules/peers/placement_message.h
@@ -9,6 +9,7 @@
 #include "absl/strings/string_view.h"
 
 #include "absl/time/time.h"
+#include "modules/decisions/crashing_parts.h"
 #include "modules/decisions/fleet_scheduler.h"
 #include "modules/decisions/instance_roster.h"
 #include "modules/routing/upstream_change_log.h"
@@ -101,6 +102,14 @@
 /** Announces that the sender is shutting down. */
 struct LeaveMessage {};
 
+/** Evidence on the parts of prompts that crash upstreams. */
+struct CrashEvidenceMessage {
+  CrashEvidence evidence;
+  /** Whether the receiver is to reply with its own evidence if that still
+      differs from the sender's. */
+  bool wants_reply = false;
+};
+
 /** Relation of an instance to the source, where configuration and upstream
     registrations are watched. */
 enum class SourceState {
@@ -132,6 +141,8 @@
   /** Groups of upstreams that the sender uses; 0 if it knows no upstreams.
       @see SchedulerGroups */
   uint32_t group_count = 0;
+  /** The sender's evidence on crashes. @see CrashingParts::digest */
+  uint32_t crash_digest = 0;
   std::variant<HelloMessage,
                WelcomeMessage,
                SubmitMessage,
@@ -139,7 +150,8 @@
                DecisionMessage,
                ResponseStartedMessage,
                EndedMessage,
-               LeaveMessage>
+               LeaveMessage,
+               CrashEvidenceMessage>
       content;
 };
 
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -79,6 +79,7 @@
 
 void PlacementNode::Send(InstanceIp to, PeerMessage message) {
   membership_.FillHeader(&message);
+  message.crash_digest = crashing_parts_.digest();
   transport_->Send(to, message);
 }
 
@@ -145,6 +146,39 @@
   RunScheduler(now);
 }
 
+void PlacementNode::ReportCrash(const std::vector<PromptPart>& parts,
+                                UpstreamIncarnation upstream,
+                                absl::Time sent_at,
+                                absl::Time now) {
+  crashing_parts_.OnCrash(parts, upstream, sent_at, now);
+  for (InstanceIp receiver : membership_.HelloReceivers(now)) {
+    if (receiver != self_)
+      SendCrashEvidence(receiver, /*wants_reply=*/true, now);
+  }
+}
+
+void PlacementNode::ReportPartsStarted(const std::vector<PromptPart>& parts,
+                                       absl::Time now) {
+  if (crashing_parts_.OnStarted(parts, now))
+    membership_.ScheduleEarlyHello(now);
+}
+
+void PlacementNode::SendCrashEvidence(InstanceIp to,
+                                      bool wants_reply,
+                                      absl::Time now) {
+  Send(to, {.content =
+                CrashEvidenceMessage{.evidence = crashing_parts_.Evidence(now),
+                                     .wants_reply = wants_reply}});
+}
+
+void PlacementNode::OnCrashEvidence(const PeerMessage& message,
+                                    absl::Time now) {
+  const auto& content = std::get<CrashEvidenceMessage>(message.content);
+  crashing_parts_.Merge(content.evidence, now);
+  if (content.wants_reply && message.crash_digest != crashing_parts_.digest())
+    SendCrashEvidence(message.sender, /*wants_reply=*/false, now);
+}
+
 void PlacementNode::RunScheduler(absl::Time now) {
   for (const ScheduleDecision& decision : scheduler_.Run(now))
     DeliverDecision(decision);
@@ -209,6 +243,8 @@
     assignments_.erase(key);
     scheduler_.OnEnded(key, ended->result, ended->faulty_upstream, now);
     RunScheduler(now);
+  } else if (std::holds_alternative<CrashEvidenceMessage>(message.content)) {
+    OnCrashEvidence(message, now);
   }
 }
 
@@ -239,6 +275,8 @@
     for (WelcomeMessage& reply : membership_.MakeWelcomes(message, now))
       Send(message.sender, {.content = std::move(reply)});
   }
+  if (message.crash_digest != crashing_parts_.digest())
+    SendCrashEvidence(message.sender, /*wants_reply=*/true, now);
   RunScheduler(now);
 }
 
--- a/modules/peers/placement_node.h
+++ b/modules/peers/placement_node.h
@@ -8,6 +8,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "modules/decisions/crashing_parts.h"
 #include "modules/decisions/scheduler_groups.h"
 #include "modules/peers/membership.h"
 #include "modules/peers/placement_message.h"
@@ -23,10 +24,14 @@
     respond, and schedules by itself when no other is left. The upstreams of a
     large service are split into groups, which different instances schedule.
 
+    Also spreads the evidence on parts of prompts that crash upstreams. A crash
+    is reported at once to the instances that all others send hellos to. They
+    reply to a hello with their evidence if the sender's differs.
+
     Performs no I/O and reads no clock: callers pass the time, and datagrams are
     sent through Transport. Not thread-safe.
 
-    @see SchedulerGroups, Membership */
+    @see SchedulerGroups, Membership, CrashingParts */
 class PlacementNode {
  public:
   /** Sends datagrams to other instances. Delivery is not guaranteed. */
@@ -87,6 +92,18 @@
                UpstreamKey faulty_upstream,
                absl::Time now);
 
+  /** Reports that `upstream` crashed before it began to respond to a request
+      of this instance with the prompt parts `parts`, sent at `sent_at`. */
+  void ReportCrash(const std::vector<PromptPart>& parts,
+                   UpstreamIncarnation upstream,
+                   absl::Time sent_at,
+                   absl::Time now);
+  /** Reports that an upstream began to respond to a request of this instance
+      with the prompt parts `parts`. */
+  void ReportPartsStarted(const std::vector<PromptPart>& parts, absl::Time now);
+  /** What all instances have reported of crashes. */
+  CrashingParts& crashing_parts() { return crashing_parts_; }
+
   /** Processes a received datagram. */
   void OnMessage(const PeerMessage& message, absl::Time now);
   /** Resends what got no reply, runs the scheduler and sends hellos. To be
@@ -153,6 +170,8 @@
   void OnSubmit(InstanceIp sender, const SubmitMessage& submit, absl::Time now);
   void OnQueued(InstanceIp sender, const QueuedMessage& queued);
   void OnRemoteDecision(InstanceIp sender, const DecisionMessage& message);
+  void OnCrashEvidence(const PeerMessage& message, absl::Time now);
+  void SendCrashEvidence(InstanceIp to, bool wants_reply, absl::Time now);
   void SendHellos(absl::Time now);
 
   const InstanceIp self_;
@@ -161,6 +180,7 @@
   Membership membership_;
   BatchAssembler missed_changes_;
   SchedulerGroups scheduler_;
+  CrashingParts crashing_parts_;
   uint64_t next_sequence_;
   bool has_upstreams_ = false;
   size_t next_hello_scheduler_ = 0;
--- a/tests/logic/placement_node_test.cc
+++ b/tests/logic/placement_node_test.cc
@@ -566,6 +566,43 @@
   CHECK(decoded.expected == absl::Milliseconds(40));
 }
 
+TEST_CASE("evidence on crashes is the same after encoding and decoding") {
+  CrashingParts crashing_parts;
+  const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  for (uint64_t i = 1; i <= 200; ++i) {
+    const absl::Time at = now - absl::Milliseconds(i);
+    crashing_parts.OnCrash({i, i + 1000}, i << 40, at - absl::Milliseconds(70),
+                           at);
+    crashing_parts.OnStarted({i + 1000}, at);
+  }
+  const CrashEvidence evidence = crashing_parts.Evidence(now);
+  REQUIRE_FALSE(evidence.crashes.empty());
+  REQUIRE_FALSE(evidence.starts.empty());
+  const std::string bytes =
+      EncodePeerMessage({.sender = 3,
+                         .crash_digest = 9,
+                         .content = CrashEvidenceMessage{.evidence = evidence,
+                                                         .wants_reply = true}});
+  CHECK(bytes.size() <= kMaxDatagramBytes);
+  const auto read = DecodePeerMessage(bytes);
+  REQUIRE(read.has_value());
+  CHECK(read->crash_digest == 9);
+  const auto& decoded = std::get<CrashEvidenceMessage>(read->content);
+  CHECK(decoded.wants_reply);
+  REQUIRE(decoded.evidence.crashes.size() == evidence.crashes.size());
+  for (size_t i = 0; i < evidence.crashes.size(); ++i) {
+    CHECK(decoded.evidence.crashes[i].part == evidence.crashes[i].part);
+    CHECK(decoded.evidence.crashes[i].upstream == evidence.crashes[i].upstream);
+    CHECK(decoded.evidence.crashes[i].age == evidence.crashes[i].age);
+    CHECK(decoded.evidence.crashes[i].wait == evidence.crashes[i].wait);
+  }
+  REQUIRE(decoded.evidence.starts.size() == evidence.starts.size());
+  for (size_t i = 0; i < evidence.starts.size(); ++i) {
+    CHECK(decoded.evidence.starts[i].part == evidence.starts[i].part);
+    CHECK(decoded.evidence.starts[i].age == evidence.starts[i].age);
+  }
+}
+
 TEST_CASE("a refusal carries its cause and the retry delay") {
   for (const RefusalCause cause :
        {RefusalCause::kDeadlineOver, RefusalCause::kNoSlots,
@@ -586,5 +623,108 @@
   }
 }
 
+constexpr PromptPart kCrashingPart = 7;
+constexpr PromptPart kCommonPart = 1;
+
+/** Returns the number of instances that refuse requests with `part`. */
+int Refusing(Fleet& fleet, PromptPart part) {
+  int count = 0;
+  for (auto& [ip, member] : fleet.members) {
+    const absl::Duration left =
+        member->node.crashing_parts().RefusalTimeLeft({part}, fleet.now);
+    count += left > absl::ZeroDuration() ? 1 : 0;
+  }
+  return count;
+}
+
+/** Reports a crash of a new upstream to one instance. */
+void ReportCrash(Fleet& fleet, InstanceIp ip) {
+  static UpstreamIncarnation upstream = 0;
+  fleet.members.at(ip)->node.ReportCrash(
+      {kCommonPart, kCrashingPart}, ++upstream,
+      fleet.now - absl::Milliseconds(100), fleet.now);
+}
+
+// Load pattern: requests that share one part reach different instances and
+// crash one upstream each; others share another part with them and are served.
+TEST_CASE("all instances refuse a part of prompts that crashes upstreams") {
+  struct Case {
+    const char* name;
+    int instances;
+    double loss;
+    bool receivers_die;
+  };
+  const std::vector<Case> cases = {
+      {"13 instances", 13, 0, false},
+      {"13 instances, those that hear of it first die", 13, 0, true},
+      {"130 instances, one in ten datagrams lost", 130, 0.1, false},
+      {"300 instances, those that hear of it first die", 300, 0, true},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    Fleet fleet(c.instances, 3, c.loss);
+    fleet.Run(absl::Seconds(5));
+    std::vector<InstanceIp> reporters;
+    const std::vector<InstanceIp> receivers =
+        fleet.members.at(1)->node.membership().HelloReceivers(fleet.now);
+    for (const auto& [ip, member] : fleet.members) {
+      if (std::find(receivers.begin(), receivers.end(), ip) == receivers.end())
+        reporters.push_back(ip);
+    }
+    const auto run_with_responses = [&fleet](absl::Duration length) {
+      for (absl::Time end = fleet.now + length; fleet.now < end;) {
+        for (auto& [ip, member] : fleet.members)
+          member->node.ReportPartsStarted({kCommonPart}, fleet.now);
+        fleet.Run(absl::Milliseconds(250));
+      }
+    };
+    run_with_responses(absl::Milliseconds(250));
+    for (int crash = 0; crash < 3; ++crash) {
+      ReportCrash(fleet, reporters[crash]);
+      run_with_responses(absl::Milliseconds(250));
+    }
+    if (c.receivers_die) {
+      for (InstanceIp receiver : receivers)
+        fleet.members.erase(receiver);
+    }
+    // The bound is three seconds from the fifth crash.
+    run_with_responses(absl::Milliseconds(2500));
+    CHECK(Refusing(fleet, kCrashingPart) ==
+          static_cast<int>(fleet.members.size()));
+    CHECK(Refusing(fleet, kCommonPart) == 0);
+
+    fleet.Start(static_cast<InstanceIp>(c.instances + 1));
+    run_with_responses(absl::Seconds(2));
+    CHECK(Refusing(fleet, kCrashingPart) ==
+          static_cast<int>(fleet.members.size()));
+
+    fleet.bytes_sent = 0;
+    run_with_responses(absl::Seconds(10));
+    CHECK(static_cast<double>(fleet.bytes_sent) / 10 /
+              static_cast<double>(fleet.members.size()) <
+          4096);
+    CHECK(fleet.largest <= kMaxDatagramBytes);
+  }
+}
+
+// Load pattern: the upstreams of a rack fail at once, under requests of many
+// instances.
+TEST_CASE("no part is refused when upstreams fail together") {
+  Fleet fleet(20, 3, 0);
+  fleet.Run(absl::Seconds(5));
+  const absl::Time sent_at = fleet.now - absl::Milliseconds(50);
+  for (InstanceIp ip = 1; ip <= 20; ++ip) {
+    fleet.members.at(ip)->node.ReportCrash(
+        {kCommonPart, 100 + ip % 4}, UpstreamIncarnation(1000 + ip % 8),
+        sent_at, fleet.now + absl::Milliseconds(ip));
+  }
+  for (int i = 0; i < 20; ++i) {
+    fleet.Run(absl::Milliseconds(250));
+    for (PromptPart part : {PromptPart(kCommonPart), PromptPart(100),
+                            PromptPart(101), PromptPart(102), PromptPart(103)})
+      CHECK(Refusing(fleet, part) == 0);
+  }
+}
+
 }  // namespace
 }  // namespace chicory
