A silent attempt goes on until another upstream is assigned

Cause: OnResponseOverdue ended the attempt and only then asked for another upstream; the scheduler refused it (costs_others, after 227 and 243 ms), and the stream was aborted. Change: the placement of a replacement is requested while the attempt goes on. Assigned: the attempt ends and the stream is resumed there. Refused, or not usable: the attempt goes on and the watchdog is set again. A response in the meantime withdraws the request.

--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -160,8 +160,11 @@
 }
 
 void RequestHandler::RequestPlacement() {
-  if (RefuseCrashingParts())
-    return;
+  if (!RefuseCrashingParts())
+    SubmitToScheduler(&work_);
+}
+
+void RequestHandler::SubmitToScheduler(std::optional<WorkKey>* key) {
   placement_requested_at_ = SteadyNow();
   WorkRequest work{
       .service = service_,
@@ -183,8 +186,8 @@
   // Submit may call OnDecision before it returns, so the handler is registered
   // under the next key beforehand.
   const auto self = shared_from_this();
-  work_ = state_->placement->NextKey();
-  state_->handlers[*work_] = this;
+  *key = state_->placement->NextKey();
+  state_->handlers[**key] = this;
   state_->placement->Submit(std::move(work), placement_requested_at_);
   state_->on_request_waiting();
 }
@@ -202,6 +205,9 @@
     return;
   const auto self = shared_from_this();
   ++decisions_;
+  if (replacement_ && *replacement_ == decision.key &&
+      !TakeReplacement(decision, scheduler))
+    return;
   scheduler_ = scheduler;
   if (decision.kind == ScheduleDecision::Kind::kRefuse) {
     state_->handlers.erase(decision.key);
@@ -238,6 +244,38 @@
     ReserveHelperMemory(*upstream, decision);
 }
 
+bool RequestHandler::TakeReplacement(const ScheduleDecision& decision,
+                                     InstanceIp scheduler) {
+  const absl::Time now = SteadyNow();
+  const bool is_usable = decision.kind == ScheduleDecision::Kind::kAssign &&
+                         state_->upstreams.FindReady(decision.upstream) &&
+                         TimeLeft() >= kMinTimeLeft;
+  if (!is_usable) {
+    if (decision.kind == ScheduleDecision::Kind::kRefuse)
+      telemetry_.OnRefused(decision, scheduler, now);
+    CancelReplacement();
+    watchdog_->Start(now + SilenceLimit());
+    return false;
+  }
+  replacement_.reset();
+  const UpstreamExchange::Failure failure{.reason = "response_overdue"};
+  may_have_run_ = true;
+  EndAttempt(failure.result, failure.faulty_upstream);
+  telemetry_.OnAttemptFailed(failure, /*will_retry=*/true, events_.events(),
+                             now);
+  response_start_reported_ = false;
+  work_ = decision.key;
+  return true;
+}
+
+void RequestHandler::CancelReplacement() {
+  if (!replacement_)
+    return;
+  const WorkKey key = *std::exchange(replacement_, std::nullopt);
+  state_->handlers.erase(key);
+  state_->placement->OnEnded(key, AttemptResult::kCancelled, 0, SteadyNow());
+}
+
 void RequestHandler::ReserveHelperMemory(const UpstreamRecord& upstream,
                                          const ScheduleDecision& decision) {
   std::vector<MemoryReservation::Share> shares;
@@ -365,6 +403,7 @@
   const auto self = shared_from_this();
   const absl::Time now = SteadyNow();
   BeginStream(head);
+  CancelReplacement();
   telemetry_.OnEvents(route_->target_latency, now);
   if (watchdog_)
     watchdog_->Extend(now + SilenceLimit());
@@ -399,6 +438,7 @@
 
 void RequestHandler::EndAttempt(AttemptResult result,
                                 UpstreamKey faulty_upstream) {
+  CancelReplacement();
   if (exchange_) {
     telemetry_.OnBodyEnded(exchange_->body_end());
     exchange_->Cancel();
@@ -465,12 +505,11 @@
 }
 
 void RequestHandler::OnResponseOverdue() {
-  const UpstreamExchange::Failure failure{.reason = "response_overdue"};
-  if (finished_ || !exchange_ || !CanRetry(failure))
+  if (finished_ || !exchange_ || replacement_ ||
+      !CanRetry({.reason = "response_overdue"}))
     return;
-  const auto self = shared_from_this();
-  may_have_run_ = true;
-  Retry(failure);
+  avoided_upstreams_.push_back(upstream_);
+  SubmitToScheduler(&replacement_);
 }
 
 void RequestHandler::RespondUnavailable(const char* reason,
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -63,6 +63,9 @@
   /** Submits the request to the scheduler, unless a part of its prompt crashes
       upstreams. */
   void RequestPlacement();
+  /** Submits the request to the scheduler under a new key, which is stored in
+      `key`. */
+  void SubmitToScheduler(std::optional<WorkKey>* key);
   /** Ends the request and returns true if a part of its prompt crashes
       upstreams. */
   bool RefuseCrashingParts();
@@ -103,8 +106,14 @@
   /** Returns how long an upstream may be silent before the response counts as
       overdue; infinite if it never does. */
   absl::Duration SilenceLimit() const;
-  /** Retries the request if that is allowed; otherwise keeps waiting. */
+  /** Requests another upstream if a retry is allowed. The silent attempt goes
+      on until there is one. */
   void OnResponseOverdue();
+  /** Called with the decision that OnResponseOverdue() requested. Ends the
+      silent attempt and returns true if the request has another upstream;
+      otherwise keeps waiting for the response. */
+  bool TakeReplacement(const ScheduleDecision& decision, InstanceIp scheduler);
+  void CancelReplacement();
   /** Ends the current attempt and requests another upstream. */
   void Retry(const UpstreamExchange::Failure& failure);
   /** Ends the request at its deadline. */
@@ -135,6 +144,8 @@
 
   /** Set from RequestPlacement until EndAttempt or a refusal. */
   std::optional<WorkKey> work_;
+  /** Set while another upstream is requested for an attempt that is silent. */
+  std::optional<WorkKey> replacement_;
   std::shared_ptr<MemoryReservation> memory_;
   std::shared_ptr<UpstreamExchange> exchange_;
   UpstreamKey upstream_ = 0;
--- a/stand_ins/platform_upstream.cc
+++ b/stand_ins/platform_upstream.cc
@@ -18,7 +18,7 @@
 constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
 
-constexpr std::array<std::pair<const char*, UpstreamMode>, 10> kModes = {{
+constexpr std::array<std::pair<const char*, UpstreamMode>, 11> kModes = {{
     {"ok", UpstreamMode::kOk},
     {"full", UpstreamMode::kFull},
     {"error", UpstreamMode::kError},
@@ -26,6 +26,7 @@
     {"mute", UpstreamMode::kNoResponse},
     {"break", UpstreamMode::kTruncated},
     {"stall", UpstreamMode::kStalled},
+    {"pause", UpstreamMode::kPaused},
     {"unsigned", UpstreamMode::kNoStamp},
     {"foreign", UpstreamMode::kOtherRequestId},
     {"forget", UpstreamMode::kResetNext},
@@ -87,7 +88,7 @@
     const std::string last_event_id(request_.headers.Find("Last-Event-Id"));
     if (!last_event_id.empty() && absl::SimpleAtoi(last_event_id, &next_event_))
       ++next_event_;
-    ScheduleNext();
+    ScheduleNext(upstream_->event_interval_ms_);
   }
 
   /** Breaks the connection unless the execution has ended. */
@@ -115,9 +116,8 @@
            absl::StrContains(parts.substr(0, parts.rfind(',')), part);
   }
 
-  void ScheduleNext() {
-    timer_.expires_after(
-        std::chrono::milliseconds(upstream_->event_interval_ms_));
+  void ScheduleNext(int milliseconds) {
+    timer_.expires_after(std::chrono::milliseconds(milliseconds));
     timer_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
           if (!error && !self->ended_)
@@ -150,6 +150,7 @@
       case UpstreamMode::kFull:
       case UpstreamMode::kTruncated:
       case UpstreamMode::kStalled:
+      case UpstreamMode::kPaused:
       case UpstreamMode::kNoStamp:
       case UpstreamMode::kOtherRequestId:
       case UpstreamMode::kResetNext:
@@ -207,8 +208,10 @@
     writer_->SendChunk(event);
     if (upstream_->mode_ == UpstreamMode::kStalled && next_event_ == 1)
       return;
+    const bool pauses =
+        upstream_->mode_ == UpstreamMode::kPaused && next_event_ == 1;
     if (++next_event_ < kEvents) {
-      ScheduleNext();
+      ScheduleNext(pauses ? kPauseMs : upstream_->event_interval_ms_);
       return;
     }
     ended_ = true;
--- a/stand_ins/platform_upstream.h
+++ b/stand_ins/platform_upstream.h
@@ -32,6 +32,8 @@
   /** Sends two events of a stream and then nothing; keeps the connection open.
    */
   kStalled,
+  /** Sends two events of a stream, pauses for kPauseMs and sends the others. */
+  kPaused,
   /** Responds without `Response-Stamp`, which names the upstream. */
   kNoStamp,
   /** Responds with the id of another request. */
@@ -66,6 +68,7 @@
 class PlatformUpstream : public HttpServer::Delegate {
  public:
   static constexpr int kEvents = 5;
+  static constexpr int kPauseMs = 5200;
 
   PlatformUpstream(boost::asio::io_context& loop,
                    std::string id,
--- a/tests/process/gateway_requests.sh
+++ b/tests/process/gateway_requests.sh
@@ -98,6 +98,23 @@
 expect "silent stream" "$(log_of g1 send_failed)" 'request=stall-s[12] .*reason=response_overdue .*again=1'
 expect "silent prompt" "$(log_of g1 send_failed)" 'request=mute-s[12] .*reason=response_overdue .*again=1'
 
+say "a silent stream that cannot be placed elsewhere in time is not ended"
+# Callers abandon a stream of this route after 8 s of silence. After 4.8 s the prompt
+# of 1.5 s can no longer be placed elsewhere; the engine goes on after 5.2 s.
+configure 2 '{"name":"slow","host":"a.example","path-prefix":"/slow/","kind":"streaming","timeout-ms":9000,"target-latency-ms":2000,"gap-aim-ms":250,"service":"engines","max-attempts":3,"stream-resume":true,"anonymous":true},'
+upstream engine-2 '"state":"gone"'
+upstream engine-1 '"mode":"pause"'
+sleep 1
+response=$(call g1 /slow/a -H 'Request-Id: pause-1' -H 'Token-Count: 100000,50' -H 'Deadline-Ms: 5700' -d paused)
+for token in 0 1 2 3 4; do
+  expect "token $token once" "$(grep -c "^data: token$token\$" <<<"$response")" '^1$'
+done
+expect "runs once" "$(run_count pause-1)" '^1$'
+expect "refused elsewhere" "$(log_of g1 request_refused)" 'request=pause-1 cause=deadline_over'
+upstream engine-1 '"mode":"ok"'
+upstream engine-2 '"state":"ready"'
+sleep 1
+
 say "the request is cancelled at the upstream when its caller disconnects"
 upstream engine-1 '"pace_ms":400'
 upstream engine-2 '"pace_ms":400'
