Responses without end are given up

Cause: the parser's limit on heads does not apply to a head that has not ended, and neither the size line of a chunk, nor interim responses, nor a plain body, nor an event had a limit. Ruled out: requests of callers (reading stops at 64 KiB, the head has a time limit); streams of whole events (passed on; the writer has a limit). Change: 64 KiB for a head, the size line of a chunk or a trailer; 16 interim responses; 8 MiB for a plain body, 1 MiB for an event (response_too_large); 32 MiB for a response of the store.

--- a/modules/gateway/upstream_exchange.cc
+++ b/modules/gateway/upstream_exchange.cc
@@ -13,6 +13,11 @@
     already been closed by the upstream while it was idle. */
 constexpr absl::Duration kStaleConnectionWindow = absl::Milliseconds(50);
 
+/** Far above any response of a plain service or event of an engine, and below
+    what an instance has of memory. */
+constexpr size_t kMaxBodyBytes = 8 << 20;
+constexpr size_t kMaxEventBytes = 1 << 20;
+
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
@@ -114,7 +119,13 @@
     listener_->OnEvents(parser.head(), events);
   }
   // The listener may have cancelled the exchange.
-  if (!has_ended || !connection_)
+  if (!connection_)
+    return;
+  if (events_->pending_bytes() > kMaxEventBytes) {
+    Fail({.reason = "response_too_large"});
+    return;
+  }
+  if (!has_ended)
     return;
   if (IsTruncated()) {
     const bool has_crashed = body_end_.framing == BodyFraming::kConnectionEnd;
@@ -140,6 +151,10 @@
 
 void UpstreamExchange::ProcessCompleteBody(HttpResponseParser& parser) {
   body_.append(parser.TakeBody());
+  if (body_.size() > kMaxBodyBytes) {
+    Fail({.reason = "response_too_large"});
+    return;
+  }
   if (parser.state() != ParseState::kComplete)
     return;
   const HttpResponseHead head = parser.head();
--- a/modules/net/http_client.cc
+++ b/modules/net/http_client.cc
@@ -6,6 +6,13 @@
 
 namespace chicory {
 
+namespace {
+
+/** Far above a list or configuration of the largest fleet. */
+constexpr size_t kMaxBodyBytes = 32 << 20;
+
+}  // namespace
+
 HttpClient::HttpClient(boost::asio::io_context& loop, Endpoint server)
     : loop_(loop),
       server_(server),
@@ -71,6 +78,11 @@
 
 void HttpClient::OnResponse(HttpResponseParser& parser) {
   body_.append(parser.TakeBody());
+  if (body_.size() > kMaxBodyBytes) {
+    connection_->Close();
+    Finish({});
+    return;
+  }
   if (parser.state() != ParseState::kComplete)
     return;
   Finish({.has_response = true,
--- a/modules/net/http_message.cc
+++ b/modules/net/http_message.cc
@@ -17,8 +17,10 @@
 
 namespace {
 
-/** Engines send heads of a few hundred bytes. */
+/** Engines send heads of a few hundred bytes. Also limits the size line of a
+    chunk and the trailer. */
 constexpr uint32_t kMaxResponseHeadBytes = 64 << 10;
+constexpr int kMaxInterimResponses = 16;
 
 constexpr std::array<absl::string_view, 9> kHopByHopFields = {
     "connection",          "keep-alive", "proxy-connection",
@@ -150,6 +152,10 @@
 
 HttpResponseParser::HttpResponseParser(bool head_only)
     : head_only_(head_only), impl_(std::make_unique<Impl>()) {
+  ResetParser();
+}
+
+void HttpResponseParser::ResetParser() {
   impl_->parser.emplace();
   impl_->parser->header_limit(kMaxResponseHeadBytes);
   impl_->parser->body_limit(boost::none);
@@ -175,11 +181,11 @@
       const auto& message = impl_->parser->get();
       const int status = static_cast<int>(message.result_int());
       if (status < 200) {
-        impl_->parser.emplace();
-        impl_->parser->header_limit(kMaxResponseHeadBytes);
-        impl_->parser->body_limit(boost::none);
-        impl_->parser->eager(true);
-        impl_->parser->skip(head_only_);
+        if (++interim_responses_ > kMaxInterimResponses) {
+          state_ = ParseState::kMalformed;
+          return used;
+        }
+        ResetParser();
         continue;
       }
       has_head_ = true;
@@ -193,6 +199,10 @@
     else if (error == http::error::need_more || taken == 0)
       break;
   }
+  // The parser does not consume a head, or a line of a chunk, before its end.
+  if (state_ == ParseState::kNeedMore &&
+      bytes.size() - used > kMaxResponseHeadBytes)
+    state_ = ParseState::kMalformed;
   return used;
 }
 
--- a/modules/net/http_message.h
+++ b/modules/net/http_message.h
@@ -141,7 +141,9 @@
 };
 
 /** Incremental parser for a single HTTP/1.1 response. The body is available as
-    it arrives. Interim (1xx) responses are skipped.
+    it arrives. Interim (1xx) responses are skipped. A head of more than 64 KiB
+    or more than 16 interim responses are malformed; the size of the body is not
+    limited.
 
     Not thread-safe. */
 class HttpResponseParser {
@@ -177,9 +179,13 @@
 
  private:
   struct Impl;
+  /** Prepares for a response, the first one or one after an interim one. */
+  void ResetParser();
+
   const bool head_only_;
   std::unique_ptr<Impl> impl_;
   HttpResponseHead head_;
+  int interim_responses_ = 0;
   ParseState state_ = ParseState::kNeedMore;
   bool has_head_ = false;
   bool started_ = false;
--- a/tests/logic/upstream_exchange_test.cc
+++ b/tests/logic/upstream_exchange_test.cc
@@ -19,8 +19,12 @@
 
 namespace asio = boost::asio;
 
-/** How an upstream ends its connection after its response. */
-enum class Ending { kOpen, kClose, kReset };
+/** How an upstream ends its connection after its response. With kRepeat it
+    repeats the end of the response without end instead. */
+enum class Ending { kOpen, kClose, kReset, kRepeat };
+
+/** Bytes at the end of a response that kRepeat repeats. */
+constexpr size_t kRepeatedBytes = 8192;
 
 /** An upstream that accepts one connection, reads a request, writes fixed bytes
     and then ends the connection. */
@@ -59,11 +63,25 @@
   void End() {
     if (ending_ == Ending::kOpen)
       return;
+    if (ending_ == Ending::kRepeat) {
+      Repeat();
+      return;
+    }
     if (ending_ == Ending::kReset)
       socket_.set_option(asio::socket_base::linger(true, 0));
     socket_.close();
   }
 
+  void Repeat() {
+    const asio::const_buffer end =
+        asio::buffer(response_) + (response_.size() - kRepeatedBytes);
+    asio::async_write(socket_, end,
+                      [this](const boost::system::error_code& error, size_t) {
+                        if (!error)
+                          Repeat();
+                      });
+  }
+
   asio::ip::tcp::acceptor acceptor_;
   asio::ip::tcp::socket socket_;
   const std::string response_;
@@ -195,5 +213,53 @@
   }
 }
 
+/** Returns `unit`, whose length divides kRepeatedBytes, over and over. */
+std::string Filler(const std::string& unit) {
+  std::string bytes;
+  while (bytes.size() < kRepeatedBytes)
+    bytes += unit;
+  return bytes;
+}
+
+// Guards against an upstream in trouble whose bytes never end: they were kept
+// until the memory or the time of the request was used up.
+TEST_CASE("a response without end is given up") {
+  struct EndlessCase {
+    const char* name;
+    bool expects_stream;
+    std::string framing_and_body;
+    std::string outcome;
+  };
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<EndlessCase> cases = {
+      {"head", false, Filler("X-A: aaaaaaaaa\r\n"), "connection_broken"},
+      {"one field", false, "X-A: " + Filler("a"), "connection_broken"},
+      {"size of a chunk", false, chunked + "1;" + Filler("a"),
+       "connection_broken"},
+      {"body", false, "\r\n" + Filler("a"), "response_too_large"},
+      {"chunks", false, chunked + Filler("b\r\naaaaaaaaaaa\r\n"),
+       "response_too_large"},
+      {"line of an event", true, "\r\ndata: " + Filler("a"),
+       "response_too_large"},
+      {"lines of an event", true, "\r\n" + Filler("data: a\n"),
+       "response_too_large"},
+  };
+  for (const EndlessCase& c : cases) {
+    INFO(c.name);
+    const Recorder recorder = RunExchange(
+        {.framing_and_body = c.framing_and_body, .ending = Ending::kRepeat},
+        c.expects_stream);
+    CHECK(recorder.outcome == c.outcome);
+    CHECK(recorder.body.empty());
+  }
+}
+
+TEST_CASE("interim responses without end are given up") {
+  HttpResponseParser parser(/*head_only=*/false);
+  for (int i = 0; i < 1000 && parser.state() == ParseState::kNeedMore; ++i)
+    parser.Feed("HTTP/1.1 100 Continue\r\n\r\n");
+  CHECK(parser.state() == ParseState::kMalformed);
+}
+
 }  // namespace
 }  // namespace chicory
