A stream that breaks off does not look whole to HTTP/1.0 callers

Cause: streams were sent in chunks to every caller. HTTP/1.0 has none: such a caller takes the sizes for content and the end of the connection for the end of the stream, also when it was aborted. Ruled out: complete responses, which have a length. Change: such a caller gets the stream as it is, and its end closes the connection; an abort, or any other end before the last byte, resets it. Test, red before in both parts: gateway_requests.sh, a broken and a whole stream over HTTP/1.0.

--- a/modules/net/http_message.cc
+++ b/modules/net/http_message.cc
@@ -21,6 +21,8 @@
     chunk and the trailer. */
 constexpr uint32_t kMaxResponseHeadBytes = 64 << 10;
 constexpr int kMaxInterimResponses = 16;
+/** HTTP/1.1 as a version number of the parser. */
+constexpr unsigned kHttp11 = 11;
 
 constexpr std::array<absl::string_view, 9> kHopByHopFields = {
     "connection",          "keep-alive", "proxy-connection",
@@ -143,7 +145,8 @@
           .target = ToString(message.target()),
           .headers = CopyHeaders(message.base()),
           .body = std::move(message.body()),
-          .keep_alive = message.keep_alive()};
+          .keep_alive = message.keep_alive(),
+          .accepts_chunks = message.version() >= kHttp11};
 }
 
 struct HttpResponseParser::Impl {
--- a/modules/net/http_message.h
+++ b/modules/net/http_message.h
@@ -49,6 +49,9 @@
   std::string body;
   /** Whether the client keeps the connection open after the response. */
   bool keep_alive = true;
+  /** Whether the response may be sent in chunks, which HTTP/1.0 does not have.
+   */
+  bool accepts_chunks = true;
 
   /** Returns the target without its query. */
   absl::string_view path() const;
--- a/modules/net/http_server_connection.cc
+++ b/modules/net/http_server_connection.cc
@@ -115,6 +115,7 @@
   HttpRequest request = parser_->Take();
   if (!request.keep_alive)
     close_after_response_ = true;
+  accepts_chunks_ = request.accepts_chunks;
   is_head_request_ = absl::EqualsIgnoreCase(request.method, "HEAD");
   handler_ = server_->delegate_->NewHandler();
   Read();
@@ -165,6 +166,11 @@
   if (closed_ || response_ended_)
     return;
   streaming_ = true;
+  if (!accepts_chunks_) {
+    close_after_response_ = true;
+    QueueWrite(absl::StrCat(FormatHead(status, headers), "\r\n"));
+    return;
+  }
   QueueWrite(absl::StrCat(FormatHead(status, headers),
                           "Transfer-Encoding: chunked\r\n\r\n"));
 }
@@ -172,6 +178,10 @@
 void HttpServerConnection::SendChunk(const std::string& bytes) {
   if (closed_ || !streaming_ || bytes.empty())
     return;
+  if (!accepts_chunks_) {
+    QueueWrite(bytes);
+    return;
+  }
   QueueWrite(absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n"));
 }
 
@@ -179,7 +189,7 @@
   if (closed_ || !streaming_)
     return;
   response_ended_ = true;
-  QueueWrite("0\r\n\r\n");
+  QueueWrite(accepts_chunks_ ? "0\r\n\r\n" : "");
 }
 
 void HttpServerConnection::Abort() {
@@ -272,6 +282,11 @@
   closed_ = true;
   const auto self = shared_from_this();
   boost::system::error_code ignored;
+  // Without chunks an orderly end would make a part of a stream look whole.
+  const bool is_partial_stream =
+      streaming_ && (!response_ended_ || !sending_.empty());
+  if (is_partial_stream && !accepts_chunks_)
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   socket_.close(ignored);
   timer_.cancel();
   const auto handler = std::exchange(handler_, nullptr);
--- a/modules/net/http_server_connection.h
+++ b/modules/net/http_server_connection.h
@@ -75,6 +75,7 @@
   bool reading_ = false;
   bool closed_ = false;
   bool streaming_ = false;
+  bool accepts_chunks_ = true;
   bool response_ended_ = false;
   bool close_after_response_ = false;
   bool lingering_ = false;
--- a/tests/process/gateway_lib.sh
+++ b/tests/process/gateway_lib.sh
@@ -73,5 +73,17 @@
   timeout 3 head -1 <&9
   exec 9<&- 9>&-
 }
+# old_call GATEWAY ID: requests a stream over HTTP/1.0 and prints the response; fails
+# if the connection is reset.
+old_call() {
+  local at status
+  at=$(address "$1" callers)
+  exec 9<>"/dev/tcp/${at%:*}/${at#*:}"
+  printf 'POST /s/a HTTP/1.0\r\n%s\r\nRequest-Id: %s\r\n%s\r\nContent-Length: 1\r\n\r\nx' "$HOST" "$2" "$TOKENS" >&9
+  timeout 8 cat <&9 2>/dev/null
+  status=$?
+  exec 9<&- 9>&-
+  return "$status"
+}
 # log_of GATEWAY EVENT: prints the gateway's log lines of one event.
 log_of() { grep -a " event=$2 " "$FLEET/$1.out"; }
--- a/tests/process/gateway_requests.sh
+++ b/tests/process/gateway_requests.sh
@@ -62,8 +62,16 @@
 took=$((($(date +%s%N) - begin) / 1000000))
 [ "$took" -lt 2000 ] || problem "a stream that cannot be resumed ended only after $took ms"
 grep -q token4 <<<"$response" && problem "a stream that no upstream could resume was completed"
+# Guards against a stream that broke off but reached an HTTP/1.0 caller as
+# complete: that protocol has no chunks, and only a reset tells the difference.
+sleep 2
+old_call g1 s3-old >/dev/null && problem "a broken stream looked complete to an HTTP/1.0 caller"
 upstream engine-1 '"mode":"ok"'
 upstream engine-2 '"mode":"ok"'
+sleep 2
+response=$(old_call g1 s2-old) || problem "a whole stream looked broken to an HTTP/1.0 caller"
+expect "a stream over HTTP/1.0" "$response" 'data: token4'
+grep -q 'Transfer-Encoding' <<<"$response" && problem "an HTTP/1.0 caller received chunks"
 
 say "a lookup is retried when its response is overdue"
 for desk in 1 2; do
