--- a/modules/decisions/crashing_parts.h
+++ b/modules/decisions/crashing_parts.h
@@ -42,12 +42,14 @@
     respond to may be the cause, and any part of them. A response that begins
     clears all parts of its request, since no upstream survives the beginning of
     a response to a part that crashes it. A part is refused after several
-    crashes without a response in between, unless another part, with more
-    crashes, explains them. Of parts that explain the same crashes, only
-    requests that hold all are refused; the others show which of them it is. A
-    part to which there was a response shortly before needs more crashes. A
-   crash counts only if its request was sent after the crash counted before it:
-   upstreams that fail together, such as those of a rack, have one cause.
+    crashes without a response in between:
+
+    - Crashes that are explained by a part with more crashes do not count.
+    - Of parts that explain the same crashes, only requests that hold all are
+      refused. A request with one of them shows which it is.
+    - A part to which there was a response shortly before needs more crashes.
+    - A crash counts only if its request was sent after the crash counted before
+      it: upstreams that fail together, such as those of a rack, have one cause.
 
     Instances exchange their evidence; the order in which it arrives does not
     matter. Times are passed in. Not thread-safe.
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -149,7 +149,9 @@
   std::shared_ptr<MemoryReservation> memory_;
   std::shared_ptr<UpstreamExchange> exchange_;
   UpstreamKey upstream_ = 0;
+  /** Of the upstream of the current attempt. */
   UpstreamIncarnation incarnation_ = 0;
+  /** Time at which the current attempt was sent. */
   absl::Time sent_at_;
   /** The instance that made the last decision. */
   InstanceIp scheduler_ = 0;
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -150,6 +150,8 @@
                                 UpstreamIncarnation upstream,
                                 absl::Time sent_at,
                                 absl::Time now) {
+  if (parts.empty())
+    return;
   crashing_parts_.OnCrash(parts, upstream, sent_at, now);
   for (InstanceIp receiver : membership_.HelloReceivers(now)) {
     if (receiver != self_)
