--- a/review/build.sh
+++ b/review/build.sh
@@ -10,8 +10,9 @@
   objects+=("$object")
 done
 for job in $(jobs -p); do wait "$job"; done
-for source in review/*/case.cc; do
+for source in review/*/case*.cc; do
   number=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O1 -g -Wall -Wextra -Wno-missing-field-initializers -pthread -I. "$source" "${objects[@]}" -o "build-review/case_$number" &
+  program=build-review/$(basename "$source" .cc)_$number
+  g++ -std=c++20 -O1 -g -Wall -Wextra -Wno-missing-field-initializers -pthread -I. "$source" "${objects[@]}" -o "$program" &
 done
 for job in $(jobs -p); do wait "$job"; done
--- a/review/stand_ins/worker.cc
+++ b/review/stand_ins/worker.cc
@@ -136,19 +136,25 @@
     events = std::atoi(counts.substr(counts.find(',') + 1).c_str()) /
              options_.tokens_per_event;
   }
-  if (!connection.Write(Head(request.Field("request-id")) +
-                        "Content-Type: text/event-stream\r\n"
-                        "Transfer-Encoding: chunked\r\n\r\n"))
+  const bool is_framed =
+      options_.unframed_every == 0 || ++streams_ % options_.unframed_every != 0;
+  const std::string id = request.Field("request-id");
+  if (!is_framed)
+    record_->Add("worker " + options_.id + ": answers " + id + " unframed");
+  if (!connection.Write(Head(id) + "Content-Type: text/event-stream\r\n" +
+                        (is_framed ? "Transfer-Encoding: chunked\r\n" : "") +
+                        "\r\n"))
     return false;
   for (int i = first; i <= events; ++i) {
     if (i > first)
       std::this_thread::sleep_for(options_.event_time);
     const std::string event = "id: " + std::to_string(i) + "\ndata: piece\n\n";
-    if (connection.IsClosedByPeer() ||
-        !connection.Write(Hex(event.size()) + "\r\n" + event + "\r\n"))
+    const std::string bytes =
+        is_framed ? Hex(event.size()) + "\r\n" + event + "\r\n" : event;
+    if (connection.IsClosedByPeer() || !connection.Write(bytes))
       return false;
   }
-  return connection.Write("0\r\n\r\n");
+  return is_framed && connection.Write("0\r\n\r\n");
 }
 
 }  // namespace review
--- a/review/stand_ins/worker.h
+++ b/review/stand_ins/worker.h
@@ -31,6 +31,9 @@
       prompt. */
   bool reads_prompts = false;
   Milliseconds event_time = Milliseconds(20);
+  /** Of this many streams, the last one has no length and ends with its
+      connection; 0 for none. */
+  int unframed_every = 0;
   /** If set and it returns bytes, these are the answer to a request that has
       run, in place of the worker's own. */
   std::function<std::optional<std::string>(const Request&)> spoiled_answer;
@@ -64,6 +67,7 @@
   Record* record_;
   Server server_;
   std::atomic<int> running_ = 0;
+  std::atomic<int> streams_ = 0;
   std::mutex mutex_;
   std::map<std::string, int> runs_;
 };
