--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -14,7 +14,7 @@
 namespace review {
 namespace {
 
-constexpr Milliseconds kLength(58000);
+constexpr Milliseconds kLength(108000);
 /** The workers hand out wrong bytes for kTroubleLength in each kTroublePeriod,
     after a quiet start. */
 constexpr Milliseconds kQuietStart(2000);
@@ -23,7 +23,7 @@
 /** The platform starts a process that has ended again after this time. */
 constexpr Milliseconds kRestartDelay(1000);
 /** One answer in so many of the faulty worker is spoiled. */
-constexpr int kSpoiledEvery = 34;
+constexpr int kSpoiledEvery = 50;
 constexpr int kBodyBytes = 800;
 /** The rule allows this many requests. */
 constexpr int kAllowedLosses = 3;
--- a/review/stand_ins/worker.cc
+++ b/review/stand_ins/worker.cc
@@ -127,6 +127,13 @@
   return goes_on;
 }
 
+bool Worker::TakeFramed() {
+  const bool is_window = options_.unframed_every > 0 &&
+                         record_->Now() % options_.unframed_period.count() <
+                             options_.unframed_length.count();
+  return !is_window || ++streams_ % options_.unframed_every != 0;
+}
+
 bool Worker::Stream(Connection& connection, const Request& request) {
   const std::string last = request.Field("last-event-id");
   const int first = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
@@ -136,8 +143,7 @@
     events = std::atoi(counts.substr(counts.find(',') + 1).c_str()) /
              options_.tokens_per_event;
   }
-  const bool is_framed =
-      options_.unframed_every == 0 || ++streams_ % options_.unframed_every != 0;
+  const bool is_framed = TakeFramed();
   const std::string id = request.Field("request-id");
   if (!is_framed)
     record_->Add("worker " + options_.id + ": answers " + id + " unframed");
--- a/review/stand_ins/worker.h
+++ b/review/stand_ins/worker.h
@@ -34,6 +34,9 @@
   /** Of this many streams, the last one has no length and ends with its
       connection; 0 for none. */
   int unframed_every = 0;
+  /** It does so for the first `unframed_length` of each `unframed_period`. */
+  Milliseconds unframed_length = Milliseconds(5000);
+  Milliseconds unframed_period = Milliseconds(6000);
   /** If set and it returns bytes, these are the answer to a request that has
       run, in place of the worker's own. */
   std::function<std::optional<std::string>(const Request&)> spoiled_answer;
@@ -61,6 +64,8 @@
   bool Answer(Connection& connection, const Request& request);
   bool Stream(Connection& connection, const Request& request);
   std::string Head(const std::string& id) const;
+  /** Returns whether the next stream has a length or chunks. */
+  bool TakeFramed();
   Milliseconds WorkTime(const Request& request) const;
 
   const WorkerOptions options_;
