--- a/modules/gateway/request_telemetry.cc
+++ b/modules/gateway/request_telemetry.cc
@@ -15,6 +15,11 @@
   return absl::ToInt64Milliseconds(duration);
 }
 
+/** The announced length of a body as a log value. */
+std::string AnnouncedBytes(const UpstreamExchange::BodyEnd& end) {
+  return end.announced_bytes ? absl::StrCat(*end.announced_bytes) : "none";
+}
+
 }  // namespace
 
 std::string JoinParts(const std::vector<PromptPart>& parts) {
@@ -115,6 +120,7 @@
                              {"after_ms", Ms(now - attempt_started_at_)},
                              {"events", events},
                              {"framing", BodyFramingName(body_end_.framing)},
+                             {"announced_bytes", AnnouncedBytes(body_end_)},
                              {"partial_event", body_end_.partial_event_bytes},
                              {"again", will_retry ? 1 : 0}});
 }
--- a/modules/gateway/upstream_exchange.cc
+++ b/modules/gateway/upstream_exchange.cc
@@ -1,5 +1,6 @@
 #include "modules/gateway/upstream_exchange.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "modules/net/loop_time.h"
@@ -72,6 +73,7 @@
     return;
   has_head_ = true;
   body_end_.framing = parser.framing();
+  body_end_.announced_bytes = parser.announced_length();
   if (is_stream_)
     ProcessStream(parser);
   else
@@ -151,7 +153,9 @@
 
 void UpstreamExchange::ProcessCompleteBody(HttpResponseParser& parser) {
   body_.append(parser.TakeBody());
-  if (body_.size() > kMaxBodyBytes) {
+  const uint64_t expected_bytes =
+      std::max<uint64_t>(body_.size(), body_end_.announced_bytes.value_or(0));
+  if (!options_.head_only && expected_bytes > kMaxBodyBytes) {
     Fail({.reason = "response_too_large"});
     return;
   }
--- a/modules/gateway/upstream_exchange.h
+++ b/modules/gateway/upstream_exchange.h
@@ -2,6 +2,7 @@
 #define MODULES_GATEWAY_UPSTREAM_EXCHANGE_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "absl/time/time.h"
@@ -41,6 +42,8 @@
   /** What was received of a response's body when its attempt ended. */
   struct BodyEnd {
     BodyFraming framing = BodyFraming::kUnknown;
+    /** The body's length in bytes by its head; nullopt if the head has none. */
+    std::optional<uint64_t> announced_bytes;
     /** Bytes of a stream after its last complete event. */
     size_t partial_event_bytes = 0;
   };
--- a/modules/net/http_client.cc
+++ b/modules/net/http_client.cc
@@ -1,5 +1,6 @@
 #include "modules/net/http_client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -78,7 +79,9 @@
 
 void HttpClient::OnResponse(HttpResponseParser& parser) {
   body_.append(parser.TakeBody());
-  if (body_.size() > kMaxBodyBytes) {
+  const uint64_t expected_bytes =
+      std::max<uint64_t>(body_.size(), parser.announced_length().value_or(0));
+  if (expected_bytes > kMaxBodyBytes) {
     connection_->Close();
     Finish({});
     return;
--- a/modules/net/http_message.cc
+++ b/modules/net/http_message.cc
@@ -1,10 +1,10 @@
 #include "modules/net/http_message.h"
 
 #include <array>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <optional>
 
 #include "absl/strings/match.h"
@@ -32,6 +32,41 @@
 constexpr std::array<absl::string_view, 4> kBodyFramingNames = {
     "unknown", "length", "chunked", "connection_end"};
 
+/** A message's body, which grows by the bytes that arrive. The library's
+    string_body reserves the announced length instead, which a peer may set to
+    any number: std::string throws when it is more than memory allows. */
+struct GrowingBody {
+  using value_type = std::string;
+
+  static uint64_t size(const value_type& body) { return body.size(); }
+
+  /** Appends the parsed bytes to the body. The library requires these names. */
+  class reader {
+   public:
+    template <bool is_request, class Fields>
+    reader(http::header<is_request, Fields>&, value_type& body) : body_(body) {}
+
+    void init(const boost::optional<uint64_t>&, boost::beast::error_code& ec) {
+      ec = {};
+    }
+
+    template <class Buffers>
+    size_t put(const Buffers& buffers, boost::beast::error_code& ec) {
+      ec = {};
+      const size_t size_before = body_.size();
+      for (const boost::asio::const_buffer buffer :
+           boost::beast::buffers_range_ref(buffers))
+        body_.append(static_cast<const char*>(buffer.data()), buffer.size());
+      return body_.size() - size_before;
+    }
+
+    void finish(boost::beast::error_code& ec) { ec = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
 std::string ToString(boost::beast::string_view text) {
   return std::string(text.data(), text.size());
 }
@@ -90,7 +125,7 @@
 }
 
 struct HttpRequestParser::Impl {
-  http::request_parser<http::string_body> parser;
+  http::request_parser<GrowingBody> parser;
 };
 
 HttpRequestParser::HttpRequestParser(Options options)
@@ -150,7 +185,7 @@
 }
 
 struct HttpResponseParser::Impl {
-  std::optional<http::response_parser<http::string_body>> parser;
+  std::optional<http::response_parser<GrowingBody>> parser;
 };
 
 HttpResponseParser::HttpResponseParser(bool head_only)
@@ -232,6 +267,13 @@
                                   : BodyFraming::kLength;
 }
 
+std::optional<uint64_t> HttpResponseParser::announced_length() const {
+  if (!has_head_)
+    return std::nullopt;
+  const boost::optional<uint64_t> length = impl_->parser->content_length();
+  return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
 std::string HttpResponseParser::TakeBody() {
   if (!has_head_)
     return {};
--- a/modules/net/http_message.h
+++ b/modules/net/http_message.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -145,8 +146,9 @@
 
 /** Incremental parser for a single HTTP/1.1 response. The body is available as
     it arrives. Interim (1xx) responses are skipped. A head of more than 64 KiB
-    or more than 16 interim responses are malformed; the size of the body is not
-    limited.
+    or more than 16 interim responses are malformed. The size of the body is not
+    limited; memory is used only for the bytes that have arrived, whatever
+   length the head announces.
 
     Not thread-safe. */
 class HttpResponseParser {
@@ -177,6 +179,10 @@
   /** Returns how the end of the body is marked; kUnknown until has_head() is
       true. */
   BodyFraming framing() const;
+  /** Returns the length of the body in bytes that the head announces, or
+     nullopt if it announces none or has_head() is false. Any value is possible:
+     a length is no promise that as many bytes arrive. */
+  std::optional<uint64_t> announced_length() const;
   /** Returns the body bytes received since the last call. */
   std::string TakeBody();
 
--- a/tests/logic/http_message_test.cc
+++ b/tests/logic/http_message_test.cc
@@ -1,6 +1,7 @@
 #include "modules/net/http_message.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 #include <random>
 #include <string>
 #include <vector>
@@ -159,6 +160,29 @@
   }
 }
 
+// The caller's side of "an announced length that never arrives uses no memory".
+TEST_CASE("a request's announced length uses no memory") {
+  struct Case {
+    const char* length;
+    size_t max_body_bytes;
+    ParseState state;
+  };
+  const std::vector<Case> cases = {
+      {"8002451873009624", 4096, ParseState::kMalformed},
+      {"8002451873009624", std::numeric_limits<size_t>::max(),
+       ParseState::kNeedMore},
+      {"18446744073709551614", std::numeric_limits<size_t>::max(),
+       ParseState::kNeedMore},
+  };
+  for (const Case& c : cases) {
+    INFO(c.length);
+    HttpRequestParser parser({.max_body_bytes = c.max_body_bytes});
+    parser.Feed(std::string("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: ") +
+                c.length + "\r\n\r\nbody");
+    CHECK(parser.state() == c.state);
+  }
+}
+
 TEST_CASE("parsers withstand corrupted input, seeds 1 to 400") {
   std::vector<std::string> seeds;
   for (const RequestCase& c : RequestCases())
--- /dev/null
+++ b/tests/logic/scripted_upstream.h
@@ -0,0 +1,90 @@
+#ifndef TESTS_LOGIC_SCRIPTED_UPSTREAM_H_
+#define TESTS_LOGIC_SCRIPTED_UPSTREAM_H_
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+#include <utility>
+
+#include "modules/net/socket_options.h"
+
+namespace chicory {
+
+/** How an upstream ends its connection after its response. With kRepeat it
+    repeats the end of the response without end instead. */
+enum class Ending { kOpen, kClose, kReset, kRepeat };
+
+/** Bytes at the end of a response that kRepeat repeats. */
+constexpr size_t kRepeatedBytes = 8192;
+
+/** An upstream that accepts one connection, reads a request, writes fixed bytes
+    and then ends the connection. */
+class ScriptedUpstream {
+ public:
+  ScriptedUpstream(boost::asio::io_context& loop,
+                   std::string response,
+                   Ending ending)
+      : acceptor_(loop, {boost::asio::ip::address_v4::loopback(), 0}),
+        socket_(loop),
+        response_(std::move(response)),
+        ending_(ending) {
+    acceptor_.async_accept(socket_,
+                           [this](const boost::system::error_code& error) {
+                             if (!error)
+                               AwaitRequest();
+                           });
+  }
+
+  Endpoint address() const {
+    return {.ip = boost::asio::ip::address_v4::loopback().to_uint(),
+            .port = acceptor_.local_endpoint().port()};
+  }
+
+ private:
+  void AwaitRequest() {
+    socket_.async_read_some(
+        boost::asio::buffer(request_),
+        [this](const boost::system::error_code&, size_t) { Respond(); });
+  }
+
+  void Respond() {
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(response_),
+        [this](const boost::system::error_code&, size_t) { End(); });
+  }
+
+  void End() {
+    if (ending_ == Ending::kOpen)
+      return;
+    if (ending_ == Ending::kRepeat) {
+      Repeat();
+      return;
+    }
+    if (ending_ == Ending::kReset)
+      socket_.set_option(boost::asio::socket_base::linger(true, 0));
+    socket_.close();
+  }
+
+  void Repeat() {
+    const boost::asio::const_buffer end =
+        boost::asio::buffer(response_) + (response_.size() - kRepeatedBytes);
+    boost::asio::async_write(
+        socket_, end, [this](const boost::system::error_code& error, size_t) {
+          if (!error)
+            Repeat();
+        });
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::socket socket_;
+  const std::string response_;
+  const Ending ending_;
+  std::array<char, 4096> request_;
+};
+
+}  // namespace chicory
+
+#endif  // TESTS_LOGIC_SCRIPTED_UPSTREAM_H_
--- a/tests/logic/upstream_exchange_test.cc
+++ b/tests/logic/upstream_exchange_test.cc
@@ -1,94 +1,22 @@
 #include "modules/gateway/upstream_exchange.h"
 
-#include <array>
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "absl/time/clock.h"
+#include "modules/net/http_client.h"
 #include "platform/header_codec.h"
+#include "tests/logic/scripted_upstream.h"
 
 namespace chicory {
 namespace {
 
-namespace asio = boost::asio;
-
-/** How an upstream ends its connection after its response. With kRepeat it
-    repeats the end of the response without end instead. */
-enum class Ending { kOpen, kClose, kReset, kRepeat };
-
-/** Bytes at the end of a response that kRepeat repeats. */
-constexpr size_t kRepeatedBytes = 8192;
-
-/** An upstream that accepts one connection, reads a request, writes fixed bytes
-    and then ends the connection. */
-class ScriptedUpstream {
- public:
-  ScriptedUpstream(asio::io_context& loop, std::string response, Ending ending)
-      : acceptor_(loop, {asio::ip::address_v4::loopback(), 0}),
-        socket_(loop),
-        response_(std::move(response)),
-        ending_(ending) {
-    acceptor_.async_accept(socket_,
-                           [this](const boost::system::error_code& error) {
-                             if (!error)
-                               AwaitRequest();
-                           });
-  }
-
-  Endpoint address() const {
-    return {.ip = asio::ip::address_v4::loopback().to_uint(),
-            .port = acceptor_.local_endpoint().port()};
-  }
-
- private:
-  void AwaitRequest() {
-    socket_.async_read_some(
-        asio::buffer(request_),
-        [this](const boost::system::error_code&, size_t) { Respond(); });
-  }
-
-  void Respond() {
-    asio::async_write(
-        socket_, asio::buffer(response_),
-        [this](const boost::system::error_code&, size_t) { End(); });
-  }
-
-  void End() {
-    if (ending_ == Ending::kOpen)
-      return;
-    if (ending_ == Ending::kRepeat) {
-      Repeat();
-      return;
-    }
-    if (ending_ == Ending::kReset)
-      socket_.set_option(asio::socket_base::linger(true, 0));
-    socket_.close();
-  }
-
-  void Repeat() {
-    const asio::const_buffer end =
-        asio::buffer(response_) + (response_.size() - kRepeatedBytes);
-    asio::async_write(socket_, end,
-                      [this](const boost::system::error_code& error, size_t) {
-                        if (!error)
-                          Repeat();
-                      });
-  }
-
-  asio::ip::tcp::acceptor acceptor_;
-  asio::ip::tcp::socket socket_;
-  const std::string response_;
-  const Ending ending_;
-  std::array<char, 4096> request_;
-};
-
 /** Records what an exchange reports. */
 class Recorder : public UpstreamExchange::Listener {
  public:
@@ -130,7 +58,7 @@
 
 /** Runs one exchange with an upstream that responds as `c` says. */
 Recorder RunExchange(const Case& c, bool expects_stream) {
-  asio::io_context loop;
+  boost::asio::io_context loop;
   ScriptedUpstream upstream(loop,
                             "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
                             "Response-Stamp: s1\r\n" +
@@ -254,6 +182,63 @@
   }
 }
 
+// Guards against a process that ended with std::bad_alloc, and all requests in
+// flight with it, because memory was reserved for an announced length.
+TEST_CASE("an announced length that never arrives uses no memory") {
+  const std::string event = "id: 0\ndata: a\n\n";
+  struct LengthCase {
+    const char* name;
+    bool expects_stream;
+    std::string length;
+    std::string outcome;
+    std::string body;
+  };
+  const std::vector<LengthCase> cases = {
+      {"more than any machine has", false, "8002451873009624",
+       "response_too_large", ""},
+      {"more than a string can hold", false, "18446744073709551615",
+       "response_too_large", ""},
+      {"more than an instance keeps", false, "4000000000", "response_too_large",
+       ""},
+      {"no number of 64 bits", false, "99999999999999999999",
+       "connection_broken", ""},
+      {"stream", true, "8002451873009624", "connection_broken", event},
+      {"stream, more than a string can hold", true, "18446744073709551615",
+       "connection_broken", event},
+  };
+  for (const LengthCase& c : cases) {
+    INFO(c.name);
+    const Recorder recorder = RunExchange(
+        {.framing_and_body = "Content-Length: " + c.length + "\r\n\r\n" + event,
+         .ending = Ending::kClose},
+        c.expects_stream);
+    CHECK(recorder.outcome == c.outcome);
+    CHECK(recorder.body == c.body);
+  }
+}
+
+// The same for the responses of the store and of engines to orders.
+TEST_CASE("a call fails at an announced length that is too large") {
+  for (const char* length : {"8002451873009624", "18446744073709551615"}) {
+    INFO(length);
+    boost::asio::io_context loop;
+    ScriptedUpstream server(loop,
+                            std::string("HTTP/1.1 200 OK\r\nContent-Length: ") +
+                                length + "\r\n\r\nbody",
+                            Ending::kOpen);
+    HttpClient client(loop, server.address());
+    std::optional<HttpCallResult> result;
+    client.Call({.target = "/a", .timeout = absl::Seconds(3)},
+                [&](HttpCallResult outcome) { result = std::move(outcome); });
+    const absl::Time begin = absl::Now();
+    while (!result && absl::Now() - begin < absl::Seconds(5))
+      loop.run_one_for(std::chrono::milliseconds(100));
+    REQUIRE(result);
+    CHECK_FALSE(result->has_response);
+    CHECK(absl::Now() - begin < absl::Seconds(2));
+  }
+}
+
 TEST_CASE("interim responses without end are given up") {
   HttpResponseParser parser(/*head_only=*/false);
   for (int i = 0; i < 1000 && parser.state() == ParseState::kNeedMore; ++i)
