A field of 64 KiB in a trailer does not end the process

What callers saw: nothing reported yet. One request in chunks whose trailer has a field of 65,534 bytes ends the instance that reads it (signal 6), and cuts all its other requests. No key is needed.

Cause: Beast keeps a field's sizes in 16 bits and throws std::length_error for longer ones. Its header limit is not applied to trailers.

Ruled out: fields of heads, which the header limit (64 KiB for responses, max-header-bytes for requests) ends first unless a configuration allows heads of 64 KiB.

Change: length_error of the parser is "head too large" (431, or a failed attempt). A trailer of a request longer than max-header-bytes is refused when so much of it has arrived. FeedEof after an interim response no longer reaches an assertion of Beast in debug builds.

Red before: "a field too long for the library is malformed" (exception "field value too large"), "a trailer without end is malformed", "a trailer too large" in gateway_requests.sh (no response).

--- a/modules/net/http_message.cc
+++ b/modules/net/http_message.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <optional>
+#include <stdexcept>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_split.h"
@@ -21,6 +22,8 @@
     chunk and the trailer. */
 constexpr uint32_t kMaxResponseHeadBytes = 64 << 10;
 constexpr int kMaxInterimResponses = 16;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
 /** HTTP/1.1 as a version number of the parser. */
 constexpr unsigned kHttp11 = 11;
 
@@ -79,6 +82,21 @@
   return headers;
 }
 
+/** Passes `bytes` to a parser of the library and returns the number of bytes
+    consumed. A field of 64 KiB or more, for which the library throws, counts as
+    a head that is too large. */
+template <class Parser>
+size_t Put(Parser* parser,
+           absl::string_view bytes,
+           boost::beast::error_code* error) {
+  try {
+    return parser->put(boost::asio::buffer(bytes.data(), bytes.size()), *error);
+  } catch (const std::length_error&) {
+    *error = http::error::header_limit;
+    return 0;
+  }
+}
+
 }  // namespace
 
 absl::string_view HttpHeaders::Find(absl::string_view name) const {
@@ -142,17 +160,16 @@
   while (state_ == ParseState::kNeedMore && used < bytes.size()) {
     started_ = true;
     boost::beast::error_code error;
-    size_t taken = impl_->parser.put(
-        boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
+    const size_t taken = Put(&impl_->parser, bytes.substr(used), &error);
     used += taken;
     if (error == http::error::need_more)
       break;
     if (error) {
       state_ = ParseState::kMalformed;
       if (error == http::error::header_limit)
-        error_status_ = 431;
+        error_status_ = kHeadTooLarge;
       else if (error == http::error::body_limit)
-        error_status_ = 413;
+        error_status_ = kBodyTooLarge;
       return used;
     }
     if (impl_->parser.is_done())
@@ -160,6 +177,13 @@
     else if (taken == 0)
       break;
   }
+  // What the parser does not consume is the begin of a head, of the size line
+  // of a chunk or of a trailer.
+  if (state_ == ParseState::kNeedMore &&
+      bytes.size() - used > options_.max_header_bytes) {
+    state_ = ParseState::kMalformed;
+    error_status_ = kHeadTooLarge;
+  }
   return used;
 }
 
@@ -208,8 +232,7 @@
   while (state_ == ParseState::kNeedMore && used < bytes.size()) {
     started_ = true;
     boost::beast::error_code error;
-    size_t taken = impl_->parser->put(
-        boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
+    const size_t taken = Put(&*impl_->parser, bytes.substr(used), &error);
     used += taken;
     if (error && error != http::error::need_more) {
       state_ = ParseState::kMalformed;
@@ -247,8 +270,9 @@
 void HttpResponseParser::FeedEof() {
   if (state_ != ParseState::kNeedMore)
     return;
-  if (!started_) {
-    // Beast does not allow put_eof() before the first byte.
+  if (!impl_->parser->got_some()) {
+    // Beast does not allow put_eof() before the first byte of a response, which
+    // may follow an interim one.
     state_ = ParseState::kMalformed;
     return;
   }
--- a/tests/logic/http_message_test.cc
+++ b/tests/logic/http_message_test.cc
@@ -183,6 +183,51 @@
   }
 }
 
+// Guards against a process that ended because the library throws at a field of
+// 64 KiB, which a trailer may hold beyond the limit on heads.
+TEST_CASE("a field too long for the library is malformed") {
+  const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+  const std::string long_text(66000, 'a');
+  struct Case {
+    const char* name;
+    std::string trailer;
+  };
+  const std::vector<Case> cases = {
+      {"value", "A: " + long_text + "\r\n\r\n"},
+      {"name", long_text + ": a\r\n\r\n"},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    HttpRequestParser request({.max_header_bytes = 1 << 20});
+    request.Feed("POST /a HTTP/1.1\r\nHost: h\r\n" + chunks + c.trailer);
+    CHECK(request.state() == ParseState::kMalformed);
+    CHECK(request.error_status() == 431);
+    HttpRequestParser head({.max_header_bytes = 1 << 20});
+    head.Feed("POST /a HTTP/1.1\r\nHost: h\r\n" + c.trailer);
+    CHECK(head.state() == ParseState::kMalformed);
+    HttpResponseParser response(/*head_only=*/false);
+    response.Feed("HTTP/1.1 200 OK\r\n" + chunks + c.trailer);
+    CHECK(response.state() == ParseState::kMalformed);
+  }
+}
+
+TEST_CASE("a trailer without end is malformed") {
+  HttpRequestParser parser(SmallLimits());
+  parser.Feed(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+  CHECK(parser.state() == ParseState::kNeedMore);
+  parser.Feed("0\r\nA: " + std::string(SmallLimits().max_header_bytes, 'a'));
+  CHECK(parser.state() == ParseState::kMalformed);
+  CHECK(parser.error_status() == 431);
+}
+
+TEST_CASE("a connection that ends after an interim response is malformed") {
+  HttpResponseParser parser(/*head_only=*/false);
+  parser.Feed("HTTP/1.1 100 Continue\r\n\r\n");
+  parser.FeedEof();
+  CHECK(parser.state() == ParseState::kMalformed);
+}
+
 TEST_CASE("parsers withstand corrupted input, seeds 1 to 400") {
   std::vector<std::string> seeds;
   for (const RequestCase& c : RequestCases())
--- a/tests/process/gateway_requests.sh
+++ b/tests/process/gateway_requests.sh
@@ -152,6 +152,8 @@
 expect "a head too large" "$(send_raw g1 "GET /again/a HTTP/1.1\r\nX: $(head -c 9000 /dev/zero | tr '\0' x)\r\n\r\n")" ' 431 '
 expect "a body too large" "$(call g1 /again/a -H 'Content-Length: 200000' -d x)" 'status=413'
 expect "a head that never ends" "$(send_raw g1 'GET /again/a HTTP/1.1\r\nHost:')" ' 408 '
+# Guards against a process that ended: the library throws at a field of 64 KiB.
+expect "a trailer too large" "$(send_raw g1 "POST /again/a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: $(head -c 65534 /dev/zero | tr '\0' x)\r\n\r\n")" ' 431 '
 expect "chunks" "$(call g1 /again/a -H 'Request-Id: c1' -H 'Transfer-Encoding: chunked' -d chunked)" 'ran POST /again/a chunked'
 expect "two pipelined requests" "$(
   at=$(address g1 callers)
