An exception of a callback ends its connection, not the process

Cause: nothing under programs/gateway, modules/gateway, modules/net or platform caught an exception; the event loop passes it to main.

Weighed: ending the process after a drain (a message that comes again ends each instance in turn), catching at the loop alone (the connection stays open and unread, and a socket, a listener or a tick that was not set again is deaf for good), catching at each connection and swallowing (nobody learns of it).

Change: the connection is the boundary. HttpServerConnection closes and tells its handler, HttpClientConnection fails its exchange, DatagramSocket, HttpServer, the gateway's tick and the reload of settings go on by a cleanup. Each throws on to RunLoop, which logs (callback_failed), counts (chicory_callback_failures_total) and runs the loop again.

Conclusion: a boundary against the unknown; known causes are mended at theirs.

--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
 #include "modules/gateway/request_handler.h"
 #include "modules/net/loop_time.h"
@@ -307,6 +308,7 @@
 }
 
 void Gateway::Tick() {
+  const absl::Cleanup schedule_next = [this] { ScheduleTick(); };
   const absl::Time now = SteadyNow();
   if (state_.upstreams.Expire(now))
     PublishUpstreams();
@@ -318,7 +320,6 @@
     LogMembershipChange(now);
   }
   LogRefusedParts(now);
-  ScheduleTick();
 }
 
 void Gateway::LogMembershipChange(absl::Time now) {
@@ -351,6 +352,11 @@
   refused_parts_ = current;
 }
 
+void Gateway::OnCallbackFailed(const std::exception& error) {
+  metrics_.OnCallbackFailed();
+  log_.Write("callback_failed", {{"reason", error.what()}});
+}
+
 std::string Gateway::Metrics() {
   return metrics_.Exposition(
       {.in_flight = state_.handlers.size(),
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <string>
@@ -78,6 +79,9 @@
       then calls `done`, at the latest shortly before `stop_within` has passed.
       Further calls are ignored. */
   void BeginStop(std::function<void()> done);
+  /** Logs and counts an exception that a callback of the event loop has
+      thrown; see RunLoop. */
+  void OnCallbackFailed(const std::exception& error);
   /** Replaces the seeds, the instances contacted to find the others. */
   void SetSeeds(const std::vector<InstanceIp>& seeds);
 
--- a/modules/gateway/gateway_metrics.cc
+++ b/modules/gateway/gateway_metrics.cc
@@ -32,6 +32,12 @@
                                  prometheus::BuildCounter(),
                                  "chicory_failed_sends_total",
                                  "Sends to upstreams that gave no answer")),
+      callback_failures_(
+          AddFamily(&registry_,
+                    prometheus::BuildCounter(),
+                    "chicory_callback_failures_total",
+                    "Callbacks of the event loop that ended with an exception")
+              .Add({})),
       durations_(AddFamily(&registry_,
                            prometheus::BuildHistogram(),
                            "chicory_request_duration_seconds",
--- a/modules/gateway/gateway_metrics.h
+++ b/modules/gateway/gateway_metrics.h
@@ -42,6 +42,9 @@
   /** Records the longest pause between two events of a complete stream. */
   void OnStreamComplete(const std::string& service, absl::Duration longest_gap);
 
+  /** Counts a callback of the event loop that has thrown. */
+  void OnCallbackFailed() { callback_failures_.Increment(); }
+
   /** Values of the gauges, sampled for each exposition. */
   struct Levels {
     size_t in_flight = 0;
@@ -72,6 +75,7 @@
   prometheus::Registry registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& failed_attempts_;
+  prometheus::Counter& callback_failures_;
   prometheus::Family<prometheus::Histogram>& durations_;
   prometheus::Family<prometheus::Histogram>& waits_;
   prometheus::Family<prometheus::Histogram>& first_events_;
--- a/modules/net/datagram_socket.cc
+++ b/modules/net/datagram_socket.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
 
 namespace chicory {
@@ -44,12 +45,13 @@
       [this](const boost::system::error_code& error, size_t count) {
         if (error == asio::error::operation_aborted)
           return;
+        // Also if the receiver throws.
+        const absl::Cleanup receive_next = [this] { Receive(); };
         if (!error) {
           receiver_({.ip = sender_.address().to_v4().to_uint(),
                      .port = sender_.port()},
                     absl::string_view(receive_buffer_.data(), count));
         }
-        Receive();
       });
 }
 
--- a/modules/net/http_client_connection.cc
+++ b/modules/net/http_client_connection.cc
@@ -96,10 +96,20 @@
       [self = shared_from_this()](const boost::system::error_code& error,
                                   size_t count) {
         self->reading_ = false;
-        self->OnBytes(error, count);
+        self->FailOnException([&] { self->OnBytes(error, count); });
       });
 }
 
+template <class Step>
+void HttpClientConnection::FailOnException(Step&& step) {
+  try {
+    step();
+  } catch (...) {
+    Fail(Failure::kBroken);
+    throw;
+  }
+}
+
 void HttpClientConnection::OnBytes(const boost::system::error_code& error,
                                    size_t count) {
   if (closed_)
--- a/modules/net/http_client_connection.h
+++ b/modules/net/http_client_connection.h
@@ -77,6 +77,9 @@
   void OnConnected(const boost::system::error_code& error);
   void Write();
   void Read();
+  /** Calls `step`. If it throws, fails the exchange and throws on. */
+  template <class Step>
+  void FailOnException(Step&& step);
   void OnBytes(const boost::system::error_code& error, size_t count);
   void Fail(Failure failure);
 
--- a/modules/net/http_server.cc
+++ b/modules/net/http_server.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
 #include "modules/net/http_server_connection.h"
 
@@ -60,13 +61,13 @@
       ScheduleAccept();
       return;
     }
+    const absl::Cleanup accept_next = [this] { Accept(); };
     if (connections_.size() < max_connections_) {
       auto connection =
           std::make_shared<HttpServerConnection>(std::move(socket), this);
       connections_.insert(connection);
       connection->Start();
     }
-    Accept();
   });
 }
 
--- a/modules/net/http_server_connection.cc
+++ b/modules/net/http_server_connection.cc
@@ -34,6 +34,16 @@
   AwaitRequest();
 }
 
+template <class Step>
+void HttpServerConnection::CloseOnException(Step&& step) {
+  try {
+    step();
+  } catch (...) {
+    Close();
+    throw;
+  }
+}
+
 bool HttpServerConnection::IsIdle() const {
   return !handler_ && unsent_.empty() && sending_.empty() &&
          !(parser_ && parser_->started());
@@ -59,7 +69,7 @@
       [self = shared_from_this()](const boost::system::error_code& error,
                                   size_t count) {
         self->reading_ = false;
-        self->OnBytes(error, count);
+        self->CloseOnException([&] { self->OnBytes(error, count); });
       });
 }
 
@@ -210,10 +220,11 @@
 
 void HttpServerConnection::Flush() {
   sending_ = std::exchange(unsent_, {});
-  asio::async_write(
-      socket_, asio::buffer(sending_),
-      [self = shared_from_this()](const boost::system::error_code& error,
-                                  size_t) { self->OnFlushed(error); });
+  asio::async_write(socket_, asio::buffer(sending_),
+                    [self = shared_from_this()](
+                        const boost::system::error_code& error, size_t) {
+                      self->CloseOnException([&] { self->OnFlushed(error); });
+                    });
 }
 
 void HttpServerConnection::OnFlushed(const boost::system::error_code& error) {
@@ -259,7 +270,7 @@
         const bool expired =
             self->timer_.expiry() <= asio::steady_timer::clock_type::now();
         if (!error && !self->closed_ && expired)
-          self->OnTimeout();
+          self->CloseOnException([&] { self->OnTimeout(); });
       });
 }
 
--- a/modules/net/http_server_connection.h
+++ b/modules/net/http_server_connection.h
@@ -41,6 +41,9 @@
   void Abort() override;
 
  private:
+  /** Calls `step`. If it throws, closes the connection and throws on. */
+  template <class Step>
+  void CloseOnException(Step&& step);
   void Read();
   void OnBytes(const boost::system::error_code& error, size_t count);
   void ParseReceived();
--- a/modules/net/net.h
+++ b/modules/net/net.h
@@ -7,11 +7,13 @@
     core module.
 
     Classes: HttpServer, HttpClientConnection, HttpClient, HttpRequestParser,
-    HttpResponseParser, EventStreamSplitter, DatagramSocket. */
+    HttpResponseParser, EventStreamSplitter, DatagramSocket. Function:
+    RunLoop. */
 
 #include "modules/net/datagram_socket.h"
 #include "modules/net/event_stream.h"
 #include "modules/net/http_client.h"
 #include "modules/net/http_server.h"
+#include "modules/net/run_loop.h"
 
 #endif  // MODULES_NET_NET_H_
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -10,6 +10,7 @@
 
 #include "modules/config/settings.h"
 #include "modules/net/loop_time.h"
+#include "modules/net/run_loop.h"
 #include "platform/header_codec.h"
 #include "platform/platform_source.h"
 #include "platform/settings_path.h"
@@ -97,8 +98,8 @@
         [this](const boost::system::error_code& error, int) {
           if (error)
             return;
-          Reload("signal");
           AwaitReload();
+          Reload("signal");
         });
   }
 
@@ -107,9 +108,9 @@
     poll_.async_wait([this](const boost::system::error_code& error) {
       if (error)
         return;
+      AwaitPoll();
       if (ModificationTime() != modification_time_)
         Reload("file");
-      AwaitPoll();
     });
   }
 
@@ -176,7 +177,9 @@
        {"ready", address(settings.gateway.ready, gateway.ready_port())},
        {"operators",
         address(settings.gateway.operators, gateway.operators_port())}});
-  loop.run();
+  RunLoop(loop, [&gateway](const std::exception& error) {
+    gateway.OnCallbackFailed(error);
+  });
   return static_cast<int>(ExitCode::kOk);
 }
 
