--- a/modules/decisions/engine_timing.cc
+++ b/modules/decisions/engine_timing.cc
@@ -1,5 +1,7 @@
 #include "modules/decisions/engine_timing.h"
 
+#include <algorithm>
+
 namespace chicory {
 
 absl::Duration PrefillTime(const EngineProfile& engine, int64_t tokens) {
@@ -19,4 +21,10 @@
       step * (decoding_sequences > 0 ? engine.steps_per_pass : 1));
 }
 
+absl::Duration DecodeTime(const EngineProfile& engine, int64_t tokens) {
+  const absl::Duration pass =
+      PassTime(engine, engine.slots, engine.memory_tokens);
+  return pass / std::max(engine.steps_per_pass, 1) * tokens;
+}
+
 }  // namespace chicory
--- a/modules/decisions/engine_timing.h
+++ b/modules/decisions/engine_timing.h
@@ -41,6 +41,10 @@
                         int decoding_sequences,
                         int64_t context_tokens);
 
+/** Returns the time to generate `tokens` tokens on an engine whose slots and
+    memory are all in use. */
+absl::Duration DecodeTime(const EngineProfile& engine, int64_t tokens);
+
 }  // namespace chicory
 
 #endif  // MODULES_DECISIONS_ENGINE_TIMING_H_
--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -22,9 +22,11 @@
     readiness once a second and removes an instance after two failed checks. */
 constexpr absl::Duration kBalancerGrace = absl::Milliseconds(2600);
 constexpr absl::Duration kDrainPollInterval = absl::Milliseconds(50);
-/** A stop ends this long before Options::stop_within has passed, even if
-    requests are still in flight. */
+/** A stop ends the requests that are still in flight this long before
+    Options::stop_within has passed. */
 constexpr absl::Duration kStopMargin = absl::Milliseconds(300);
+/** How long their responses may take to be written. */
+constexpr absl::Duration kStopFlushTime = absl::Milliseconds(100);
 constexpr size_t kMaxAuxiliaryConnections = 64;
 
 /** Responds to a request immediately with the result of a function. */
@@ -118,20 +120,24 @@
                       &placement_.membership(),
                       log,
                       options_.refresh_interval),
-      state_{.loop = loop,
-             .codec = codec,
-             .log = log,
-             .metrics = metrics_,
-             .table = nullptr,
-             .upstreams = {},
-             .upstreams_updated_at = absl::InfinitePast(),
-             .pool = UpstreamPool(loop),
-             .retries = RetryWindow(options_.retries),
-             .placement = &placement_,
-             .handlers = {},
-             .random = std::minstd_rand(
-                 static_cast<unsigned>(options_.first_sequence)),
-             .on_request_waiting = [this] { ScheduleEarlyTick(); }},
+      state_{
+          .loop = loop,
+          .codec = codec,
+          .log = log,
+          .metrics = metrics_,
+          .table = nullptr,
+          .upstreams = {},
+          .upstreams_updated_at = absl::InfinitePast(),
+          .pool = UpstreamPool(loop),
+          .retries = RetryWindow(options_.retries),
+          .placement = &placement_,
+          .handlers = {},
+          .drain =
+              DrainPlan({.admit_for = kBalancerGrace,
+                         .finish_within = options_.stop_within - kStopMargin}),
+          .random =
+              std::minstd_rand(static_cast<unsigned>(options_.first_sequence)),
+          .on_request_waiting = [this] { ScheduleEarlyTick(); }},
       caller_delegate_(std::make_unique<CallerDelegate>(this)),
       ready_delegate_(std::make_unique<ReadyDelegate>(this)),
       operator_delegate_(std::make_unique<OperatorDelegate>(this)),
@@ -174,8 +180,7 @@
 }
 
 bool Gateway::IsReady() const {
-  return state_.table && has_upstreams_ &&
-         stop_started_at_ == absl::InfiniteFuture();
+  return state_.table && has_upstreams_ && !state_.drain.has_begun();
 }
 
 void Gateway::OnConfiguration(RoutingTable::Options options) {
@@ -370,25 +375,50 @@
 }
 
 void Gateway::BeginStop(std::function<void()> done) {
-  if (stop_started_at_ != absl::InfiniteFuture())
+  if (state_.drain.has_begun())
     return;
-  stop_started_at_ = SteadyNow();
+  const absl::Time now = SteadyNow();
+  state_.drain.Begin(now);
   on_stopped_ = std::move(done);
   callers_.BeginDrain();
-  placement_.Leave(stop_started_at_);
+  placement_.Leave(now);
   log_.Write("stopping", {{"in_flight", state_.handlers.size()},
                           {"connections", callers_.connections()}});
   ContinueStop();
 }
 
+std::vector<std::shared_ptr<RequestHandler>> Gateway::RequestsInFlight() const {
+  std::vector<std::shared_ptr<RequestHandler>> requests;
+  for (const auto& [key, handler] : state_.handlers)
+    requests.push_back(handler->shared_from_this());
+  return requests;
+}
+
+void Gateway::EndRequestsForStop(absl::Time now) {
+  if (stop_flush_until_ != absl::InfiniteFuture())
+    return;
+  stop_flush_until_ = now + kStopFlushTime;
+  const auto requests = RequestsInFlight();
+  log_.Write("stop_time_over", {{"in_flight", requests.size()},
+                                {"connections", callers_.connections()}});
+  for (const auto& request : requests)
+    request->EndForShutdown();
+  callers_.RefusePartialRequests();
+}
+
 void Gateway::ContinueStop() {
-  const absl::Duration since = SteadyNow() - stop_started_at_;
-  if (since >= kBalancerGrace) {
+  const absl::Time now = SteadyNow();
+  const bool accepts = state_.drain.Admits(now);
+  if (!accepts) {
     callers_.StopAccepting();
     callers_.CloseIdle();
   }
-  const bool drained = since >= kBalancerGrace && callers_.connections() == 0;
-  if (drained || since >= options_.stop_within - kStopMargin) {
+  for (const auto& request : RequestsInFlight())
+    request->OnDraining();
+  if (state_.drain.IsOver(now))
+    EndRequestsForStop(now);
+  const bool drained = !accepts && callers_.connections() == 0;
+  if (drained || now >= stop_flush_until_) {
     log_.Write("stopped", {{"in_flight", state_.handlers.size()},
                            {"connections", callers_.connections()}});
     on_stopped_();
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -134,6 +134,10 @@
   /** Reschedules the next tick for PlacementNode::kTick from now if requests
       wait for a placement. */
   void ScheduleEarlyTick();
+  /** Returns the handlers of all requests that wait or run here. */
+  std::vector<std::shared_ptr<RequestHandler>> RequestsInFlight() const;
+  /** Ends all requests in flight because the time of the stop is over. */
+  void EndRequestsForStop(absl::Time now);
   /** Ends the stop once all connections have closed or its time is over;
       otherwise calls itself again later. */
   void ContinueStop();
@@ -163,7 +167,8 @@
   /** The refusals in force at the last tick. */
   std::vector<CrashingParts::Refusal> refused_parts_;
   std::function<void()> on_stopped_;
-  absl::Time stop_started_at_ = absl::InfiniteFuture();
+  /** Until when a stop waits for the last responses to be written. */
+  absl::Time stop_flush_until_ = absl::InfiniteFuture();
 };
 
 }  // namespace chicory
--- a/modules/gateway/gateway_state.h
+++ b/modules/gateway/gateway_state.h
@@ -8,6 +8,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "modules/core/event_log.h"
+#include "modules/decisions/drain_plan.h"
 #include "modules/decisions/retry_window.h"
 #include "modules/gateway/gateway_metrics.h"
 #include "modules/gateway/upstream_pool.h"
@@ -38,6 +39,8 @@
   PlacementNode* placement = nullptr;
   /** Handlers of requests that await a decision or run, by key. */
   absl::flat_hash_map<WorkKey, RequestHandler*> handlers;
+  /** Begins with the graceful shutdown of this instance. */
+  DrainPlan drain;
   std::minstd_rand random;
   /** Called after a request was submitted to `placement`. */
   std::function<void()> on_request_waiting;
--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -43,6 +43,9 @@
 /** The first event is overdue after at least this multiple of the time in which
     the scheduler expects it. */
 constexpr double kExpectedFactor = 3;
+/** Retry delay of requests that this instance turns away because it shuts down;
+    other instances can serve them at once. */
+constexpr absl::Duration kShutdownRetryAfter = absl::Milliseconds(50);
 /** Factor from the caller's estimate of the output to the planned output. */
 constexpr double kOutputMargin = 1.2;
 
@@ -100,11 +103,54 @@
                          .prompt_tokens = caller_.prompt_tokens,
                          .shared_parts = caller_.shared_parts,
                          .time_limit = deadline_ - arrived_});
+  if (!state_->drain.Admits(arrived_) ||
+      !state_->drain.CanFinish(PlannedDuration(route_->target_latency),
+                               arrived_)) {
+    RefuseForShutdown();
+    return;
+  }
   state_->retries.OnRequest(service_, arrived_);
   ArmTimeout();
   RequestPlacement();
 }
 
+int64_t RequestHandler::PlannedOutputTokens() const {
+  if (caller_.expected_output_tokens == 0)
+    return caller_.max_output_tokens;
+  const double planned =
+      static_cast<double>(caller_.expected_output_tokens) * kOutputMargin;
+  return std::min(caller_.max_output_tokens, static_cast<int64_t>(planned));
+}
+
+absl::Duration RequestHandler::PlannedDuration(
+    absl::Duration to_first_event) const {
+  const Service* service = table_->FindService(service_);
+  if (!service || !service->engine)
+    return to_first_event;
+  return to_first_event + DecodeTime(*service->engine, PlannedOutputTokens());
+}
+
+void RequestHandler::RefuseForShutdown() {
+  RespondUnavailable("shutting_down", kShutdownRetryAfter);
+}
+
+void RequestHandler::OnDraining() {
+  const bool waits = !finished_ && !exchange_ && !stream_started_;
+  if (!waits || state_->drain.CanFinish(PlannedDuration(route_->target_latency),
+                                        SteadyNow()))
+    return;
+  EndAttempt(AttemptResult::kCancelled, 0);
+  RefuseForShutdown();
+}
+
+void RequestHandler::EndForShutdown() {
+  if (finished_)
+    return;
+  may_have_run_ |= exchange_ != nullptr;
+  EndAttempt(AttemptResult::kCancelled, 0);
+  RefuseForShutdown();
+}
+
 bool RequestHandler::FindRoute() {
   table_ = state_->table;
   if (!table_) {
@@ -166,23 +212,15 @@
 
 void RequestHandler::SubmitToScheduler(std::optional<WorkKey>* key) {
   placement_requested_at_ = SteadyNow();
-  WorkRequest work{
-      .service = service_,
-      .prompt_tokens = caller_.prompt_tokens,
-      .output_tokens =
-          caller_.expected_output_tokens > 0
-              ? std::min(
-                    caller_.max_output_tokens,
-                    static_cast<int64_t>(
-                        static_cast<double>(caller_.expected_output_tokens) *
-                        kOutputMargin))
-              : caller_.max_output_tokens,
-      .due = arrived_ + route_->target_latency,
-      .deadline = deadline_,
-      .event_gap = route_->event_gap,
-      .priority = priority_,
-      .avoid = avoided_upstreams_,
-      .fingerprint = fingerprint_};
+  WorkRequest work{.service = service_,
+                   .prompt_tokens = caller_.prompt_tokens,
+                   .output_tokens = PlannedOutputTokens(),
+                   .due = arrived_ + route_->target_latency,
+                   .deadline = deadline_,
+                   .event_gap = route_->event_gap,
+                   .priority = priority_,
+                   .avoid = avoided_upstreams_,
+                   .fingerprint = fingerprint_};
   // Submit may call OnDecision before it returns, so the handler is registered
   // under the next key beforehand.
   const auto self = shared_from_this();
@@ -238,6 +276,13 @@
     RespondUnavailable("no_time_left");
     return;
   }
+  if (!stream_started_ &&
+      !state_->drain.CanFinish(PlannedDuration(decision.expected),
+                               SteadyNow())) {
+    EndAttempt(AttemptResult::kCancelled, 0);
+    RefuseForShutdown();
+    return;
+  }
   if (decision.memory.empty())
     SendTo(*upstream, decision);
   else
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -41,6 +41,12 @@
   /** Called with the scheduler's decision on this request, possibly from within
       PlacementNode::Submit. */
   void OnDecision(const ScheduleDecision& decision, InstanceIp scheduler);
+  /** Called now and then while this instance shuts down. Refuses the request if
+      it waits for an upstream and can no longer be served in time. */
+  void OnDraining();
+  /** Ends the request because this instance ends: with a response if none has
+      begun, otherwise by closing the connection. */
+  void EndForShutdown();
 
  private:
   /** An upstream's error response, returned to the caller if no later attempt
@@ -57,6 +63,14 @@
                           std::string body) override;
   void OnExchangeFailed(const UpstreamExchange::Failure& failure) override;
 
+  /** Returns the number of tokens that the upstream is expected to generate. */
+  int64_t PlannedOutputTokens() const;
+  /** Returns how long the response takes to its end if it begins after
+      `to_first_event`. */
+  absl::Duration PlannedDuration(absl::Duration to_first_event) const;
+  /** Ends the request, which has no attempt, since this instance ends before it
+      could be served. */
+  void RefuseForShutdown();
   /** Sets the route, client account and priority. Responds to the caller and
       returns false if the request cannot be served. */
   bool FindRoute();
--- a/modules/net/http_server.cc
+++ b/modules/net/http_server.cc
@@ -62,15 +62,19 @@
       return;
     }
     const absl::Cleanup accept_next = [this] { Accept(); };
-    if (connections_.size() < max_connections_) {
-      auto connection =
-          std::make_shared<HttpServerConnection>(std::move(socket), this);
-      connections_.insert(connection);
-      connection->Start();
-    }
+    Serve(std::move(socket));
   });
 }
 
+void HttpServer::Serve(asio::ip::tcp::socket socket) {
+  if (connections_.size() >= max_connections_)
+    return;
+  auto connection =
+      std::make_shared<HttpServerConnection>(std::move(socket), this);
+  connections_.insert(connection);
+  connection->Start();
+}
+
 void HttpServer::ScheduleAccept() {
   accept_timer_.expires_after(kAcceptRetryDelay);
   accept_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -80,8 +84,26 @@
 }
 
 void HttpServer::StopAccepting() {
-  boost::system::error_code ignored;
-  acceptor_.close(ignored);
+  if (!acceptor_.is_open())
+    return;
+  accept_timer_.cancel();
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  // Closing the listener would reset the connections that wait to be accepted.
+  while (!error) {
+    asio::ip::tcp::socket socket(loop_);
+    acceptor_.accept(socket, error);
+    if (!error)
+      Serve(std::move(socket));
+  }
+  acceptor_.close(error);
+}
+
+void HttpServer::RefusePartialRequests() {
+  const std::vector<std::shared_ptr<HttpServerConnection>> all(
+      connections_.begin(), connections_.end());
+  for (const auto& connection : all)
+    connection->RefusePartialRequest();
 }
 
 void HttpServer::CloseIdle() {
--- a/modules/net/http_server.h
+++ b/modules/net/http_server.h
@@ -89,11 +89,16 @@
   /** Starts accepting connections on `address`. Fails with kUnavailable if the
       address cannot be bound. */
   Result<void> Listen(Endpoint address);
-  /** Makes each connection close after its next response. */
+  /** Makes each connection close after the response under way, or after its
+      next one if none is. */
   void BeginDrain() { draining_ = true; }
   /** Closes the connections that have no request in progress. */
   void CloseIdle();
-  /** Closes the listening socket. Existing connections are unaffected. */
+  /** Responds with 503 to the requests that have been received only in part,
+      whose connections then close. */
+  void RefusePartialRequests();
+  /** Closes the listening socket. Existing connections are unaffected, and so
+      are those that the kernel has already completed. */
   void StopAccepting();
 
   /** Returns the number of open connections. */
@@ -105,6 +110,8 @@
  private:
   friend class HttpServerConnection;
   void Accept();
+  /** Serves a connection, or closes it if there are too many. */
+  void Serve(boost::asio::ip::tcp::socket socket);
   void ScheduleAccept();
 
   boost::asio::io_context& loop_;
--- a/modules/net/http_server_connection.cc
+++ b/modules/net/http_server_connection.cc
@@ -49,6 +49,16 @@
          !(parser_ && parser_->started());
 }
 
+void HttpServerConnection::RefusePartialRequest() {
+  constexpr int kUnavailable = 503;
+  const bool is_partial = parser_ && parser_->started() &&
+                          parser_->state() == ParseState::kNeedMore;
+  if (!is_partial || lingering_)
+    return;
+  close_after_response_ = true;
+  SendComplete(kUnavailable, {}, "");
+}
+
 void HttpServerConnection::AwaitRequest() {
   const HttpServer::Limits limits = server_->delegate_->limits();
   handler_.reset();
@@ -81,7 +91,9 @@
     Close();
     return;
   }
-  if (lingering_) {
+  // The request of a refusal that is being written must not be started after all.
+  const bool is_refused = response_ended_ && !handler_;
+  if (lingering_ || is_refused) {
     Read();
     return;
   }
@@ -245,7 +257,10 @@
 
 void HttpServerConnection::FinishResponse() {
   handler_.reset();
-  if (close_after_response_) {
+  // A response whose head was sent before the drain does not announce the
+  // close. A request that has already been received is still handled.
+  const bool closes_for_drain = server_->draining_ && unparsed_.empty();
+  if (close_after_response_ || closes_for_drain) {
     Linger();
     return;
   }
--- a/modules/net/http_server_connection.h
+++ b/modules/net/http_server_connection.h
@@ -29,6 +29,9 @@
   void Start();
   /** Returns true if no request has been received in part or is in progress. */
   bool IsIdle() const;
+  /** Responds with 503 and closes if a request has been received only in part.
+   */
+  void RefusePartialRequest();
   /** Closes the connection immediately and notifies the current handler. */
   void Close();
 
