--- a/stand_ins/platform_main.cc
+++ b/stand_ins/platform_main.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "programs/program.h"
 #include "stand_ins/platform_store.h"
@@ -142,6 +143,11 @@
                         {"calls", store_.calls()}}
                        .dump()};
     }
+    constexpr absl::string_view kEntryPrefix = "/entry/";
+    if (absl::StartsWith(path, kEntryPrefix)) {
+      store_.Put("servers", path.substr(kEntryPrefix.size()), request.body);
+      return {200, ""};
+    }
     if (path == "/config") {
       store_.Put("config", "main", request.body);
       return {200, ""};
--- a/stand_ins/platform_store.cc
+++ b/stand_ins/platform_store.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
 
 namespace chicory {
@@ -34,11 +35,14 @@
   return {};
 }
 
-Json ObjectJson(const std::string& name,
-                const std::string& spec,
-                uint64_t revision) {
-  return {{"metadata", {{"name", name}, {"revision", revision}}},
-          {"spec", Json::parse(spec, nullptr, false)}};
+/** Returns the object as JSON. `spec` is copied as it is, so that it may also
+   be something that is not JSON. */
+std::string ObjectJson(const std::string& name,
+                       const std::string& spec,
+                       uint64_t revision) {
+  const Json metadata = {{"name", name}, {"revision", revision}};
+  return absl::StrCat("{\"metadata\":", metadata.dump(), ",\"spec\":", spec,
+                      "}");
 }
 
 }  // namespace
@@ -192,23 +196,24 @@
 
 std::string PlatformStore::Events(const std::string& kind,
                                   uint64_t revision) const {
-  Json events = Json::array();
+  std::vector<std::string> events;
   auto found = objects_.find(kind);
   if (found != objects_.end()) {
     for (const auto& [name, object] : found->second) {
       if (object.revision <= revision)
         continue;
-      events.push_back(
-          {{"deleted", object.deleted},
-           {"object", ObjectJson(name, object.spec, object.revision)}});
+      events.push_back(absl::StrCat(
+          "{\"deleted\":", object.deleted ? "true" : "false",
+          ",\"object\":", ObjectJson(name, object.spec, object.revision), "}"));
     }
   }
-  return Json{{"events", events}, {"current-rev", revision_}}.dump();
+  return absl::StrCat("{\"events\":[", absl::StrJoin(events, ","),
+                      "],\"current-rev\":", revision_, "}");
 }
 
 std::string PlatformStore::List(const std::string& kind,
                                 const std::string& after) const {
-  Json items = Json::array();
+  std::vector<std::string> items;
   bool has_more = false;
   auto found = objects_.find(kind);
   if (found != objects_.end()) {
@@ -222,9 +227,9 @@
       items.push_back(ObjectJson(name, object.spec, object.revision));
     }
   }
-  return Json{
-      {"items", items}, {"has-more", has_more}, {"current-rev", revision_}}
-      .dump();
+  return absl::StrCat("{\"items\":[", absl::StrJoin(items, ","),
+                      "],\"has-more\":", has_more ? "true" : "false",
+                      ",\"current-rev\":", revision_, "}");
 }
 
 }  // namespace chicory
--- a/tests/logic/platform_test.cc
+++ b/tests/logic/platform_test.cc
@@ -4,8 +4,11 @@
 #include <vector>
 
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "platform/documents.h"
 #include "platform/header_codec.h"
+#include "platform/json_document.h"
 
 namespace chicory {
 namespace {
@@ -246,16 +249,112 @@
       {R"("text")", false, RegistrationState::kReady},
       {"\xff\xfe", false, RegistrationState::kReady},
   };
+  JsonParser parser;
   for (const Case& c : cases) {
     INFO(c.json);
-    const auto record = DecodeUpstream("i-1", c.json);
+    const auto record = DecodeUpstream("i-1", c.json, &parser);
     REQUIRE(record.has_value() == c.usable);
     if (record)
       CHECK(record->state == c.state);
   }
 }
 
+/** Registrations of another writer, which name no upstream. */
+struct OddEntry {
+  const char* name;
+  std::string spec;
+};
+
+std::vector<OddEntry> OddEntries() {
+  const std::string begin =
+      R"({"service":"s","address":"10.0.0.9:80","slots":4,"state":"ready",)";
+  return {
+      {"a number of 39 digits",
+       R"({"service":"s","sequence":123456789012345678901234567890123456789})"},
+      {"a number too large for a double", R"({"service":"s","x":1e400})"},
+      {"levels without end",
+       "{\"x\":" + std::string(5000, '[') + std::string(5000, ']') + "}"},
+      {"a lone surrogate", R"({"service":"\ud800"})"},
+      {"bytes that are not UTF-8", "{\"service\":\"\xff\xfe\"}"},
+      {"half of a literal", "nul"},
+      {"a text", R"("odd")"},
+      {"nothing", "null"},
+      {"a port out of range",
+       R"({"service":"s","address":"10.0.0.9:99999","slots":4,"state":"ready"})"},
+      {"no port",
+       R"({"service":"s","address":"10.0.0.9:0","slots":4,"state":"ready"})"},
+      {"a port of 20 digits",
+       R"({"service":"s","address":"10.0.0.9:99999999999999999999",)"
+       R"("slots":4,"state":"ready"})"},
+      {"slots beyond an int",
+       R"({"service":"s","address":"10.0.0.9:80","slots":1e99,"state":"ready"})"},
+      {"a service of 10,000 bytes", begin.substr(0, 12) +
+                                        std::string(10000, 's') +
+                                        begin.substr(13) + R"("x":1})"},
+  };
+}
+
+// Guards against instances that stopped following the list of upstreams, or
+// ended, because of one entry of another writer.
+TEST_CASE("an odd entry leaves the others usable") {
+  const std::string sound =
+      R"({"service":"s","address":"10.0.0.1:80","slots":4,"state":"ready"})";
+  const auto object = [](const std::string& name, const std::string& spec) {
+    return "{\"metadata\":{\"name\":\"" + name +
+           "\",\"revision\":7},\"spec\":" + spec + "}";
+  };
+  JsonParser parser;
+  for (const OddEntry& odd : OddEntries()) {
+    INFO(odd.name);
+    const std::vector<std::string> objects = {
+        object("a", sound), object("odd", odd.spec), object("z", sound)};
+    const std::string list =
+        "{\"items\":[" + absl::StrJoin(objects, ",") + "],\"current-rev\":9}";
+    const std::string events =
+        "{\"events\":[" +
+        absl::StrJoin(objects, ",",
+                      [](std::string* out, const std::string& text) {
+                        absl::StrAppend(
+                            out, "{\"deleted\":false,\"object\":", text, "}");
+                      }) +
+        "],\"current-rev\":9}";
+    for (const std::string& text : {list, events}) {
+      const auto page = Capture([&] { return DecodePage(text); });
+      REQUIRE(page.ok);
+      CHECK(page.value.revision == 9);
+      REQUIRE(page.value.items.size() == 3);
+      for (const StoreObject& item : page.value.items) {
+        const bool usable =
+            DecodeUpstream(item.name, item.content, &parser).has_value();
+        CHECK(usable == (item.name != "odd"));
+        CHECK(item.revision == 7);
+      }
+    }
+  }
+}
+
+TEST_CASE("an object with unreadable metadata leaves the others usable") {
+  const std::string deep = std::string(5000, '[') + std::string(5000, ']');
+  const std::vector<std::string> odd_metadata = {
+      "1e400", deep, R"({"name":"\ud800"})", "{\"name\":\"\xff\"}",
+      R"({"name":7})"};
+  for (const std::string& metadata : odd_metadata) {
+    INFO(metadata.substr(0, 20));
+    const auto page = Capture([&] {
+      return DecodePage("{\"items\":[{\"metadata\":" + metadata +
+                        ",\"spec\":{}},{\"metadata\":{\"name\":\"z\"},"
+                        "\"spec\":{}}],\"current-rev\":9}");
+    });
+    REQUIRE(page.ok);
+    REQUIRE(page.value.items.size() == 2);
+    CHECK(page.value.items[0].name.empty());
+    CHECK_FALSE(IsUpstreamId(page.value.items[0].name));
+    CHECK(page.value.items[1].name == "z");
+  }
+}
+
 TEST_CASE("document decoders withstand corrupted input, seeds 1 to 300") {
+  JsonParser parser;
   for (unsigned seed = 1; seed <= 300; ++seed) {
     std::mt19937 random(seed);
     std::string json = kConfiguration;
@@ -265,7 +364,7 @@
     if (decoded.ok)
       CHECK(decoded.value.routes.size() <= 2);
     (void)Capture([&] { return DecodePage(json); });
-    (void)DecodeUpstream("i", json);
+    (void)DecodeUpstream("i", json, &parser);
   }
 }
 
