chicory_entry: an odd instance leaves the rest of the list usable

What callers saw: with one incomplete entry in the platform's instance list an entry learned of no instance any more; with an address whose port has 20 digits it ended.

Cause: the list was read as a whole (the first missing member failed it); the HTTP library reads a port with std::stoi, which throws on the thread that polls engines.

Ruled out: nesting and large numbers as such (the JSON library refuses them by value), but that too failed the whole list.

Change: as in the gateway, each entry is found without being read and parsed by itself; addresses must be host:port with a port from 1 to 65535. An unusable entry is logged (instance_ignored).

The end of the process was read from the library's source, not run.

--- a/modules/store/http_object_store.cc
+++ b/modules/store/http_object_store.cc
@@ -2,10 +2,15 @@
 
 #include <httplib.h>
 
+#include <optional>
 #include <utility>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "absl/synchronization/mutex.h"
+#include "modules/core/json_split.h"
+#include "modules/core/log.h"
 #include "nlohmann/json.hpp"
 
 namespace chicory {
@@ -15,6 +20,10 @@
 /** Maximum number of idle connections that are kept for later calls. */
 constexpr size_t kMaxIdleConnections = 8;
 
+constexpr uint32_t kMaxPort = 65535;
+/** How much of an unusable entry of the instance list is logged. */
+constexpr size_t kMaxLoggedBytes = 200;
+
 /** Returns the error for a response whose status is not 200. */
 Error ErrorFromStatus(int status, const std::string& what) {
   switch (status) {
@@ -130,6 +139,38 @@
   }
 }
 
+/** Returns whether `address` is `host:port` with a port from 1 to 65535. */
+bool IsHostAndPort(absl::string_view address) {
+  const std::vector<absl::string_view> parts = absl::StrSplit(address, ':');
+  uint32_t port = 0;
+  return parts.size() == 2 && !parts[0].empty() &&
+         absl::SimpleAtoi(parts[1], &port) && port >= 1 && port <= kMaxPort;
+}
+
+/** Returns an entry of the instance list, or nullopt if it is unusable, which
+    is to be expected: other parties may write to the list. */
+std::optional<InstanceRecord> ParseInstance(absl::string_view text) {
+  const auto json = nlohmann::json::parse(text.begin(), text.end(), nullptr,
+                                          /*allow_exceptions=*/false);
+  if (!json.is_object())
+    return std::nullopt;
+  try {
+    InstanceRecord record{
+        .name = json.at("name").get<std::string>(),
+        .role = json.at("role").get<std::string>(),
+        .pool = json.value("pool", ""),
+        .address = json.at("address").get<std::string>(),
+        .data_centre = json.value("data_centre", ""),
+        .models = json.value("models", std::vector<std::string>()),
+        .leaving = json.value("leaving", false)};
+    if (!IsHostAndPort(record.address))
+      return std::nullopt;
+    return record;
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace
 
 Result<StoredObject> HttpObjectStore::Read(const std::string& key) {
@@ -199,21 +240,18 @@
   const auto result = client->Get("/instances");
   BOOST_LEAF_AUTO(body, ResponseBody(result, /*is_write=*/false, "instances"));
   connection_pool_->Release(std::move(client));
-  BOOST_LEAF_AUTO(json, ParseJson(body));
+  const auto items = SplitJsonArray(body);
+  if (!items)
+    return Fail(ErrorCode::kUnavailable, "the instance list is no list");
   std::vector<InstanceRecord> records;
-  try {
-    for (const auto& item : json) {
-      records.push_back(
-          {.name = item.at("name").get<std::string>(),
-           .role = item.at("role").get<std::string>(),
-           .pool = item.value("pool", ""),
-           .address = item.at("address").get<std::string>(),
-           .data_centre = item.value("data_centre", ""),
-           .models = item.value("models", std::vector<std::string>()),
-           .leaving = item.value("leaving", false)});
+  for (absl::string_view item : *items) {
+    auto record = ParseInstance(item);
+    if (record) {
+      records.push_back(*std::move(record));
+      continue;
     }
-  } catch (const nlohmann::json::exception& exception) {
-    return Fail(ErrorCode::kUnavailable, exception.what());
+    LogEvent(Severity::kWarning, "instance_ignored",
+             {{"entry", std::string(item.substr(0, kMaxLoggedBytes))}});
   }
   return records;
 }
