chicory_entry: odd and endless responses of upstreams are failures

What callers saw: nothing reported. A refusal whose members have another type threw out of the attempt, and so out of the broker's bookkeeping; a response without end was kept until the memory was used up.

Cause: nlohmann's value() throws for a member of another type; three of the six decoders did not expect that.

Change: refusals, the state of a prompt part and the list of attempts are checked for their types; bodies above 8 MiB fail.

Red before: "odd responses of engines are failures, not exceptions" (two rows threw, two took garbage for a list), "a service's response is limited in size" (std::bad_alloc under a limit of 12 GB of address space).

--- a/modules/serving/http_upstream_client.cc
+++ b/modules/serving/http_upstream_client.cc
@@ -23,8 +23,26 @@
 constexpr absl::Duration kMaxIdleTime = absl::Seconds(2);
 constexpr size_t kMaxIdleConnectionsPerAddress = 64;
 
+/** Far above any response of a plain service or of an engine to a query. */
+constexpr size_t kMaxBodyBytes = 8 << 20;
+
 using Json = nlohmann::json;
 
+/** Sends `request` and stores the response's body. A body of more than
+    kMaxBodyBytes fails with Error::Canceled. */
+httplib::Result SendLimited(httplib::Client* client,
+                            httplib::Request request,
+                            std::string* body) {
+  request.content_receiver = [body](const char* data, size_t size, uint64_t,
+                                    uint64_t) {
+    if (body->size() + size > kMaxBodyBytes)
+      return false;
+    body->append(data, size);
+    return true;
+  };
+  return client->send(request);
+}
+
 /** Returns the outcome of a call that failed before its response was complete.
     Silence for at least 90 % of `stall` counts as a stall, a shorter one as a
     broken connection. */
@@ -109,14 +127,20 @@
 
 UpstreamCallResult ParseRefusal(int status, const std::string& body) {
   const Json json = Json::parse(body, nullptr, /*allow_exceptions=*/false);
-  UpstreamCallResult end{.outcome = AttemptOutcome::kFailed,
-                         .detail = absl::StrCat("status ", status)};
-  if (!json.is_object() || json.value("ran", true))
-    return end;
-  end.outcome = AttemptOutcome::kRefused;
-  end.leaving = json.value("reason", "") == "leaving";
-  end.detail = json.value("reason", "");
-  return end;
+  const UpstreamCallResult failed{.outcome = AttemptOutcome::kFailed,
+                                  .detail = absl::StrCat("status ", status)};
+  if (!json.is_object())
+    return failed;
+  try {
+    if (json.value("ran", true))
+      return failed;
+    const std::string reason = json.value("reason", "");
+    return {.outcome = AttemptOutcome::kRefused,
+            .leaving = reason == "leaving",
+            .detail = reason};
+  } catch (const Json::exception&) {
+    return failed;
+  }
 }
 
 }  // namespace
@@ -209,8 +233,8 @@
                                  uint64_t) {
     last_received = absl::Now();
     if (status != 200) {
-      error_body.append(data, std::min(size, LineSplitter::kMaxLineBytes));
-      return true;
+      error_body.append(data, size);
+      return error_body.size() <= kMaxBodyBytes;
     }
     stall = call.later_stall;
     return lines.Feed(data, size, [&](std::string_view line) {
@@ -283,13 +307,25 @@
 
 namespace {
 
-/** Runs a short query or command and returns its JSON response. Fails with
-    kNotFound for status 404 and with kUnavailable for any other failure. */
-template <class Send>
-Result<Json> ControlCall(httplib::Client* client, Send&& send) {
+/** A short query, or a command if it has a body. */
+httplib::Request ControlRequest(const std::string& path,
+                                const std::string& body = "") {
+  httplib::Request request;
+  request.method = body.empty() ? "GET" : "POST";
+  request.path = path;
+  request.body = body;
+  if (!body.empty())
+    request.set_header("Content-Type", "application/json");
+  return request;
+}
+
+/** Sends `request` and returns its JSON response. Fails with kNotFound for
+    status 404 and with kUnavailable for any other failure. */
+Result<Json> ControlCall(httplib::Client* client, httplib::Request request) {
   client->set_read_timeout(absl::ToChronoMilliseconds(kControlCallTimeout));
   client->set_write_timeout(absl::ToChronoMilliseconds(kControlCallTimeout));
-  const httplib::Result result = send(client);
+  std::string body;
+  const httplib::Result result = SendLimited(client, std::move(request), &body);
   if (!result)
     return Fail(ErrorCode::kUnavailable, httplib::to_string(result.error()));
   if (result->status == 404)
@@ -297,7 +333,7 @@
   if (result->status != 200)
     return Fail(ErrorCode::kUnavailable,
                 absl::StrCat("status ", result->status));
-  Json json = Json::parse(result->body, nullptr, /*allow_exceptions=*/false);
+  Json json = Json::parse(body, nullptr, /*allow_exceptions=*/false);
   if (json.is_discarded())
     return Fail(ErrorCode::kUnavailable, "upstream response is not valid JSON");
   return json;
@@ -309,11 +345,13 @@
     const std::string& address,
     const std::string& attempt) {
   auto client = connection_pool_->Take(address);
-  BOOST_LEAF_AUTO(json, ControlCall(client.get(), [&](auto* http) {
-                    return http->Get("/v1/holds/" + attempt);
-                  }));
+  BOOST_LEAF_AUTO(
+      json, ControlCall(client.get(), ControlRequest("/v1/holds/" + attempt)));
   connection_pool_->Return(address, std::move(client));
-  return json.value("ready", false);
+  if (!json.is_object() || !json.contains("ready") ||
+      !json["ready"].is_boolean())
+    return Fail(ErrorCode::kUnavailable, "`ready` is missing or no boolean");
+  return json["ready"].get<bool>();
 }
 
 UpstreamCallResult HttpUpstreamClient::Call(const ServiceCall& call,
@@ -330,10 +368,12 @@
     request.set_header(name, value);
   if (!call.content_type.empty())
     request.set_header("Content-Type", call.content_type);
+  std::string body;
   const absl::Time begin = absl::Now();
   httplib::Result result(nullptr, httplib::Error::Unknown);
   const bool has_run = interrupt->Guard(
-      [&client] { client->stop(); }, [&] { result = client->send(request); });
+      [&client] { client->stop(); },
+      [&] { result = SendLimited(client.get(), request, &body); });
   if (!has_run)
     return {.outcome = AttemptOutcome::kUnreachable, .detail = "interrupted"};
   if (!result) {
@@ -342,7 +382,7 @@
             .detail = httplib::to_string(result.error())};
   }
   service_response->status = result->status;
-  service_response->body = std::move(result->body);
+  service_response->body = std::move(body);
   service_response->content_type = result->get_header_value("Content-Type");
   if (!call.fresh_connection)
     connection_pool_->Return(call.address, std::move(client));
@@ -352,19 +392,16 @@
 Result<void> HttpUpstreamClient::Cancel(const std::string& address,
                                         const std::string& attempt) {
   auto client = connection_pool_->Take(address);
-  BOOST_LEAF_CHECK(ControlCall(client.get(), [&](auto* http) {
-    return http->Post("/v1/cancel", Json{{"attempt", attempt}}.dump(),
-                      "application/json");
-  }));
+  BOOST_LEAF_CHECK(ControlCall(
+      client.get(),
+      ControlRequest("/v1/cancel", Json{{"attempt", attempt}}.dump())));
   connection_pool_->Return(address, std::move(client));
   return {};
 }
 
 Result<LoadReport> HttpUpstreamClient::Load(const std::string& address) {
   auto client = connection_pool_->Take(address);
-  BOOST_LEAF_AUTO(json, ControlCall(client.get(), [](auto* http) {
-                    return http->Get("/v1/load");
-                  }));
+  BOOST_LEAF_AUTO(json, ControlCall(client.get(), ControlRequest("/v1/load")));
   connection_pool_->Return(address, std::move(client));
   try {
     if (auto load = ParseLoadReport(json))
@@ -379,10 +416,9 @@
 HttpUpstreamClient::CacheChanges(const std::string& address,
                                  uint64_t sequence) {
   auto client = connection_pool_->Take(address);
-  BOOST_LEAF_AUTO(
-      json, ControlCall(client.get(), [&](auto* http) {
-        return http->Get(absl::StrCat("/v1/cache_events?after=", sequence));
-      }));
+  BOOST_LEAF_AUTO(json, ControlCall(client.get(),
+                                    ControlRequest(absl::StrCat(
+                                        "/v1/cache_events?after=", sequence))));
   connection_pool_->Return(address, std::move(client));
   std::vector<CacheChange> changes;
   try {
@@ -400,10 +436,11 @@
 Result<std::vector<std::string>> HttpUpstreamClient::Attempts(
     const std::string& address) {
   auto client = connection_pool_->Take(address);
-  BOOST_LEAF_AUTO(json, ControlCall(client.get(), [](auto* http) {
-                    return http->Get("/v1/attempts");
-                  }));
+  BOOST_LEAF_AUTO(json,
+                  ControlCall(client.get(), ControlRequest("/v1/attempts")));
   connection_pool_->Return(address, std::move(client));
+  if (!json.is_array())
+    return Fail(ErrorCode::kUnavailable, "the list of attempts is no list");
   std::vector<std::string> attempts;
   for (const auto& attempt : json) {
     if (attempt.is_string())
--- a/tests/logic/entry_clients_test.cc
+++ b/tests/logic/entry_clients_test.cc
@@ -6,6 +6,9 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "absl/time/clock.h"
+#include "modules/serving/http_upstream_client.h"
+#include "modules/serving/interrupt.h"
 #include "modules/store/http_object_store.h"
 #include "tests/logic/scripted_upstream.h"
 
@@ -83,5 +86,78 @@
   }
 }
 
+// Guards against an exception on a thread that nothing protects.
+TEST_CASE("odd responses of engines are failures, not exceptions") {
+  struct Case {
+    const char* name;
+    int status;
+    std::string body;
+  };
+  const std::vector<Case> cases = {
+      {"a text", 200, R"("odd")"},
+      {"a list", 200, "[7]"},
+      {"members of another type", 200, R"({"ready":7,"incarnation":"x"})"},
+      {"no JSON", 200, "{"},
+      {"a refusal with members of another type", 503, R"({"ran":7})"},
+      {"a refusal with an odd reason", 503, R"({"ran":false,"reason":7})"},
+      {"a refusal that is no object", 503, "[]"},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    HttpUpstreamClient client;
+    Interrupt interrupt;
+    const std::string response = ResponseOf(c.status, c.body);
+    const ScriptedServer streams(response);
+    const StreamCall call{.address = streams.address(), .attempt = "a-1-r1"};
+    CHECK(client
+              .Stream(
+                  call, [](StreamEvent) { return true; }, &interrupt)
+              .outcome != AttemptOutcome::kCompleted);
+    const ScriptedServer holds(response);
+    const auto ready = Capture(
+        [&] { return client.IsPromptPartPrefilled(holds.address(), "a"); });
+    CHECK_FALSE((ready.ok && ready.value));
+    const ScriptedServer changes(response);
+    CHECK_FALSE(
+        Capture([&] { return client.CacheChanges(changes.address(), 0); }).ok);
+    const ScriptedServer attempts(response);
+    const auto ids =
+        Capture([&] { return client.Attempts(attempts.address()); });
+    CHECK(ids.value.empty());
+  }
+}
+
+// The entry's side of "an announced length that never arrives uses no memory"
+// and "a response without end is given up".
+TEST_CASE("a service's response is limited in size") {
+  struct Case {
+    const char* name;
+    std::string framing;
+    Ending ending;
+  };
+  const std::string filler(kRepeatedBytes, 'x');
+  const std::vector<Case> cases = {
+      {"a length that never arrives",
+       "Content-Length: 8002451873009624\r\n\r\n", Ending::kClose},
+      {"a body without end", "\r\n" + filler, Ending::kRepeat},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    const ScriptedServer server("HTTP/1.1 200 OK\r\n" + c.framing, c.ending);
+    HttpUpstreamClient client;
+    Interrupt interrupt;
+    ServiceResponse response;
+    const absl::Time begin = absl::Now();
+    const UpstreamCallResult result = client.Call({.address = server.address(),
+                                                   .method = "GET",
+                                                   .target = "/a",
+                                                   .timeout = absl::Seconds(2)},
+                                                  &response, &interrupt);
+    CHECK(result.outcome != AttemptOutcome::kCompleted);
+    CHECK(result.outcome != AttemptOutcome::kRefused);
+    CHECK(absl::Now() - begin < absl::Seconds(20));
+  }
+}
+
 }  // namespace
 }  // namespace chicory
