--- a/modules/gateway/upstream_exchange.cc
+++ b/modules/gateway/upstream_exchange.cc
@@ -88,7 +88,7 @@
       classification.faulty_address.empty()
           ? 0
           : shared_.directory.KeyOfAddress(classification.faulty_address);
-  if (!classification.matches) {
+  if (!IsOwnResponse(classification)) {
     Fail({.reason = "answer_to_another_request"});
     return false;
   }
@@ -111,6 +111,16 @@
   return true;
 }
 
+bool UpstreamExchange::IsOwnResponse(
+    const ResponseClassification& classification) const {
+  if (classification.owner != ResponseOwner::kUnknown)
+    return classification.owner == ResponseOwner::kThisRequest;
+  // Only a refusal may omit the id. On a connection that has carried other
+  // requests it may be a late copy of one of their refusals, while the upstream
+  // runs this request.
+  return classification.not_run && !connection_->is_reused();
+}
+
 void UpstreamExchange::ProcessStream(HttpResponseParser& parser) {
   events_->Add(parser.TakeBody());
   const std::string events = events_->TakeEvents();
--- a/modules/gateway/upstream_exchange.h
+++ b/modules/gateway/upstream_exchange.h
@@ -111,6 +111,8 @@
   void OnResponse(HttpResponseParser& parser) override;
   void OnFailure(HttpClientConnection::Failure failure) override;
 
+  /** Returns whether the response belongs to the request that was sent. */
+  bool IsOwnResponse(const ResponseClassification& classification) const;
   /** Checks the response's head; returns false if it ended the exchange. */
   bool CheckHead(const HttpResponseHead& head);
   void ProcessStream(HttpResponseParser& parser);
--- a/tests/logic/platform_test.cc
+++ b/tests/logic/platform_test.cc
@@ -111,7 +111,7 @@
     int status;
     std::vector<std::pair<std::string, std::string>> fields;
     bool not_run;
-    bool matches;
+    ResponseOwner owner;
     bool is_signed;
   };
   const std::vector<Case> cases = {
@@ -119,20 +119,25 @@
        200,
        {{"Request-Id", "1"}, {"Response-Stamp", "s"}},
        false,
-       true,
+       ResponseOwner::kThisRequest,
        true},
-      {"unsigned", 200, {{"Request-Id", "1"}}, false, true, false},
+      {"unsigned",
+       200,
+       {{"Request-Id", "1"}},
+       false,
+       ResponseOwner::kThisRequest,
+       false},
       {"another request's id",
        200,
        {{"Request-Id", "2"}, {"Response-Stamp", "s"}},
        false,
-       false,
+       ResponseOwner::kOtherRequest,
        true},
       {"without a request id",
        200,
        {{"Response-Stamp", "s"}},
        false,
-       false,
+       ResponseOwner::kUnknown,
        true},
       {"encoded",
        200,
@@ -140,21 +145,26 @@
         {"Response-Stamp", "s"},
         {"Content-Encoding", "x"}},
        false,
+       ResponseOwner::kThisRequest,
+       false},
+      {"full",
+       503,
+       {{"Not-Executed", "1"}},
        true,
+       ResponseOwner::kUnknown,
        false},
-      {"full", 503, {{"Not-Executed", "1"}}, true, true, false},
-      {"moved", 421, {}, true, true, false},
+      {"moved", 421, {}, true, ResponseOwner::kUnknown, false},
       {"the upstream's own error",
        500,
        {{"Request-Id", "1"}, {"Response-Stamp", "s"}},
        false,
-       true,
+       ResponseOwner::kThisRequest,
        true},
       {"refused without Not-Executed",
        503,
        {{"Request-Id", "1"}},
        false,
-       true,
+       ResponseOwner::kThisRequest,
        false},
   };
   const HeaderCodec codec;
@@ -166,7 +176,7 @@
     const ResponseClassification classification =
         codec.ClassifyResponse(head, "1");
     CHECK(classification.not_run == c.not_run);
-    CHECK(classification.matches == c.matches);
+    CHECK(classification.owner == c.owner);
     CHECK(classification.is_signed == c.is_signed);
   }
 }
--- a/tests/logic/scripted_upstream.h
+++ b/tests/logic/scripted_upstream.h
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "modules/net/socket_options.h"
 
@@ -20,16 +21,24 @@
 /** Bytes at the end of a response that kRepeat repeats. */
 constexpr size_t kRepeatedBytes = 8192;
 
-/** An upstream that accepts one connection, reads a request, writes fixed bytes
-    and then ends the connection. */
+/** An upstream that accepts one connection, reads requests and writes the bytes
+    that are fixed for each, in turn. After the last ones it ends the
+    connection. */
 class ScriptedUpstream {
  public:
   ScriptedUpstream(boost::asio::io_context& loop,
                    std::string response,
                    Ending ending)
+      : ScriptedUpstream(loop,
+                         std::vector<std::string>{std::move(response)},
+                         ending) {}
+
+  ScriptedUpstream(boost::asio::io_context& loop,
+                   std::vector<std::string> responses,
+                   Ending ending)
       : acceptor_(loop, {boost::asio::ip::address_v4::loopback(), 0}),
         socket_(loop),
-        response_(std::move(response)),
+        responses_(std::move(responses)),
         ending_(ending) {
     acceptor_.async_accept(socket_,
                            [this](const boost::system::error_code& error) {
@@ -51,9 +60,13 @@
   }
 
   void Respond() {
-    boost::asio::async_write(
-        socket_, boost::asio::buffer(response_),
-        [this](const boost::system::error_code&, size_t) { End(); });
+    boost::asio::async_write(socket_, boost::asio::buffer(responses_[next_]),
+                             [this](const boost::system::error_code&, size_t) {
+                               if (++next_ < responses_.size())
+                                 AwaitRequest();
+                               else
+                                 End();
+                             });
   }
 
   void End() {
@@ -70,7 +83,8 @@
 
   void Repeat() {
     const boost::asio::const_buffer end =
-        boost::asio::buffer(response_) + (response_.size() - kRepeatedBytes);
+        boost::asio::buffer(responses_.back()) +
+        (responses_.back().size() - kRepeatedBytes);
     boost::asio::async_write(
         socket_, end, [this](const boost::system::error_code& error, size_t) {
           if (!error)
@@ -80,7 +94,8 @@
 
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::ip::tcp::socket socket_;
-  const std::string response_;
+  const std::vector<std::string> responses_;
+  size_t next_ = 0;
   const Ending ending_;
   std::array<char, 4096> request_;
 };
--- a/tests/logic/upstream_exchange_test.cc
+++ b/tests/logic/upstream_exchange_test.cc
@@ -34,12 +34,14 @@
   void OnExchangeFailed(const UpstreamExchange::Failure& failure) override {
     outcome = failure.reason;
     result = failure.result;
+    not_run = failure.not_run;
   }
 
   std::string body;
   /** "complete" or the reason of the failure; empty while it runs. */
   std::string outcome;
   AttemptResult result = AttemptResult::kDone;
+  bool not_run = false;
 };
 
 struct Case {
@@ -141,6 +143,71 @@
   }
 }
 
+// Guards against callers who were told "not run" for a request that ran: a
+// faulty upstream writes an earlier refusal once more on a kept connection.
+TEST_CASE("a late copy of a refusal does not refuse the next request") {
+  struct ReplayCase {
+    const char* name;
+    /** Fields of the response that comes first on the connection. */
+    std::string head;
+    bool is_reused;
+    std::string outcome;
+    bool not_run;
+  };
+  const std::string full = "503 Full\r\nNot-Executed: 1\r\n";
+  const std::string other = "answer_to_another_request";
+  const std::vector<ReplayCase> cases = {
+      {"without an id", full, true, other, false},
+      {"with the id of the former request", full + "Request-Id: r0\r\n", true,
+       other, false},
+      {"with its own id", full + "Request-Id: r1\r\n", true, "upstream_refused",
+       true},
+      {"as another upstream, without an id", "421 Misdirected\r\n", true, other,
+       false},
+      {"as malformed, without an id", "400 Bad Request\r\nNot-Executed: 1\r\n",
+       true, other, false},
+      {"without an id, on a new connection", full, false, "upstream_refused",
+       true},
+      {"with the id of another request, on a new connection",
+       full + "Request-Id: r0\r\n", false, other, false},
+  };
+  for (const ReplayCase& c : cases) {
+    INFO(c.name);
+    const std::string rest = "Content-Length: 0\r\n\r\n";
+    std::vector<std::string> responses;
+    if (c.is_reused) {
+      responses.push_back(
+          "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nResponse-Stamp: s\r\n" + rest);
+    }
+    responses.push_back("HTTP/1.1 " + c.head + rest);
+    boost::asio::io_context loop;
+    ScriptedUpstream upstream(loop, responses, Ending::kOpen);
+    const HeaderCodec codec;
+    UpstreamPool pool(loop);
+    const UpstreamDirectory directory;
+    EventStreamSplitter events;
+    Recorder recorder;
+    for (size_t i = 0; i < responses.size(); ++i) {
+      recorder = Recorder();
+      const auto exchange = std::make_shared<UpstreamExchange>(
+          UpstreamExchange::Options{
+              .upstream = 1,
+              .address = upstream.address(),
+              .request_id = i + 1 == responses.size() ? "r1" : "r0",
+              .is_retryable = true},
+          UpstreamExchange::Shared{
+              .codec = codec, .pool = pool, .directory = directory},
+          &events, &recorder);
+      exchange->Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+      const absl::Time begin = absl::Now();
+      while (recorder.outcome.empty() && absl::Now() - begin < absl::Seconds(5))
+        loop.run_one_for(std::chrono::milliseconds(100));
+    }
+    CHECK(recorder.outcome == c.outcome);
+    CHECK(recorder.not_run == c.not_run);
+  }
+}
+
 /** Returns `unit`, whose length divides kRepeatedBytes, over and over. */
 std::string Filler(const std::string& unit) {
   std::string bytes;
