chicory_entry: a late copy of a refusal does not refuse the next attempt

What callers could see: "not run" for a generation that an engine ran.

Cause: an engine's refusal did not name the attempt, and connections are kept; whatever refusal came next on one was taken for this attempt's.

Change: a refusal names its attempt (also in the stand-in engine); on a connection that has carried other calls one that does not, or names another, is a failed attempt whose outcome is not known to be "not run". Memory for prompt parts is asked for over new connections, since a grant names nothing.

--- a/modules/serving/http_upstream_client.cc
+++ b/modules/serving/http_upstream_client.cc
@@ -125,7 +125,13 @@
   return true;
 }
 
-UpstreamCallResult ParseRefusal(int status, const std::string& body) {
+/** Reads an engine's refusal of `attempt`. On a connection that has carried
+   other calls, only a refusal that names the attempt counts: another one may be
+   a late copy of an earlier refusal, while the engine runs this attempt. */
+UpstreamCallResult ParseRefusal(int status,
+                                const std::string& body,
+                                const std::string& attempt,
+                                bool is_reused_connection) {
   const Json json = Json::parse(body, nullptr, /*allow_exceptions=*/false);
   const UpstreamCallResult failed{.outcome = AttemptOutcome::kFailed,
                                   .detail = absl::StrCat("status ", status)};
@@ -134,6 +140,8 @@
   try {
     if (json.value("ran", true))
       return failed;
+    if (is_reused_connection && json.value("attempt", "") != attempt)
+      return failed;
     const std::string reason = json.value("reason", "");
     return {.outcome = AttemptOutcome::kRefused,
             .leaving = reason == "leaving",
@@ -149,9 +157,10 @@
 class HttpUpstreamClient::ConnectionPool {
  public:
   /** Returns an idle connection to `address`, or a new one if there is none or
-      `fresh` is set. */
+      `fresh` is set. Sets `is_reused`, if given, to which of the two it is. */
   std::unique_ptr<httplib::Client> Take(const std::string& address,
-                                        bool fresh = false) {
+                                        bool fresh = false,
+                                        bool* is_reused = nullptr) {
     if (!fresh) {
       absl::MutexLock lock(&mutex_);
       std::vector<IdleConnection>& idle = idle_by_address_[address];
@@ -162,6 +171,8 @@
       if (!idle.empty()) {
         auto client = std::move(idle.back().client);
         idle.pop_back();
+        if (is_reused != nullptr)
+          *is_reused = true;
         return client;
       }
     }
@@ -201,7 +212,9 @@
 UpstreamCallResult HttpUpstreamClient::Stream(const StreamCall& call,
                                               const EventSink& sink,
                                               Interrupt* interrupt) {
-  auto client = connection_pool_->Take(call.address);
+  bool is_reused = false;
+  auto client =
+      connection_pool_->Take(call.address, /*fresh=*/false, &is_reused);
   client->set_write_timeout(absl::ToChronoMilliseconds(call.later_stall));
   client->set_read_timeout(absl::ToChronoMilliseconds(call.first_stall));
   const Json body = {{"attempt", call.attempt},
@@ -252,7 +265,7 @@
   if (!has_run)
     return {.outcome = AttemptOutcome::kUnreachable, .detail = "interrupted"};
   if (status != 0 && status != 200)
-    return ParseRefusal(status, error_body);
+    return ParseRefusal(status, error_body, call.attempt, is_reused);
   if (is_complete && !is_aborted_by_sink) {
     if (result)
       connection_pool_->Return(call.address, std::move(client));
@@ -278,7 +291,9 @@
 UpstreamCallResult HttpUpstreamClient::ReservePromptPart(const StreamCall& call,
                                                          int64_t tokens,
                                                          Interrupt* interrupt) {
-  auto client = connection_pool_->Take(call.address);
+  // The grant does not name the attempt, so a late copy of another one must not
+  // be able to arrive.
+  auto client = connection_pool_->Take(call.address, /*fresh=*/true);
   client->set_write_timeout(absl::ToChronoMilliseconds(call.later_stall));
   client->set_read_timeout(absl::ToChronoMilliseconds(call.first_stall));
   const Json body = {{"attempt", call.attempt},
@@ -300,7 +315,8 @@
             .detail = httplib::to_string(result.error())};
   }
   if (result->status != 200)
-    return ParseRefusal(result->status, result->body);
+    return ParseRefusal(result->status, result->body, call.attempt,
+                        /*is_reused_connection=*/false);
   connection_pool_->Return(call.address, std::move(client));
   return {.outcome = AttemptOutcome::kCompleted};
 }
--- a/stand_ins/engine_main.cc
+++ b/stand_ins/engine_main.cc
@@ -93,8 +93,11 @@
     response->set_content(json.dump(), "application/json");
   }
 
-  static void Refuse(Response* response, const char* reason) {
-    SendJson(response, 503, {{"ran", false}, {"reason", reason}});
+  static void Refuse(Response* response,
+                     const std::string& attempt,
+                     const char* reason) {
+    SendJson(response, 503,
+             {{"ran", false}, {"attempt", attempt}, {"reason", reason}});
   }
 
   void AddStreamRoutes() {
@@ -134,11 +137,11 @@
   }
 
   /** Returns true if new work is accepted; otherwise sends a refusal. */
-  bool CheckAcceptsWork(Response* response) {
+  bool CheckAcceptsWork(const std::string& attempt, Response* response) {
     if (is_leaving_)
-      Refuse(response, "leaving");
+      Refuse(response, attempt, "leaving");
     else if (runtime_.faults().refuse)
-      Refuse(response, "refused");
+      Refuse(response, attempt, "refused");
     else
       return true;
     return false;
@@ -148,7 +151,7 @@
     const Json json = Json::parse(request.body, nullptr, false);
     if (!json.is_object() || !json.contains("prompt"))
       return SendJson(response, 400, {{"ran", false}, {"reason", "malformed"}});
-    if (!CheckAcceptsWork(response))
+    if (!CheckAcceptsWork(json.value("attempt", ""), response))
       return;
     timeline_.Observe(json.value("stamp", uint64_t{0}));
     const std::string prompt = json["prompt"].get<std::string>();
@@ -165,7 +168,7 @@
     const bool crashes = absl::StrContains(prompt, kCrashMarker);
     const auto channel = runtime_.Submit(job, crashes);
     if (channel == nullptr)
-      return Refuse(response, "not_taken");
+      return Refuse(response, job.attempt, "not_taken");
     ++streams_started_;
     timeline_.Record(absl::Now(), TimelineEventKind::kAttemptStarted,
                      job.attempt, {});
@@ -231,7 +234,7 @@
     const Json json = Json::parse(request.body, nullptr, false);
     if (!json.is_object())
       return SendJson(response, 400, {{"ran", false}, {"reason", "malformed"}});
-    if (!CheckAcceptsWork(response))
+    if (!CheckAcceptsWork(json.value("attempt", ""), response))
       return;
     EngineJob job;
     job.attempt = json.value("attempt", "");
@@ -240,7 +243,7 @@
     job.is_reservation = true;
     auto channel = runtime_.Submit(job, /*crashes=*/false);
     if (channel == nullptr)
-      return Refuse(response, "not_taken");
+      return Refuse(response, job.attempt, "not_taken");
     const CallerConnection connection = CallerConnection::Current();
     while (true) {
       for (const EngineEvent& event :
--- a/tests/logic/entry_clients_test.cc
+++ b/tests/logic/entry_clients_test.cc
@@ -20,7 +20,9 @@
 class ScriptedServer {
  public:
   explicit ScriptedServer(std::string response, Ending ending = Ending::kClose)
-      : upstream_(loop_, std::move(response), ending),
+      : ScriptedServer(std::vector<std::string>{std::move(response)}, ending) {}
+  ScriptedServer(std::vector<std::string> responses, Ending ending)
+      : upstream_(loop_, std::move(responses), ending),
         thread_([this] { loop_.run(); }) {}
   ~ScriptedServer() {
     loop_.stop();
@@ -127,6 +129,41 @@
   }
 }
 
+// The entry's side of "a late copy of a refusal does not refuse the next
+// request".
+TEST_CASE("a late copy of a refusal does not refuse the next attempt") {
+  struct Case {
+    const char* name;
+    std::string refusal;
+    AttemptOutcome outcome;
+  };
+  const std::vector<Case> cases = {
+      {"of no attempt", R"({"ran":false,"reason":"full"})",
+       AttemptOutcome::kFailed},
+      {"of the former attempt",
+       R"({"ran":false,"attempt":"a-1-r1","reason":"full"})",
+       AttemptOutcome::kFailed},
+      {"of this attempt", R"({"ran":false,"attempt":"a-1-r2","reason":"full"})",
+       AttemptOutcome::kRefused},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    const ScriptedServer server(
+        {ResponseOf(200, R"({"a":"a-1-r1","i":0,"end":true,"total":0})"
+                         "\n"),
+         ResponseOf(503, c.refusal)},
+        Ending::kOpen);
+    HttpUpstreamClient client;
+    Interrupt interrupt;
+    StreamCall call{.address = server.address(), .attempt = "a-1-r1"};
+    const auto accept = [](StreamEvent) { return true; };
+    REQUIRE(client.Stream(call, accept, &interrupt).outcome ==
+            AttemptOutcome::kCompleted);
+    call.attempt = "a-1-r2";
+    CHECK(client.Stream(call, accept, &interrupt).outcome == c.outcome);
+  }
+}
+
 // The entry's side of "an announced length that never arrives uses no memory"
 // and "a response without end is given up".
 TEST_CASE("a service's response is limited in size") {
