--- a/modules/gateway/upstream_exchange.cc
+++ b/modules/gateway/upstream_exchange.cc
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 /** A reused connection that breaks this soon after an attempt started had
     already been closed by the upstream while it was idle. */
@@ -103,7 +104,9 @@
     Fail({.reason = "unsigned_answer"});
     return false;
   }
-  is_stream_ = IsSuccess(head.status) && options_.expects_stream;
+  // Other successes, and what a HEAD request gets, have no events.
+  is_stream_ =
+      head.status == kOk && options_.expects_stream && !options_.head_only;
   if (options_.resumes_stream && !is_stream_) {
     Fail({.reason = "resume_refused", .faulty_upstream = faulty_upstream});
     return false;
@@ -122,17 +125,21 @@
 }
 
 void UpstreamExchange::ProcessStream(HttpResponseParser& parser) {
+  const int events_before = events_->events();
   events_->Add(parser.TakeBody());
   const std::string events = events_->TakeEvents();
   body_end_.partial_event_bytes = events_->pending_bytes();
   const bool has_ended = parser.state() == ParseState::kComplete;
-  if (!events.empty()) {
-    has_events_ = true;
+  has_events_ |= events_->events() > events_before;
+  if (!events.empty())
     listener_->OnEvents(parser.head(), events);
-  }
   // The listener may have cancelled the exchange.
   if (!connection_)
     return;
+  if (events_->has_foreign_bytes()) {
+    Fail({.reason = "stream_foreign_bytes"});
+    return;
+  }
   if (events_->pending_bytes() > kMaxEventBytes) {
     Fail({.reason = "response_too_large"});
     return;
--- a/modules/net/event_stream.h
+++ b/modules/net/event_stream.h
@@ -11,6 +11,11 @@
     that ends in the middle of an event can then be resumed at another upstream
     after the last complete one.
 
+    Also tells bytes that belong to no stream, such as the text or the head of
+   an error response, from events: their lines are no fields, or they lack the
+    growing id that the events of a stream have. Comments and blank lines need
+    none; they are returned with the events, but not counted.
+
     Not thread-safe. */
 class EventStreamSplitter {
  public:
@@ -20,14 +25,21 @@
   }
 
   /** Returns the complete events added since the last call, byte for byte, or
-      an empty string if there are none. */
+      an empty string if there are none. Stops before foreign bytes. */
   std::string TakeEvents();
 
+  /** Returns true if the bytes not yet returned begin with bytes that belong to
+      no stream, or to another part of it. */
+  bool has_foreign_bytes() const { return has_foreign_bytes_; }
+
   /** Returns the number of bytes not yet returned by TakeEvents(). */
   size_t pending_bytes() const { return pending_.size(); }
   /** Removes the bytes not yet returned by TakeEvents(). To be called before
       the stream is resumed. */
-  void DropPartialEvent() { pending_.clear(); }
+  void DropPartialEvent() {
+    pending_.clear();
+    has_foreign_bytes_ = false;
+  }
 
   /** Returns the most recent `id` field among the events taken, or an empty
       string if there was none. */
@@ -36,11 +48,14 @@
   int events() const { return events_; }
 
  private:
-  void RecordEvent(absl::string_view event);
+  /** Takes note of the block of lines `block`, which a blank line ends. Returns
+      false if it is foreign. */
+  bool RecordBlock(absl::string_view block);
 
   std::string pending_;
   std::string last_event_id_;
   int events_ = 0;
+  bool has_foreign_bytes_ = false;
 };
 
 }  // namespace chicory
--- a/tests/logic/http_message_test.cc
+++ b/tests/logic/http_message_test.cc
@@ -288,6 +288,67 @@
   }
 }
 
+// Guards against the text or the head of an error response in the middle of a
+// stream, and against pieces that come twice.
+TEST_CASE("bytes that are no event of the stream are foreign") {
+  struct Case {
+    const char* name;
+    std::string bytes;
+    std::string events;
+    bool is_foreign;
+    int count;
+  };
+  const std::string first = "id: 4\ndata: a\n\n";
+  const std::string next = "id: 5\ndata: b\n\n";
+  const std::vector<Case> cases = {
+      {"the next event", first + next, first + next, false, 2},
+      {"ids that skip", first + "id: 9\n\n", first + "id: 9\n\n", false, 2},
+      {"an unknown field", first + "weight-versions: 2\n" + next,
+       first + "weight-versions: 2\n" + next, false, 2},
+      {"a comment", first + ": wait\n\n" + next, first + ": wait\n\n" + next,
+       false, 2},
+      {"blank lines", first + "\n\r\n" + next, first + "\n\r\n" + next, false,
+       2},
+      {"no ids at all", "data: a\n\ndata: b\n\n", "data: a\n\ndata: b\n\n",
+       false, 2},
+      {"the head of a response",
+       first +
+           "HTTP/1.1 500 Internal Server Error\r\nContent-Length: "
+           "0\r\n\r\n" +
+           next,
+       first, true, 1},
+      {"the head of a response first", "HTTP/1.1 503 Full\r\nid: 7\r\n\r\n", "",
+       true, 0},
+      {"text", first + "upstream failed\n\n", first, true, 1},
+      {"JSON", first + "{\"error\": \"failed\"}\n\n", first, true, 1},
+      {"fields without an id", first + "error: failed\n\n", first, true, 1},
+      {"the same event again", first + first, first, true, 1},
+      {"the stream from its begin", first + "id: 0\ndata: a\n\n", first, true,
+       1},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    EventStreamSplitter splitter;
+    splitter.Add(c.bytes);
+    CHECK(splitter.TakeEvents() == c.events);
+    CHECK(splitter.has_foreign_bytes() == c.is_foreign);
+    CHECK(splitter.events() == c.count);
+    splitter.Add(next);
+    CHECK((splitter.TakeEvents().empty() || !c.is_foreign));
+  }
+}
+
+TEST_CASE("a stream goes on after foreign bytes are dropped") {
+  EventStreamSplitter splitter;
+  splitter.Add("id: 4\n\nfailed\n\n");
+  splitter.TakeEvents();
+  CHECK(splitter.has_foreign_bytes());
+  splitter.DropPartialEvent();
+  splitter.Add("id: 5\n\n");
+  CHECK(splitter.TakeEvents() == "id: 5\n\n");
+  CHECK_FALSE(splitter.has_foreign_bytes());
+}
+
 TEST_CASE("hop-by-hop fields are recognised") {
   CHECK(IsHopByHop("Transfer-Encoding", ""));
   CHECK(IsHopByHop("keep-alive", ""));
--- a/tests/logic/upstream_exchange_test.cc
+++ b/tests/logic/upstream_exchange_test.cc
@@ -117,6 +117,17 @@
        Ending::kClose, "stream_truncated", ""},
       {"no length, closed before the first event", "\r\n", Ending::kClose,
        "stream_truncated", ""},
+      {"an error's head inside the stream",
+       "\r\n" + first + "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+       Ending::kClose, "stream_foreign_bytes", first},
+      {"an error's text in a chunk",
+       chunked + Chunk(first) + Chunk("failed\n\n") + "0\r\n\r\n",
+       Ending::kOpen, "stream_foreign_bytes", first},
+      {"an event that comes twice",
+       chunked + Chunk(first) + Chunk(first) + "0\r\n\r\n", Ending::kOpen,
+       "stream_foreign_bytes", first},
+      {"comments only, closed", "\r\n: wait\n\n", Ending::kClose,
+       "stream_truncated", ": wait\n\n"},
       {"no length, reset after an event", "\r\n" + first, Ending::kReset,
        "connection_broken", first},
   };
@@ -128,6 +139,72 @@
   }
 }
 
+// Guards against the text of an error in the middle of a caller's stream: what
+// answers the resumption of a stream is a stream, or nothing of it is
+// forwarded.
+TEST_CASE("only a stream resumes a stream") {
+  struct ResumeCase {
+    const char* name;
+    std::string response;
+    std::string outcome;
+    std::string body;
+  };
+  const std::string own = "Request-Id: r1\r\nResponse-Stamp: s2\r\n";
+  const std::string text = "Content-Length: 8\r\n\r\nfailed\n\n";
+  const std::string next = "id: 4\ndata: b\n\n";
+  const std::vector<ResumeCase> cases = {
+      {"the next event",
+       "200 OK\r\n" + own + "Content-Length: 15\r\n\r\n" + next, "complete",
+       next},
+      {"nothing left to send", "200 OK\r\n" + own + "Content-Length: 0\r\n\r\n",
+       "complete", ""},
+      {"an error", "500 Error\r\n" + own + text, "resume_refused", ""},
+      {"a malformed request",
+       "400 Bad Request\r\nNot-Executed: 1\r\n" + own + text, "resume_refused",
+       ""},
+      {"a refusal", "503 Full\r\nNot-Executed: 1\r\n" + own + text,
+       "upstream_refused", ""},
+      {"no content", "204 No Content\r\n" + own + "\r\n", "resume_refused", ""},
+      {"a part", "206 Partial Content\r\n" + own + text, "resume_refused", ""},
+      {"an error that is called a success", "200 OK\r\n" + own + text,
+       "stream_foreign_bytes", ""},
+      {"the stream from its begin",
+       "200 OK\r\n" + own + "Content-Length: 15\r\n\r\nid: 0\ndata: a\n\n",
+       "stream_foreign_bytes", ""},
+      {"unsigned",
+       "200 OK\r\nRequest-Id: r1\r\nContent-Length: 15\r\n\r\n" + next,
+       "unsigned_answer", ""},
+  };
+  for (const ResumeCase& c : cases) {
+    INFO(c.name);
+    boost::asio::io_context loop;
+    ScriptedUpstream upstream(loop, "HTTP/1.1 " + c.response, Ending::kOpen);
+    const HeaderCodec codec;
+    UpstreamPool pool(loop);
+    const UpstreamDirectory directory;
+    EventStreamSplitter events;
+    events.Add("id: 3\ndata: a\n\nid: 4\nda");
+    events.TakeEvents();
+    Recorder recorder;
+    const auto exchange = std::make_shared<UpstreamExchange>(
+        UpstreamExchange::Options{.upstream = 1,
+                                  .address = upstream.address(),
+                                  .request_id = "r1",
+                                  .is_retryable = true,
+                                  .expects_stream = true,
+                                  .resumes_stream = true},
+        UpstreamExchange::Shared{
+            .codec = codec, .pool = pool, .directory = directory},
+        &events, &recorder);
+    exchange->Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    const absl::Time begin = absl::Now();
+    while (recorder.outcome.empty() && absl::Now() - begin < absl::Seconds(5))
+      loop.run_one_for(std::chrono::milliseconds(100));
+    CHECK(recorder.outcome == c.outcome);
+    CHECK(recorder.body == c.body);
+  }
+}
+
 TEST_CASE("a plain response without a length is complete unless it is reset") {
   const std::vector<Case> cases = {
       {"closed", "\r\nhello", Ending::kClose, "complete", "hello"},
