A silent attempt goes on until its replacement has its memory

Cause: the silent attempt ended with the assignment of another upstream, before that one could be sent anything.

Ruled out: the stop itself (5.3 s were left of it).

Change: the memory is reserved while the silent attempt goes on; it ends when the request can be sent elsewhere. A stop that leaves no time for the replacement no longer ends the silent attempt.

--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -243,9 +243,10 @@
     return;
   const auto self = shared_from_this();
   ++decisions_;
-  if (replacement_ && *replacement_ == decision.key &&
-      !TakeReplacement(decision, scheduler))
+  if (replacement_ == decision.key) {
+    OnReplacement(decision, scheduler);
     return;
+  }
   scheduler_ = scheduler;
   if (decision.kind == ScheduleDecision::Kind::kRefuse) {
     state_->handlers.erase(decision.key);
@@ -289,53 +290,106 @@
     ReserveHelperMemory(*upstream, decision);
 }
 
-bool RequestHandler::TakeReplacement(const ScheduleDecision& decision,
-                                     InstanceIp scheduler) {
-  const absl::Time now = SteadyNow();
-  const bool is_usable = decision.kind == ScheduleDecision::Kind::kAssign &&
-                         state_->upstreams.FindReady(decision.upstream) &&
-                         TimeLeft() >= kMinTimeLeft;
-  if (!is_usable) {
+bool RequestHandler::CanReplace(const ScheduleDecision& decision) const {
+  return decision.kind == ScheduleDecision::Kind::kAssign &&
+         state_->upstreams.FindReady(decision.upstream) &&
+         TimeLeft() >= kMinTimeLeft &&
+         (stream_started_ ||
+          state_->drain.CanFinish(PlannedDuration(decision.expected),
+                                  SteadyNow()));
+}
+
+void RequestHandler::KeepSilentAttempt() {
+  CancelReplacement();
+  watchdog_->Start(SteadyNow() + SilenceLimit());
+}
+
+void RequestHandler::OnReplacement(const ScheduleDecision& decision,
+                                   InstanceIp scheduler) {
+  if (!CanReplace(decision)) {
     if (decision.kind == ScheduleDecision::Kind::kRefuse)
-      telemetry_.OnRefused(decision, scheduler, now);
-    CancelReplacement();
-    watchdog_->Start(now + SilenceLimit());
-    return false;
+      telemetry_.OnRefused(decision, scheduler, SteadyNow());
+    KeepSilentAttempt();
+    return;
   }
+  if (decision.memory.empty()) {
+    SwitchToReplacement(decision, scheduler, nullptr);
+    return;
+  }
+  replacement_memory_ = NewReservation(decision);
+  if (!replacement_memory_) {
+    KeepSilentAttempt();
+    return;
+  }
+  const std::weak_ptr<RequestHandler> weak = weak_from_this();
+  replacement_memory_->Acquire([weak, decision, scheduler](bool granted) {
+    const std::shared_ptr<RequestHandler> self = weak.lock();
+    if (!self || self->replacement_ != decision.key)
+      return;
+    self->telemetry_.OnMemoryReservation(decision.memory.size(), granted);
+    if (granted && self->CanReplace(decision)) {
+      self->SwitchToReplacement(decision, scheduler,
+                                std::move(self->replacement_memory_));
+    } else {
+      self->KeepSilentAttempt();
+    }
+  });
+}
+
+void RequestHandler::SwitchToReplacement(
+    const ScheduleDecision& decision,
+    InstanceIp scheduler,
+    std::shared_ptr<MemoryReservation> memory) {
   replacement_.reset();
   const UpstreamExchange::Failure failure{.reason = "response_overdue"};
   may_have_run_ = true;
   EndAttempt(failure.result, failure.faulty_upstream);
   telemetry_.OnAttemptFailed(failure, /*will_retry=*/true, events_.events(),
-                             now);
+                             SteadyNow());
   response_start_reported_ = false;
   work_ = decision.key;
-  return true;
+  scheduler_ = scheduler;
+  memory_ = std::move(memory);
+  SendTo(*state_->upstreams.FindReady(decision.upstream), decision);
 }
 
 void RequestHandler::CancelReplacement() {
   if (!replacement_)
     return;
   const WorkKey key = *std::exchange(replacement_, std::nullopt);
+  if (replacement_memory_)
+    replacement_memory_->Release();
+  replacement_memory_.reset();
   state_->handlers.erase(key);
   state_->placement->OnEnded(key, AttemptResult::kCancelled, 0, SteadyNow());
 }
 
-void RequestHandler::ReserveHelperMemory(const UpstreamRecord& upstream,
-                                         const ScheduleDecision& decision) {
+std::shared_ptr<MemoryReservation> RequestHandler::NewReservation(
+    const ScheduleDecision& decision) const {
   std::vector<MemoryReservation::Share> shares;
   for (const MemoryShare& share : decision.memory) {
     const UpstreamRecord* holder = state_->upstreams.FindReady(share.upstream);
     if (!holder)
-      continue;
+      return nullptr;
     shares.push_back({.upstream_id = holder->id,
                       .address = *ParseEndpoint(holder->address),
                       .tokens = share.tokens});
   }
-  memory_ = std::make_shared<MemoryReservation>(
+  return std::make_shared<MemoryReservation>(
       state_->loop, state_->codec,
       absl::StrCat("m", decision.key.owner, "-", decision.key.sequence),
       std::move(shares));
+}
+
+void RequestHandler::ReserveHelperMemory(const UpstreamRecord& upstream,
+                                         const ScheduleDecision& decision) {
+  memory_ = NewReservation(decision);
+  if (!memory_) {
+    telemetry_.OnMemoryReservation(decision.memory.size(), /*granted=*/false);
+    EndAttempt(AttemptResult::kCancelled, 0);
+    RequestNewPlacement("no_memory");
+    return;
+  }
   const std::weak_ptr<RequestHandler> weak = weak_from_this();
   memory_->Acquire([weak, decision, upstream](bool granted) {
     const std::shared_ptr<RequestHandler> self = weak.lock();
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -85,6 +85,10 @@
   bool RefuseCrashingParts();
   /** Starts an attempt at `upstream`. */
   void SendTo(const UpstreamRecord& upstream, const ScheduleDecision& decision);
+  /** Returns a reservation of the memory that `decision` asks for at helpers.
+   */
+  std::shared_ptr<MemoryReservation> NewReservation(
+      const ScheduleDecision& decision) const;
   /** Reserves memory at the helpers and then forwards the request. */
   void ReserveHelperMemory(const UpstreamRecord& upstream,
                            const ScheduleDecision& decision);
@@ -123,10 +127,20 @@
   /** Requests another upstream if a retry is allowed. The silent attempt goes
       on until there is one. */
   void OnResponseOverdue();
-  /** Called with the decision that OnResponseOverdue() requested. Ends the
-      silent attempt and returns true if the request has another upstream;
-      otherwise keeps waiting for the response. */
-  bool TakeReplacement(const ScheduleDecision& decision, InstanceIp scheduler);
+  /** Called with the decision that OnResponseOverdue() requested. The silent
+      attempt ends when the other upstream can be sent the request, for which
+      memory may have to be reserved first; otherwise it goes on. */
+  void OnReplacement(const ScheduleDecision& decision, InstanceIp scheduler);
+  /** Returns whether `decision` names an upstream that can replace the one that
+      is silent. */
+  bool CanReplace(const ScheduleDecision& decision) const;
+  /** Ends the silent attempt and starts one at the upstream of `decision`,
+     which CanReplace(). `memory` is what was reserved for it; null for none. */
+  void SwitchToReplacement(const ScheduleDecision& decision,
+                           InstanceIp scheduler,
+                           std::shared_ptr<MemoryReservation> memory);
+  /** Gives up the replacement and waits for the silent upstream again. */
+  void KeepSilentAttempt();
   void CancelReplacement();
   /** Ends the current attempt and requests another upstream. */
   void Retry(const UpstreamExchange::Failure& failure);
@@ -160,6 +174,7 @@
   std::optional<WorkKey> work_;
   /** Set while another upstream is requested for an attempt that is silent. */
   std::optional<WorkKey> replacement_;
+  std::shared_ptr<MemoryReservation> replacement_memory_;
   std::shared_ptr<MemoryReservation> memory_;
   std::shared_ptr<UpstreamExchange> exchange_;
   UpstreamKey upstream_ = 0;
