A silent attempt goes on until its replacement responds

What callers saw: streams cut in their middle by this instance, with seconds left: an engine was silent for 1.2 s, another was assigned, and that one refused.

Cause: the silent attempt was ended for a placement, not for a response.

Ruled out: the stop (2 s were left), the engine (its run went on).

Change: the request is sent to the other upstream while the silent attempt goes on; the first to respond is used, the other cancelled. The state of an attempt is a struct (attempt.h), of which the handler has two; log lines name the attempt that they are about.

Conclusion: no response is given up for a promise any more.

--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -72,10 +72,48 @@
 
 }  // namespace
 
+/** Passes what the replacement of a silent attempt receives to the handler,
+    which uses the replacement from its first response on. */
+class RequestHandler::ReplacementListener : public UpstreamExchange::Listener {
+ public:
+  explicit ReplacementListener(RequestHandler* handler) : handler_(handler) {}
+
+  void OnEvents(const HttpResponseHead& head,
+                const std::string& events) override {
+    const auto self = handler_->shared_from_this();
+    handler_->UseReplacement();
+    handler_->OnEvents(head, events);
+  }
+  void OnStreamComplete(const HttpResponseHead& head) override {
+    const auto self = handler_->shared_from_this();
+    handler_->UseReplacement();
+    handler_->OnStreamComplete(head);
+  }
+  void OnCompleteResponse(const HttpResponseHead& head,
+                          std::string body) override {
+    const auto self = handler_->shared_from_this();
+    if (head.status >= kInternalError) {
+      handler_->saved_response_ =
+          SavedResponse{.head = head, .body = std::move(body)};
+      handler_->OnReplacementFailed({.reason = "upstream_error"});
+      return;
+    }
+    handler_->UseReplacement();
+    handler_->OnCompleteResponse(head, std::move(body));
+  }
+  void OnExchangeFailed(const UpstreamExchange::Failure& failure) override {
+    handler_->OnReplacementFailed(failure);
+  }
+
+ private:
+  RequestHandler* handler_;
+};
+
 RequestHandler::RequestHandler(GatewayState* state)
     : state_(state),
       telemetry_(state->log, state->metrics),
-      timeout_(state->loop) {}
+      timeout_(state->loop),
+      replacement_listener_(std::make_unique<ReplacementListener>(this)) {}
 
 RequestHandler::~RequestHandler() = default;
 
@@ -135,7 +173,7 @@
 }
 
 void RequestHandler::OnDraining() {
-  const bool waits = !finished_ && !exchange_ && !stream_started_;
+  const bool waits = !finished_ && !current_.exchange && !stream_started_;
   if (!waits || state_->drain.CanFinish(PlannedDuration(route_->target_latency),
                                         SteadyNow()))
     return;
@@ -146,7 +184,7 @@
 void RequestHandler::EndForShutdown() {
   if (finished_)
     return;
-  may_have_run_ |= exchange_ != nullptr;
+  may_have_run_ |= current_.exchange != nullptr;
   EndAttempt(AttemptResult::kCancelled, 0);
   RefuseForShutdown();
 }
@@ -207,10 +245,10 @@
 
 void RequestHandler::RequestPlacement() {
   if (!RefuseCrashingParts())
-    SubmitToScheduler(&work_);
+    SubmitToScheduler(&current_);
 }
 
-void RequestHandler::SubmitToScheduler(std::optional<WorkKey>* key) {
+void RequestHandler::SubmitToScheduler(Attempt* attempt) {
   placement_requested_at_ = SteadyNow();
   WorkRequest work{.service = service_,
                    .prompt_tokens = caller_.prompt_tokens,
@@ -224,8 +262,8 @@
   // Submit may call OnDecision before it returns, so the handler is registered
   // under the next key beforehand.
   const auto self = shared_from_this();
-  *key = state_->placement->NextKey();
-  state_->handlers[**key] = this;
+  attempt->work = state_->placement->NextKey();
+  state_->handlers[*attempt->work] = this;
   state_->placement->Submit(std::move(work), placement_requested_at_);
   state_->on_request_waiting();
 }
@@ -243,14 +281,14 @@
     return;
   const auto self = shared_from_this();
   ++decisions_;
-  if (replacement_ == decision.key) {
+  if (replacement_.work == decision.key) {
     OnReplacement(decision, scheduler);
     return;
   }
   scheduler_ = scheduler;
   if (decision.kind == ScheduleDecision::Kind::kRefuse) {
     state_->handlers.erase(decision.key);
-    work_.reset();
+    current_.work.reset();
     telemetry_.OnRefused(decision, scheduler, SteadyNow());
     if (decision.cause == RefusalCause::kCrashesUpstreams) {
       may_have_run_ = true;
@@ -285,7 +323,7 @@
     return;
   }
   if (decision.memory.empty())
-    SendTo(*upstream, decision);
+    SendTo(*upstream, decision, &current_);
   else
     ReserveHelperMemory(*upstream, decision);
 }
@@ -299,11 +337,6 @@
                                   SteadyNow()));
 }
 
-void RequestHandler::KeepSilentAttempt() {
-  CancelReplacement();
-  watchdog_->Start(SteadyNow() + SilenceLimit());
-}
-
 void RequestHandler::OnReplacement(const ScheduleDecision& decision,
                                    InstanceIp scheduler) {
   if (!CanReplace(decision)) {
@@ -312,56 +345,71 @@
     KeepSilentAttempt();
     return;
   }
+  scheduler_ = scheduler;
   if (decision.memory.empty()) {
-    SwitchToReplacement(decision, scheduler, nullptr);
+    SendReplacement(decision);
     return;
   }
-  replacement_memory_ = NewReservation(decision);
-  if (!replacement_memory_) {
+  replacement_.memory = NewReservation(decision);
+  if (!replacement_.memory) {
     KeepSilentAttempt();
     return;
   }
   const std::weak_ptr<RequestHandler> weak = weak_from_this();
-  replacement_memory_->Acquire([weak, decision, scheduler](bool granted) {
+  replacement_.memory->Acquire([weak, decision](bool granted) {
     const std::shared_ptr<RequestHandler> self = weak.lock();
-    if (!self || self->replacement_ != decision.key)
+    if (!self || self->replacement_.work != decision.key)
       return;
     self->telemetry_.OnMemoryReservation(decision.memory.size(), granted);
-    if (granted && self->CanReplace(decision)) {
-      self->SwitchToReplacement(decision, scheduler,
-                                std::move(self->replacement_memory_));
-    } else {
+    if (granted && self->CanReplace(decision))
+      self->SendReplacement(decision);
+    else
       self->KeepSilentAttempt();
-    }
   });
 }
 
-void RequestHandler::SwitchToReplacement(
-    const ScheduleDecision& decision,
-    InstanceIp scheduler,
-    std::shared_ptr<MemoryReservation> memory) {
-  replacement_.reset();
-  const UpstreamExchange::Failure failure{.reason = "response_overdue"};
-  may_have_run_ = true;
-  EndAttempt(failure.result, failure.faulty_upstream);
-  telemetry_.OnAttemptFailed(failure, /*will_retry=*/true, events_.events(),
-                             SteadyNow());
-  response_start_reported_ = false;
-  work_ = decision.key;
-  scheduler_ = scheduler;
-  memory_ = std::move(memory);
-  SendTo(*state_->upstreams.FindReady(decision.upstream), decision);
+void RequestHandler::SendReplacement(const ScheduleDecision& decision) {
+  replacement_events_ = events_;
+  SendTo(*state_->upstreams.FindReady(decision.upstream), decision,
+         &replacement_);
+}
+
+void RequestHandler::UseReplacement() {
+  ContinueWithReplacement({.reason = "response_overdue"});
+}
+
+void RequestHandler::ContinueWithReplacement(
+    const UpstreamExchange::Failure& failure) {
+  may_have_run_ |= !failure.not_run;
+  End(&current_, failure.result, failure.faulty_upstream);
+  telemetry_.OnAttemptFailed(current_.sent, failure, /*will_retry=*/true,
+                             events_.events(), SteadyNow());
+  current_ = std::exchange(replacement_, {});
+  events_ = replacement_events_;
+  current_.exchange->HandOver(&events_, this);
+}
+
+void RequestHandler::OnReplacementFailed(
+    const UpstreamExchange::Failure& failure) {
+  const auto self = shared_from_this();
+  RecordFailure(replacement_, failure);
+  End(&replacement_, failure.result, failure.faulty_upstream);
+  telemetry_.OnAttemptFailed(replacement_.sent, failure, /*will_retry=*/false,
+                             events_.events(), SteadyNow());
+  avoided_upstreams_.push_back(UpstreamAtFault(replacement_, failure));
+  KeepSilentAttempt();
+}
+
+void RequestHandler::KeepSilentAttempt() {
+  CancelReplacement();
+  watchdog_->Start(SteadyNow() + SilenceLimit());
 }
 
 void RequestHandler::CancelReplacement() {
-  if (!replacement_)
+  if (!replacement_.work && !replacement_.exchange)
     return;
-  const WorkKey key = *std::exchange(replacement_, std::nullopt);
-  if (replacement_memory_)
-    replacement_memory_->Release();
-  replacement_memory_.reset();
-  state_->handlers.erase(key);
-  state_->placement->OnEnded(key, AttemptResult::kCancelled, 0, SteadyNow());
+  End(&replacement_, AttemptResult::kCancelled, 0);
+  replacement_ = {};
 }
 
 std::shared_ptr<MemoryReservation> RequestHandler::NewReservation(
@@ -383,21 +431,21 @@
 
 void RequestHandler::ReserveHelperMemory(const UpstreamRecord& upstream,
                                          const ScheduleDecision& decision) {
-  memory_ = NewReservation(decision);
-  if (!memory_) {
+  current_.memory = NewReservation(decision);
+  if (!current_.memory) {
     telemetry_.OnMemoryReservation(decision.memory.size(), /*granted=*/false);
     EndAttempt(AttemptResult::kCancelled, 0);
     RequestNewPlacement("no_memory");
     return;
   }
   const std::weak_ptr<RequestHandler> weak = weak_from_this();
-  memory_->Acquire([weak, decision, upstream](bool granted) {
+  current_.memory->Acquire([weak, decision, upstream](bool granted) {
     const std::shared_ptr<RequestHandler> self = weak.lock();
     if (!self || self->finished_)
       return;
     self->telemetry_.OnMemoryReservation(decision.memory.size(), granted);
     if (granted) {
-      self->SendTo(upstream, decision);
+      self->SendTo(upstream, decision, &self->current_);
       return;
     }
     self->EndAttempt(AttemptResult::kCancelled, 0);
@@ -406,7 +454,8 @@
 }
 
 std::vector<PromptHelper> RequestHandler::ResolveHelpers(
-    const ScheduleDecision& decision) const {
+    const ScheduleDecision& decision,
+    const Attempt& attempt) const {
   std::vector<PromptHelper> helpers;
   for (UpstreamKey key : decision.helpers) {
     const UpstreamRecord* record = state_->upstreams.FindReady(key);
@@ -417,25 +466,26 @@
         [key](const MemoryShare& share) { return share.upstream == key; });
     helpers.push_back(
         {.address = record->address,
-         .memory_id = holds_memory ? memory_->id() : std::string()});
+         .memory_id = holds_memory ? attempt.memory->id() : std::string()});
   }
   return helpers;
 }
 
 void RequestHandler::SendTo(const UpstreamRecord& upstream,
-                            const ScheduleDecision& decision) {
+                            const ScheduleDecision& decision,
+                            Attempt* attempt) {
   const absl::Time now = SteadyNow();
-  upstream_ = decision.upstream;
-  sent_at_ = now;
-  incarnation_ =
+  attempt->upstream = decision.upstream;
+  attempt->incarnation =
       StableHash(upstream.id, static_cast<uint64_t>(upstream.started_ms));
-  UpstreamRequestFields request_fields{.upstream_id = upstream.id,
-                                       .account = account_,
-                                       .time_left = TimeLeft(),
-                                       .helpers = ResolveHelpers(decision)};
+  UpstreamRequestFields request_fields{
+      .upstream_id = upstream.id,
+      .account = account_,
+      .time_left = TimeLeft(),
+      .helpers = ResolveHelpers(decision, *attempt)};
   if (!events_.last_event_id().empty())
     request_fields.resume_after = events_.last_event_id();
-  telemetry_.OnAttemptStarted(
+  attempt->sent = telemetry_.OnAttemptStarted(
       {.upstream_id = upstream.id,
        .address = upstream.address,
        .helpers = JoinAddresses(request_fields.helpers),
@@ -445,9 +495,13 @@
        .expected = decision.expected,
        .time_left = request_fields.time_left},
       now);
-  exchange_ = std::make_shared<UpstreamExchange>(
+  const bool is_replacement = attempt == &replacement_;
+  UpstreamExchange::Listener* listener = this;
+  if (is_replacement)
+    listener = replacement_listener_.get();
+  attempt->exchange = std::make_shared<UpstreamExchange>(
       UpstreamExchange::Options{
-          .upstream = upstream_,
+          .upstream = attempt->upstream,
           .address = *ParseEndpoint(upstream.address),
           .request_id = caller_.id,
           .is_retryable = route_->IsRetryable(),
@@ -457,9 +511,9 @@
       UpstreamExchange::Shared{.codec = state_->codec,
                                .pool = state_->pool,
                                .directory = state_->upstreams},
-      &events_, this);
+      is_replacement ? &replacement_events_ : &events_, listener);
   ArmWatchdog(decision.expected, now);
-  exchange_->Send(absl::StrCat(
+  attempt->exchange->Send(absl::StrCat(
       state_->codec.UpstreamHead(request_, request_fields), request_.body));
 }
 
@@ -503,12 +557,12 @@
   const absl::Time now = SteadyNow();
   BeginStream(head);
   CancelReplacement();
-  telemetry_.OnEvents(route_->target_latency, now);
+  telemetry_.OnEvents(current_.sent, route_->target_latency, now);
   if (watchdog_)
     watchdog_->Extend(now + SilenceLimit());
-  if (!response_start_reported_ && work_) {
-    response_start_reported_ = true;
-    state_->placement->OnResponseStarted(*work_, now);
+  if (!current_.response_start_reported && current_.work) {
+    current_.response_start_reported = true;
+    state_->placement->OnResponseStarted(*current_.work, now);
     state_->placement->ReportPartsStarted(caller_.shared_parts, now);
   }
   writer_->SendChunk(events);
@@ -538,19 +592,25 @@
 void RequestHandler::EndAttempt(AttemptResult result,
                                 UpstreamKey faulty_upstream) {
   CancelReplacement();
-  if (exchange_) {
-    telemetry_.OnBodyEnded(exchange_->body_end());
-    exchange_->Cancel();
-  }
-  exchange_.reset();
   if (watchdog_)
     watchdog_->Stop();
-  if (memory_)
-    memory_->Release();
-  memory_.reset();
-  if (!work_)
+  End(&current_, result, faulty_upstream);
+}
+
+void RequestHandler::End(Attempt* attempt,
+                         AttemptResult result,
+                         UpstreamKey faulty_upstream) {
+  if (attempt->exchange) {
+    telemetry_.OnBodyEnded(attempt->exchange->body_end());
+    attempt->exchange->Cancel();
+  }
+  attempt->exchange.reset();
+  if (attempt->memory)
+    attempt->memory->Release();
+  attempt->memory.reset();
+  if (!attempt->work)
     return;
-  const WorkKey key = *std::exchange(work_, std::nullopt);
+  const WorkKey key = *std::exchange(attempt->work, std::nullopt);
   state_->handlers.erase(key);
   state_->placement->OnEnded(key, result, faulty_upstream, SteadyNow());
 }
@@ -574,40 +634,60 @@
       service_, state_->placement->membership().LiveInstances(now), now);
 }
 
+void RequestHandler::RecordFailure(const Attempt& attempt,
+                                   const UpstreamExchange::Failure& failure) {
+  may_have_run_ |= !failure.not_run;
+  unsent_attempts_ += failure.not_sent ? 1 : 0;
+  if (failure.result == AttemptResult::kCrash &&
+      !attempt.response_start_reported) {
+    state_->placement->ReportCrash(caller_.shared_parts, attempt.incarnation,
+                                   attempt.sent.sent_at, SteadyNow());
+  }
+}
+
+UpstreamKey RequestHandler::UpstreamAtFault(
+    const Attempt& attempt,
+    const UpstreamExchange::Failure& failure) {
+  return failure.faulty_upstream != 0 ? failure.faulty_upstream
+                                      : attempt.upstream;
+}
+
 void RequestHandler::OnExchangeFailed(
     const UpstreamExchange::Failure& failure) {
   const auto self = shared_from_this();
-  const absl::Time now = SteadyNow();
-  may_have_run_ |= !failure.not_run;
-  unsent_attempts_ += failure.not_sent ? 1 : 0;
-  if (failure.result == AttemptResult::kCrash && !response_start_reported_)
-    state_->placement->ReportCrash(caller_.shared_parts, incarnation_, sent_at_,
-                                   now);
+  RecordFailure(current_, failure);
+  if (replacement_.exchange) {
+    ContinueWithReplacement(failure);
+    return;
+  }
   if (CanRetry(failure)) {
     Retry(failure);
     return;
   }
   EndAttempt(failure.result, failure.faulty_upstream);
-  telemetry_.OnAttemptFailed(failure, /*will_retry=*/false, events_.events(),
-                             now);
+  telemetry_.OnAttemptFailed(current_.sent, failure, /*will_retry=*/false,
+                             events_.events(), SteadyNow());
   RespondUnavailable(failure.reason);
 }
 
 void RequestHandler::Retry(const UpstreamExchange::Failure& failure) {
   EndAttempt(failure.result, failure.faulty_upstream);
-  telemetry_.OnAttemptFailed(failure, /*will_retry=*/true, events_.events(),
-                             SteadyNow());
-  avoided_upstreams_.push_back(
-      failure.faulty_upstream != 0 ? failure.faulty_upstream : upstream_);
-  response_start_reported_ = false;
+  telemetry_.OnAttemptFailed(current_.sent, failure, /*will_retry=*/true,
+                             events_.events(), SteadyNow());
+  avoided_upstreams_.push_back(UpstreamAtFault(current_, failure));
+  current_ = {};
   RequestPlacement();
 }
 
 void RequestHandler::OnResponseOverdue() {
-  if (finished_ || !exchange_ || replacement_ ||
-      !CanRetry({.reason = "response_overdue"}))
+  if (finished_ || !current_.exchange)
+    return;
+  const UpstreamExchange::Failure failure{.reason = "response_overdue"};
+  if (replacement_.exchange)
+    ContinueWithReplacement(failure);
+  if (replacement_.work || !CanRetry(failure))
     return;
-  avoided_upstreams_.push_back(upstream_);
+  avoided_upstreams_.push_back(current_.upstream);
   SubmitToScheduler(&replacement_);
 }
 
@@ -645,8 +725,8 @@
 
 void RequestHandler::OnTimeout() {
   const auto self = shared_from_this();
-  const bool had_attempt = exchange_ != nullptr;
-  may_have_run_ |= had_attempt && !exchange_->has_head();
+  const bool had_attempt = current_.exchange != nullptr;
+  may_have_run_ |= had_attempt && !current_.exchange->has_head();
   EndAttempt(had_attempt ? AttemptResult::kFault : AttemptResult::kCancelled,
              0);
   if (stream_started_ || saved_response_ || !(may_have_run_ || had_attempt)) {
@@ -660,8 +740,10 @@
   if (finished_)
     return;
   const auto self = shared_from_this();
+  // While a replacement is under way, the watchdog waits for that one.
   const bool was_overdue =
-      exchange_ && watchdog_ && watchdog_->IsOverdue(SteadyNow());
+      current_.exchange && watchdog_ &&
+      (replacement_.work || watchdog_->IsOverdue(SteadyNow()));
   EndAttempt(was_overdue ? AttemptResult::kFault : AttemptResult::kCancelled,
              0);
   Finish(0, "caller_left");
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -8,11 +8,10 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "modules/gateway/attempt.h"
 #include "modules/gateway/gateway_state.h"
-#include "modules/gateway/memory_reservation.h"
 #include "modules/gateway/request_telemetry.h"
 #include "modules/gateway/response_watchdog.h"
-#include "modules/gateway/upstream_exchange.h"
 #include "modules/net/event_stream.h"
 #include "modules/net/http_server.h"
 
@@ -49,6 +48,8 @@
   void EndForShutdown();
 
  private:
+  class ReplacementListener;
+
   /** An upstream's error response, returned to the caller if no later attempt
       succeeds. */
   struct SavedResponse {
@@ -77,16 +78,17 @@
   /** Submits the request to the scheduler, unless a part of its prompt crashes
       upstreams. */
   void RequestPlacement();
-  /** Submits the request to the scheduler under a new key, which is stored in
-      `key`. */
-  void SubmitToScheduler(std::optional<WorkKey>* key);
+  /** Submits the request to the scheduler under a new key, as `attempt`. */
+  void SubmitToScheduler(Attempt* attempt);
   /** Ends the request and returns true if a part of its prompt crashes
       upstreams. */
   bool RefuseCrashingParts();
-  /** Starts an attempt at `upstream`. */
-  void SendTo(const UpstreamRecord& upstream, const ScheduleDecision& decision);
-  /** Returns a reservation of the memory that `decision` asks for at helpers.
-   */
+  /** Sends the request to `upstream`, as `attempt`. */
+  void SendTo(const UpstreamRecord& upstream,
+              const ScheduleDecision& decision,
+              Attempt* attempt);
+  /** Returns a reservation of the memory that `decision` asks for at helpers,
+     or null if this instance does not know them all. */
   std::shared_ptr<MemoryReservation> NewReservation(
       const ScheduleDecision& decision) const;
   /** Reserves memory at the helpers and then forwards the request. */
@@ -95,12 +97,21 @@
   /** Sends the head of a streamed response unless this was done before. */
   void BeginStream(const HttpResponseHead& head);
   /** Returns those helpers of `decision` that this instance knows. */
-  std::vector<PromptHelper> ResolveHelpers(
-      const ScheduleDecision& decision) const;
-  /** Cancels the exchange under way, releases reserved memory and reports
-      `result` to the scheduler. `faulty_upstream` is another upstream that
-      caused the failure; 0 for none. */
+  std::vector<PromptHelper> ResolveHelpers(const ScheduleDecision& decision,
+                                           const Attempt& attempt) const;
+  /** Ends the current attempt and its replacement; see End(). */
   void EndAttempt(AttemptResult result, UpstreamKey faulty_upstream);
+  /** Cancels the exchange of `attempt`, releases its memory and reports
+     `result` to the scheduler. `faulty_upstream` is another upstream that
+     caused the failure; 0 for none. */
+  void End(Attempt* attempt, AttemptResult result, UpstreamKey faulty_upstream);
+  /** Takes note of what the failure of `attempt` says about the request and its
+      upstream. */
+  void RecordFailure(const Attempt& attempt,
+                     const UpstreamExchange::Failure& failure);
+  /** Returns the upstream to which the request is not sent again. */
+  static UpstreamKey UpstreamAtFault(const Attempt& attempt,
+                                     const UpstreamExchange::Failure& failure);
   /** Returns whether the request may be retried after `failure`; if so, charges
       the retry budget. */
   bool CanRetry(const UpstreamExchange::Failure& failure);
@@ -127,18 +138,21 @@
   /** Requests another upstream if a retry is allowed. The silent attempt goes
       on until there is one. */
   void OnResponseOverdue();
-  /** Called with the decision that OnResponseOverdue() requested. The silent
-      attempt ends when the other upstream can be sent the request, for which
-      memory may have to be reserved first; otherwise it goes on. */
+  /** Called with the decision that OnResponseOverdue() requested. Sends the
+      request to the other upstream as well, after memory has been reserved
+     where it has to be. The first of the two to send an event, or a complete
+     response, is used, and the other cancelled. */
   void OnReplacement(const ScheduleDecision& decision, InstanceIp scheduler);
   /** Returns whether `decision` names an upstream that can replace the one that
       is silent. */
   bool CanReplace(const ScheduleDecision& decision) const;
-  /** Ends the silent attempt and starts one at the upstream of `decision`,
-     which CanReplace(). `memory` is what was reserved for it; null for none. */
-  void SwitchToReplacement(const ScheduleDecision& decision,
-                           InstanceIp scheduler,
-                           std::shared_ptr<MemoryReservation> memory);
+  void SendReplacement(const ScheduleDecision& decision);
+  /** Called when the replacement responds: ends the silent attempt. */
+  void UseReplacement();
+  /** Ends the current attempt because of `failure` and makes the replacement
+     the current one. */
+  void ContinueWithReplacement(const UpstreamExchange::Failure& failure);
+  void OnReplacementFailed(const UpstreamExchange::Failure& failure);
   /** Gives up the replacement and waits for the silent upstream again. */
   void KeepSilentAttempt();
   void CancelReplacement();
@@ -170,29 +184,22 @@
   boost::asio::steady_timer timeout_;
   std::unique_ptr<ResponseWatchdog> watchdog_;
 
-  /** Set from RequestPlacement until EndAttempt or a refusal. */
-  std::optional<WorkKey> work_;
-  /** Set while another upstream is requested for an attempt that is silent. */
-  std::optional<WorkKey> replacement_;
-  std::shared_ptr<MemoryReservation> replacement_memory_;
-  std::shared_ptr<MemoryReservation> memory_;
-  std::shared_ptr<UpstreamExchange> exchange_;
-  UpstreamKey upstream_ = 0;
-  /** Of the upstream of the current attempt. */
-  UpstreamIncarnation incarnation_ = 0;
-  /** Time at which the current attempt was sent. */
-  absl::Time sent_at_;
+  Attempt current_;
+  /** A second attempt while the current one is silent; empty otherwise. */
+  Attempt replacement_;
+  std::unique_ptr<ReplacementListener> replacement_listener_;
   /** The instance that made the last decision. */
   InstanceIp scheduler_ = 0;
   absl::Time placement_requested_at_;
   /** Kept over all attempts, so that a stream can be resumed. */
   EventStreamSplitter events_;
+  /** The same as seen by the replacement. */
+  EventStreamSplitter replacement_events_;
   int decisions_ = 0;
   /** Attempts that ended before a byte of the request was sent. */
   int unsent_attempts_ = 0;
   bool may_have_run_ = false;
   bool stream_started_ = false;
-  bool response_start_reported_ = false;
   bool finished_ = false;
   std::vector<UpstreamKey> avoided_upstreams_;
   std::optional<SavedResponse> saved_response_;
--- a/modules/gateway/request_telemetry.cc
+++ b/modules/gateway/request_telemetry.cc
@@ -59,11 +59,10 @@
       {{"request", request_}, {"engines", engines}, {"held", granted ? 1 : 0}});
 }
 
-void RequestTelemetry::OnAttemptStarted(const Attempt& attempt,
-                                        absl::Time now) {
+RequestTelemetry::SentAttempt RequestTelemetry::OnAttemptStarted(
+    const Attempt& attempt,
+    absl::Time now) {
   ++attempts_;
-  attempt_started_at_ = now;
-  upstream_id_ = attempt.upstream_id;
   metrics_.OnAttemptStarted(service_, now - arrived_);
   log_.WriteDetail(
       "request_sent",
@@ -78,6 +77,8 @@
        {"waited_ms", Ms(now - arrived_)},
        {"expected_ms", Ms(attempt.expected)},
        {"time_left_ms", Ms(attempt.time_left)}});
+  return {
+      .number = attempts_, .upstream_id = attempt.upstream_id, .sent_at = now};
 }
 
 void RequestTelemetry::OnRefused(const ScheduleDecision& decision,
@@ -91,7 +92,9 @@
                     {"retry_after_ms", Ms(decision.retry_after)}});
 }
 
-void RequestTelemetry::OnEvents(absl::Duration target_latency, absl::Time now) {
+void RequestTelemetry::OnEvents(const SentAttempt& attempt,
+                                absl::Duration target_latency,
+                                absl::Time now) {
   const bool is_first = last_event_ == absl::InfinitePast();
   if (!is_first)
     longest_gap_ = std::max(longest_gap_, now - last_event_);
@@ -99,25 +102,25 @@
   if (!is_first)
     return;
   metrics_.OnFirstEvent(service_, now - arrived_);
-  log_.WriteDetail("first_event",
-                   {{"request", request_},
-                    {"upstream", upstream_id_},
-                    {"after_send_ms", Ms(now - attempt_started_at_)},
-                    {"after_arrival_ms", Ms(now - arrived_)},
-                    {"target_ms", Ms(target_latency)}});
+  log_.WriteDetail("first_event", {{"request", request_},
+                                   {"upstream", attempt.upstream_id},
+                                   {"after_send_ms", Ms(now - attempt.sent_at)},
+                                   {"after_arrival_ms", Ms(now - arrived_)},
+                                   {"target_ms", Ms(target_latency)}});
 }
 
-void RequestTelemetry::OnAttemptFailed(const UpstreamExchange::Failure& failure,
+void RequestTelemetry::OnAttemptFailed(const SentAttempt& attempt,
+                                       const UpstreamExchange::Failure& failure,
                                        bool will_retry,
                                        int events,
                                        absl::Time now) {
   metrics_.OnAttemptFailed(service_, failure.reason);
   log_.Write("send_failed", {{"request", request_},
-                             {"upstream", upstream_id_},
+                             {"upstream", attempt.upstream_id},
                              {"reason", failure.reason},
                              {"not_run", failure.not_run ? 1 : 0},
-                             {"send", attempts_},
-                             {"after_ms", Ms(now - attempt_started_at_)},
+                             {"send", attempt.number},
+                             {"after_ms", Ms(now - attempt.sent_at)},
                              {"events", events},
                              {"framing", BodyFramingName(body_end_.framing)},
                              {"announced_bytes", AnnouncedBytes(body_end_)},
--- a/modules/gateway/request_telemetry.h
+++ b/modules/gateway/request_telemetry.h
@@ -64,7 +64,14 @@
     absl::Duration expected;
     absl::Duration time_left;
   };
-  void OnAttemptStarted(const Attempt& attempt, absl::Time now);
+  /** What later lines say of an attempt; two may run at the same time. */
+  struct SentAttempt {
+    /** Counted from 1. */
+    int number = 0;
+    std::string upstream_id;
+    absl::Time sent_at;
+  };
+  SentAttempt OnAttemptStarted(const Attempt& attempt, absl::Time now);
   /** Called when the scheduler refused the request. */
   void OnRefused(const ScheduleDecision& decision,
                  InstanceIp scheduler,
@@ -72,12 +79,15 @@
 
   /** Called when complete events were received for the caller.
       `target_latency` is the route's, which is logged with the first event. */
-  void OnEvents(absl::Duration target_latency, absl::Time now);
+  void OnEvents(const SentAttempt& attempt,
+                absl::Duration target_latency,
+                absl::Time now);
   /** Called at the end of each attempt, before OnAttemptFailed and OnEnded. */
   void OnBodyEnded(const UpstreamExchange::BodyEnd& end) { body_end_ = end; }
   /** Called when an attempt has failed; `events` counts the events that the
       caller has received so far. */
-  void OnAttemptFailed(const UpstreamExchange::Failure& failure,
+  void OnAttemptFailed(const SentAttempt& attempt,
+                       const UpstreamExchange::Failure& failure,
                        bool will_retry,
                        int events,
                        absl::Time now);
@@ -92,9 +102,7 @@
   GatewayMetrics& metrics_;
   std::string request_;
   std::string service_;
-  std::string upstream_id_;
   absl::Time arrived_;
-  absl::Time attempt_started_at_;
   absl::Time last_event_ = absl::InfinitePast();
   absl::Duration longest_gap_;
   /** Of the last attempt that has ended. */
--- a/modules/gateway/upstream_exchange.cc
+++ b/modules/gateway/upstream_exchange.cc
@@ -53,6 +53,12 @@
   connection_.reset();
 }
 
+void UpstreamExchange::HandOver(EventStreamSplitter* events,
+                                Listener* listener) {
+  events_ = events;
+  listener_ = listener;
+}
+
 void UpstreamExchange::ReleaseConnection() {
   if (connection_->IsReusable()) {
     shared_.pool.Release(options_.upstream, std::move(connection_), keep_alive_,
--- a/modules/gateway/upstream_exchange.h
+++ b/modules/gateway/upstream_exchange.h
@@ -102,6 +102,10 @@
   void Send(std::string request);
   /** Closes the connection; no callback follows. */
   void Cancel();
+  /** Makes `listener` receive all further callbacks and `events`, a copy of the
+      former splitter, keep the state of the stream. May be called from within a
+      callback. */
+  void HandOver(EventStreamSplitter* events, Listener* listener);
 
   /** Whether the head was received and accepted. */
   bool has_head() const { return has_head_; }
--- a/tests/logic/request_handler_test.cc
+++ b/tests/logic/request_handler_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <future>
 #include <memory>
 #include <string>
 #include <utility>
@@ -20,54 +21,106 @@
 
 namespace asio = boost::asio;
 
-constexpr char kHead[] =
-    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n"
-    "Transfer-Encoding: chunked\r\n\r\n";
-constexpr char kFirstEvent[] = "10\r\nid: 0\ndata: a\n\n\n\r\n";
-constexpr char kLastEvent[] = "10\r\nid: 1\ndata: b\n\n\n\r\n0\r\n\r\n";
+/** What an engine does after it has received a request. */
+struct Step {
+  std::chrono::milliseconds delay;
+  /** Written to the connection; empty closes it. */
+  std::string bytes;
+};
+using Script = std::vector<Step>;
+
+constexpr std::chrono::milliseconds kAtOnce(0);
+/** Longer than the silence after which another engine is asked (1.2 s). */
+constexpr std::chrono::milliseconds kPause(2200);
+/** Longer than a request may take. */
+constexpr std::chrono::milliseconds kNever(20000);
 
-/** An engine that sends the first event of a stream, is silent for `pause` and
-    sends the rest. Counts the requests that it gets. */
-class PausingEngine {
+std::string Head(const std::string& upstream) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: " + upstream +
+         "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+std::string Event(int id) {
+  return "f\r\nid: " + std::to_string(id) + "\ndata: a\n\n\r\n";
+}
+constexpr char kEnd[] = "0\r\n\r\n";
+constexpr char kRefusal[] =
+    "HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+constexpr char kError[] =
+    "HTTP/1.1 500 Error\r\nRequest-Id: r1\r\nResponse-Stamp: b\r\n"
+    "Content-Length: 7\r\n\r\nfailed\n";
+
+/** Two engines. The first request that one of them gets is answered by the
+   first script, the second by the second. */
+class ScriptedEngines {
  public:
-  PausingEngine(asio::io_context& loop, std::chrono::milliseconds pause)
-      : acceptor_(loop, {asio::ip::address_v4::loopback(), 0}),
-        socket_(loop),
-        timer_(loop),
-        pause_(pause) {
-    acceptor_.async_accept(
-        socket_, [this](const boost::system::error_code& error) {
-          if (error)
-            return;
-          socket_.async_read_some(
-              asio::buffer(request_),
-              [this](const boost::system::error_code&, size_t) { Respond(); });
-        });
+  ScriptedEngines(asio::io_context& loop, std::vector<Script> scripts)
+      : loop_(loop), scripts_(std::move(scripts)) {
+    for (int i = 0; i < 2; ++i) {
+      engines_.push_back(std::make_unique<Engine>(loop));
+      Accept(engines_.back().get());
+    }
   }
 
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  std::vector<std::string> addresses() const {
+    std::vector<std::string> texts;
+    for (const auto& engine : engines_) {
+      texts.push_back("127.0.0.1:" +
+                      std::to_string(engine->acceptor.local_endpoint().port()));
+    }
+    return texts;
   }
-  int requests() const { return requests_; }
+  size_t requests() const { return requests_; }
 
  private:
-  void Respond() {
-    ++requests_;
-    asio::write(socket_, asio::buffer(std::string(kHead) + kFirstEvent));
-    timer_.expires_after(pause_);
-    timer_.async_wait([this](const boost::system::error_code& error) {
-      boost::system::error_code ignored;
-      if (!error)
-        asio::write(socket_, asio::buffer(std::string(kLastEvent)), ignored);
-    });
+  struct Engine {
+    explicit Engine(asio::io_context& loop)
+        : acceptor(loop, {asio::ip::address_v4::loopback(), 0}),
+          socket(loop),
+          timer(loop) {}
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    std::array<char, 4096> request;
+  };
+
+  void Accept(Engine* engine) {
+    engine->acceptor.async_accept(
+        engine->socket, [this, engine](const boost::system::error_code& error) {
+          if (error)
+            return;
+          engine->socket.async_read_some(
+              asio::buffer(engine->request),
+              [this, engine](const boost::system::error_code&, size_t) {
+                const size_t number = requests_++;
+                if (number < scripts_.size())
+                  RunStep(engine, scripts_[number], 0);
+              });
+        });
   }
 
-  asio::ip::tcp::acceptor acceptor_;
-  asio::ip::tcp::socket socket_;
-  asio::steady_timer timer_;
-  const std::chrono::milliseconds pause_;
-  std::array<char, 4096> request_;
-  int requests_ = 0;
+  void RunStep(Engine* engine, const Script& script, size_t index) {
+    if (index == script.size())
+      return;
+    engine->timer.expires_after(script[index].delay);
+    engine->timer.async_wait(
+        [this, engine, &script, index](const boost::system::error_code& error) {
+          if (error)
+            return;
+          boost::system::error_code ignored;
+          const std::string& bytes = script[index].bytes;
+          if (bytes.empty())
+            engine->socket.close(ignored);
+          else
+            asio::write(engine->socket, asio::buffer(bytes), ignored);
+          RunStep(engine, script, index + 1);
+        });
+  }
+
+  asio::io_context& loop_;
+  const std::vector<Script> scripts_;
+  std::vector<std::unique_ptr<Engine>> engines_;
+  size_t requests_ = 0;
 };
 
 /** Records what a caller gets. */
@@ -87,8 +140,7 @@
   std::string outcome;
 };
 
-/** One instance that schedules its own requests. Decisions after the first one
-    also ask for memory at an upstream that refuses to reserve it. */
+/** One instance that schedules its own requests. */
 class OneInstance : public PlacementNode::Transport,
                     public PlacementNode::Listener {
  public:
@@ -139,8 +191,9 @@
     placement_.SetUpstreams(state_.upstreams.Ready());
   }
 
-  /** Registers an upstream that is not scheduled. */
+  /** Makes decisions after the first one ask for memory at `address`. */
   void SetMemoryHolder(const std::string& address) {
+    needs_memory_ = true;
     state_.upstreams.Put(
         {.id = "holder", .service = "others", .address = address, .slots = 1});
   }
@@ -166,7 +219,7 @@
   void OnDecision(const ScheduleDecision& decision,
                   InstanceIp scheduler) override {
     ScheduleDecision changed = decision;
-    if (++decisions_ > 1)
+    if (++decisions_ > 1 && needs_memory_)
       changed.memory.push_back(
           {.upstream = UpstreamDirectory::KeyOf("holder"), .tokens = 10});
     const auto found = state_.handlers.find(decision.key);
@@ -186,25 +239,124 @@
   GatewayMetrics metrics_;
   GatewayState state_;
   int decisions_ = 0;
+  bool needs_memory_ = false;
 };
 
+std::string Events(int first, int last) {
+  std::string text;
+  for (int id = first; id <= last; ++id)
+    text += "id: " + std::to_string(id) + "\ndata: a\n\n";
+  return text;
+}
+
 // Guards against a sound stream that was cut: its silence had led to another
 // assignment, for which no memory could be reserved.
 TEST_CASE("a silent attempt goes on until its replacement has its memory") {
   OneInstance instance;
-  PausingEngine first(instance.loop, std::chrono::milliseconds(2500));
-  PausingEngine second(instance.loop, std::chrono::milliseconds(2500));
+  ScriptedEngines engines(instance.loop, {{{kAtOnce, Head("a") + Event(0)},
+                                           {kPause, Event(1) + kEnd}}});
   ScriptedUpstream holder(
       instance.loop,
       std::vector<std::string>(
           9, "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"),
       Ending::kOpen);
-  instance.SetUpstreams({first.address(), second.address()});
+  instance.SetUpstreams(engines.addresses());
   instance.SetMemoryHolder(EndpointText(holder.address()));
   const RecordingWriter writer = instance.Handle();
   CHECK(writer.outcome == "whole");
-  CHECK(writer.body == "id: 0\ndata: a\n\n\nid: 1\ndata: b\n\n\n");
-  CHECK(first.requests() + second.requests() == 1);
+  CHECK(writer.body == Events(0, 1));
+  CHECK(engines.requests() == 1);
+}
+
+// Guards against a sound stream that was cut: the upstream that was to replace
+// a silent one refused, and no further attempt was allowed.
+TEST_CASE("a silent attempt goes on until its replacement responds") {
+  struct Case {
+    const char* name;
+    Script silent;
+    Script replacement;
+    std::string outcome;
+    std::string body;
+  };
+  const Step begin{kAtOnce, Head("a") + Event(0)};
+  const Step late_rest{kPause, Event(1) + Event(2) + kEnd};
+  const Step resumed{kAtOnce, Head("b") + Event(1) + Event(2) + kEnd};
+  const std::vector<Case> cases = {
+      {"the replacement refuses",
+       {begin, late_rest},
+       {{kAtOnce, kRefusal}},
+       "whole",
+       Events(0, 2)},
+      {"the replacement fails",
+       {begin, late_rest},
+       {{kAtOnce, kError}},
+       "whole",
+       Events(0, 2)},
+      {"the replacement breaks off before an event",
+       {begin, late_rest},
+       {{kAtOnce, Head("b")}, {kAtOnce, ""}},
+       "whole",
+       Events(0, 2)},
+      {"the replacement sends the stream from its begin",
+       {begin, late_rest},
+       {{kAtOnce, Head("b") + Event(0)}},
+       "whole",
+       Events(0, 2)},
+      {"the replacement is silent too",
+       {begin, late_rest},
+       {{kNever, kEnd}},
+       "whole",
+       Events(0, 2)},
+      {"the replacement responds first",
+       {begin, {kNever, kEnd}},
+       {resumed},
+       "whole",
+       Events(0, 2)},
+      {"both respond, the replacement first",
+       {begin, late_rest},
+       {resumed},
+       "whole",
+       Events(0, 2)},
+      {"the silent attempt breaks off meanwhile",
+       {begin, {std::chrono::milliseconds(1600), ""}},
+       {{std::chrono::milliseconds(800),
+         Head("b") + Event(1) + Event(2) + kEnd}},
+       "whole",
+       Events(0, 2)},
+      {"no event before the silence",
+       {{kPause, Head("a") + Event(0) + kEnd}},
+       {{kAtOnce, kRefusal}},
+       "whole",
+       Events(0, 0)},
+      {"the replacement has nothing left to send",
+       {begin, {kNever, kEnd}},
+       {{kAtOnce, Head("b") + kEnd}},
+       "whole",
+       Events(0, 0)},
+  };
+  struct Result {
+    RecordingWriter writer;
+    size_t requests = 0;
+  };
+  // Each case waits for seconds, so they run side by side.
+  std::vector<std::future<Result>> results;
+  for (const Case& c : cases) {
+    results.push_back(std::async(std::launch::async, [&c] {
+      OneInstance instance;
+      ScriptedEngines engines(instance.loop, {c.silent, c.replacement});
+      instance.SetUpstreams(engines.addresses());
+      RecordingWriter writer = instance.Handle();
+      return Result{.writer = std::move(writer),
+                    .requests = engines.requests()};
+    }));
+  }
+  for (size_t i = 0; i < cases.size(); ++i) {
+    INFO(cases[i].name);
+    const Result result = results[i].get();
+    CHECK(result.writer.outcome == cases[i].outcome);
+    CHECK(result.writer.body == cases[i].body);
+    CHECK(result.requests == 2);
+  }
 }
 
 }  // namespace
