--- a/modules/net/http_message.cc
+++ b/modules/net/http_message.cc
@@ -44,7 +44,7 @@
   static uint64_t size(const value_type& body) { return body.size(); }
 
   /** Appends the parsed bytes to the body. The library requires these names. */
-  class reader {
+  class reader {  // NOLINT(readability-identifier-naming)
    public:
     template <bool is_request, class Fields>
     reader(http::header<is_request, Fields>&, value_type& body) : body_(body) {}
--- a/modules/net/http_server_connection.cc
+++ b/modules/net/http_server_connection.cc
@@ -91,7 +91,8 @@
     Close();
     return;
   }
-  // The request of a refusal that is being written must not be started after all.
+  // The request of a refusal that is being written must not be started after
+  // all.
   const bool is_refused = response_ended_ && !handler_;
   if (lingering_ || is_refused) {
     Read();
--- a/tests/logic/request_handler_test.cc
+++ b/tests/logic/request_handler_test.cc
@@ -55,7 +55,7 @@
 class ScriptedEngines {
  public:
   ScriptedEngines(asio::io_context& loop, std::vector<Script> scripts)
-      : loop_(loop), scripts_(std::move(scripts)) {
+      : scripts_(std::move(scripts)) {
     for (int i = 0; i < 2; ++i) {
       engines_.push_back(std::make_unique<Engine>(loop));
       Accept(engines_.back().get());
@@ -117,7 +117,6 @@
         });
   }
 
-  asio::io_context& loop_;
   const std::vector<Script> scripts_;
   std::vector<std::unique_ptr<Engine>> engines_;
   size_t requests_ = 0;
