The scheduler learns of a silent upstream when its replacement is sent

What callers saw: at 295 instances, first events later than before: other requests were sent to engines that were known to be silent.

Cause: with replacements that run beside the silent attempt, that attempt's fault was reported only once the replacement had responded.

Change: it is reported when the replacement is sent, as before; the attempt itself goes on.

--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -370,6 +370,8 @@
 
 void RequestHandler::SendReplacement(const ScheduleDecision& decision) {
   replacement_events_ = events_;
+  // The scheduler must not choose the silent upstream for others meanwhile.
+  ReportEnd(&current_, AttemptResult::kFault, 0);
   SendTo(*state_->upstreams.FindReady(decision.upstream), decision,
          &replacement_);
 }
@@ -608,6 +610,12 @@
   if (attempt->memory)
     attempt->memory->Release();
   attempt->memory.reset();
+  ReportEnd(attempt, result, faulty_upstream);
+}
+
+void RequestHandler::ReportEnd(Attempt* attempt,
+                               AttemptResult result,
+                               UpstreamKey faulty_upstream) {
   if (!attempt->work)
     return;
   const WorkKey key = *std::exchange(attempt->work, std::nullopt);
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -105,6 +105,11 @@
      `result` to the scheduler. `faulty_upstream` is another upstream that
      caused the failure; 0 for none. */
   void End(Attempt* attempt, AttemptResult result, UpstreamKey faulty_upstream);
+  /** Tells the scheduler that `attempt` has ended, unless it was told before.
+   */
+  void ReportEnd(Attempt* attempt,
+                 AttemptResult result,
+                 UpstreamKey faulty_upstream);
   /** Takes note of what the failure of `attempt` says about the request and its
       upstream. */
   void RecordFailure(const Attempt& attempt,
