Upstreams that announce that they leave, or ask for rest, get nothing more

What callers saw: requests refused or cut at upstreams that had said so beforehand.

Cause: neither header was read.

Weighed (design/09): the state in the directory's rows, at the schedulers, or at the instance that was told. Taken: the last, asked before each send.

Requests carry closed upstreams to their schedulers; an instance that schedules takes leaving ones out for all. With all of a service closed a request is rejected at once, with the honest earliest time if its caller still waits then. Log lines, a metric, a path from a rejected request to the upstream that asked for it. The stand-in announces, repeats its id in refusals as the platform's upstreams do, and counts arrivals; the soak has both announcements among its faults.

--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -127,6 +127,8 @@
           .metrics = metrics_,
           .table = nullptr,
           .upstreams = {},
+          .announcements = {},
+          .ready_upstreams = {},
           .upstreams_updated_at = absl::InfinitePast(),
           .pool = UpstreamPool(loop),
           .retries = RetryWindow(options_.retries),
@@ -137,7 +139,8 @@
                          .finish_within = options_.stop_within - kStopMargin}),
           .random =
               std::minstd_rand(static_cast<unsigned>(options_.first_sequence)),
-          .on_request_waiting = [this] { ScheduleEarlyTick(); }},
+          .on_request_waiting = [this] { ScheduleEarlyTick(); },
+          .on_upstream_leaving = [this] { upstreams_changed_ = true; }},
       caller_delegate_(std::make_unique<CallerDelegate>(this)),
       ready_delegate_(std::make_unique<ReadyDelegate>(this)),
       operator_delegate_(std::make_unique<OperatorDelegate>(this)),
@@ -204,7 +207,18 @@
 
 void Gateway::PublishUpstreams() {
   has_upstreams_ = true;
-  placement_.SetUpstreams(state_.upstreams.Ready());
+  upstreams_changed_ = false;
+  const absl::Time now = SteadyNow();
+  std::vector<UpstreamSpec> usable = state_.upstreams.Ready();
+  state_.ready_upstreams.clear();
+  for (const UpstreamSpec& spec : usable)
+    ++state_.ready_upstreams[spec.service];
+  std::erase_if(usable, [&](const UpstreamSpec& spec) {
+    const UpstreamRecord& record = *state_.upstreams.FindReady(spec.key);
+    return state_.announcements.IsLeaving(
+        spec.key, UpstreamDirectory::IncarnationOf(record), now);
+  });
+  placement_.SetUpstreams(usable);
 }
 
 void Gateway::OnUpstreams(const std::vector<UpstreamRecord>& upstreams,
@@ -315,7 +329,9 @@
 void Gateway::Tick() {
   const absl::Cleanup schedule_next = [this] { ScheduleTick(); };
   const absl::Time now = SteadyNow();
-  if (state_.upstreams.Expire(now))
+  upstreams_changed_ |= state_.upstreams.Expire(now);
+  upstreams_changed_ |= state_.announcements.Expire(now);
+  if (upstreams_changed_)
     PublishUpstreams();
   placement_.Tick(now);
   source_watcher_.Tick(now);
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -162,6 +162,8 @@
   boost::asio::steady_timer stop_timer_;
   absl::Time next_housekeeping_ = absl::InfinitePast();
   bool has_upstreams_ = false;
+  /** The upstreams to be scheduled have changed since the last tick. */
+  bool upstreams_changed_ = false;
   InstanceIp scheduling_instance_ = 0;
   size_t live_instances_ = 0;
   /** The refusals in force at the last tick. */
--- a/modules/gateway/gateway_metrics.cc
+++ b/modules/gateway/gateway_metrics.cc
@@ -32,6 +32,12 @@
                                  prometheus::BuildCounter(),
                                  "chicory_failed_sends_total",
                                  "Sends to upstreams that gave no answer")),
+      announcements_(
+          AddFamily(&registry_,
+                    prometheus::BuildCounter(),
+                    "chicory_upstream_announcements_total",
+                    "Responses in which an upstream says that it is leaving or "
+                    "wants no requests for some time")),
       callback_failures_(
           AddFamily(&registry_,
                     prometheus::BuildCounter(),
@@ -104,6 +110,13 @@
       .Increment();
 }
 
+void GatewayMetrics::OnAnnouncement(const std::string& service,
+                                    absl::string_view what) {
+  announcements_
+      .Add({{"service", ServiceLabel(service)}, {"what", std::string(what)}})
+      .Increment();
+}
+
 void GatewayMetrics::OnFirstEvent(const std::string& service,
                                   absl::Duration after_arrival) {
   MetricsFor(service).first_event->Observe(
--- a/modules/gateway/gateway_metrics.h
+++ b/modules/gateway/gateway_metrics.h
@@ -42,6 +42,9 @@
   /** Records the longest pause between two events of a complete stream. */
   void OnStreamComplete(const std::string& service, absl::Duration longest_gap);
 
+  /** Counts what an upstream has announced in a response: `what` is a label
+      value. */
+  void OnAnnouncement(const std::string& service, absl::string_view what);
   /** Counts a callback of the event loop that has thrown. */
   void OnCallbackFailed() { callback_failures_.Increment(); }
 
@@ -75,6 +78,7 @@
   prometheus::Registry registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& failed_attempts_;
+  prometheus::Family<prometheus::Counter>& announcements_;
   prometheus::Counter& callback_failures_;
   prometheus::Family<prometheus::Histogram>& durations_;
   prometheus::Family<prometheus::Histogram>& waits_;
--- a/modules/gateway/gateway_state.h
+++ b/modules/gateway/gateway_state.h
@@ -5,8 +5,11 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <string>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
 #include "modules/core/event_log.h"
 #include "modules/decisions/drain_plan.h"
 #include "modules/decisions/retry_window.h"
@@ -15,6 +18,7 @@
 #include "modules/gateway/wire_codec.h"
 #include "modules/peers/placement_node.h"
 #include "modules/routing/routing_table.h"
+#include "modules/routing/upstream_announcements.h"
 #include "modules/routing/upstream_directory.h"
 
 namespace chicory {
@@ -24,6 +28,19 @@
 /** State shared by all requests of one gateway. Must be accessed on the event
     loop's thread only. */
 struct GatewayState {
+  /** Returns the upstream if it is registered as ready and has not announced
+      otherwise to this instance; null otherwise. */
+  const UpstreamRecord* FindOpen(UpstreamKey upstream, absl::Time now) const;
+  /** The upstreams of a service that are registered as ready but have announced
+      otherwise. */
+  struct ClosedUpstreams {
+    std::vector<UpstreamKey> keys;
+    /** When the first of the service accepts requests: in the past if one does,
+        infinite if all are leaving. */
+    absl::Time service_opens_at = absl::InfinitePast();
+  };
+  ClosedUpstreams FindClosed(absl::string_view service, absl::Time now) const;
+
   boost::asio::io_context& loop;
   const WireCodec& codec;
   EventLog& log;
@@ -31,6 +48,9 @@
   /** Null until the first configuration is received. */
   std::shared_ptr<const RoutingTable> table;
   UpstreamDirectory upstreams;
+  UpstreamAnnouncements announcements;
+  /** Number of the upstreams that are registered as ready, by service. */
+  absl::flat_hash_map<std::string, size_t> ready_upstreams;
   /** Time of the last list or batch of changes, from the source or from another
       instance. */
   absl::Time upstreams_updated_at = absl::InfinitePast();
@@ -44,6 +64,8 @@
   std::minstd_rand random;
   /** Called after a request was submitted to `placement`. */
   std::function<void()> on_request_waiting;
+  /** Called after an upstream has announced that it is leaving. */
+  std::function<void()> on_upstream_leaving;
 };
 
 }  // namespace chicory
--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -78,6 +78,9 @@
  public:
   explicit ReplacementListener(RequestHandler* handler) : handler_(handler) {}
 
+  void OnAnnouncement(const ResponseClassification& response) override {
+    handler_->RecordAnnouncement(handler_->replacement_, response);
+  }
   void OnEvents(const HttpResponseHead& head,
                 const std::string& events) override {
     const auto self = handler_->shared_from_this();
@@ -243,8 +246,30 @@
   return true;
 }
 
+bool RequestHandler::RefuseWithoutOpenUpstream() {
+  const absl::Time now = SteadyNow();
+  const absl::Time opens_at =
+      state_->FindClosed(service_, now).service_opens_at;
+  if (opens_at <= now)
+    return false;
+  // A time after the caller's limit is no help to the caller.
+  const bool is_in_time = opens_at < deadline_;
+  RespondUnavailable("upstreams_closed",
+                     is_in_time ? opens_at - now : absl::ZeroDuration());
+  return true;
+}
+
+std::vector<UpstreamKey> RequestHandler::UpstreamsToAvoid() const {
+  // Only the first few reach a scheduler at another instance.
+  std::vector<UpstreamKey> avoid(avoided_upstreams_.rbegin(),
+                                 avoided_upstreams_.rend());
+  for (UpstreamKey closed : state_->FindClosed(service_, SteadyNow()).keys)
+    avoid.push_back(closed);
+  return avoid;
+}
+
 void RequestHandler::RequestPlacement() {
-  if (!RefuseCrashingParts())
+  if (!RefuseCrashingParts() && !RefuseWithoutOpenUpstream())
     SubmitToScheduler(&current_);
 }
 
@@ -257,7 +282,7 @@
                    .deadline = deadline_,
                    .event_gap = route_->event_gap,
                    .priority = priority_,
-                   .avoid = avoided_upstreams_,
+                   .avoid = UpstreamsToAvoid(),
                    .fingerprint = fingerprint_};
   // Submit may call OnDecision before it returns, so the handler is registered
   // under the next key beforehand.
@@ -302,7 +327,7 @@
   if (RefuseCrashingParts())
     return;
   const UpstreamRecord* upstream =
-      state_->upstreams.FindReady(decision.upstream);
+      state_->FindOpen(decision.upstream, SteadyNow());
   if (!upstream) {
     EndAttempt(AttemptResult::kCancelled, 0);
     avoided_upstreams_.push_back(decision.upstream);
@@ -330,7 +355,7 @@
 
 bool RequestHandler::CanReplace(const ScheduleDecision& decision) const {
   return decision.kind == ScheduleDecision::Kind::kAssign &&
-         state_->upstreams.FindReady(decision.upstream) &&
+         state_->FindOpen(decision.upstream, SteadyNow()) &&
          TimeLeft() >= kMinTimeLeft &&
          (stream_started_ ||
           state_->drain.CanFinish(PlannedDuration(decision.expected),
@@ -372,7 +397,7 @@
   replacement_events_ = events_;
   // The scheduler must not choose the silent upstream for others meanwhile.
   ReportEnd(&current_, AttemptResult::kFault, 0);
-  SendTo(*state_->upstreams.FindReady(decision.upstream), decision,
+  SendTo(*state_->FindOpen(decision.upstream, SteadyNow()), decision,
          &replacement_);
 }
 
@@ -418,7 +443,8 @@
     const ScheduleDecision& decision) const {
   std::vector<MemoryReservation::Share> shares;
   for (const MemoryShare& share : decision.memory) {
-    const UpstreamRecord* holder = state_->upstreams.FindReady(share.upstream);
+    const UpstreamRecord* holder =
+        state_->FindOpen(share.upstream, SteadyNow());
     if (!holder)
       return nullptr;
     shares.push_back({.upstream_id = holder->id,
@@ -460,7 +486,7 @@
     const Attempt& attempt) const {
   std::vector<PromptHelper> helpers;
   for (UpstreamKey key : decision.helpers) {
-    const UpstreamRecord* record = state_->upstreams.FindReady(key);
+    const UpstreamRecord* record = state_->FindOpen(key, SteadyNow());
     if (!record)
       continue;
     const bool holds_memory = std::any_of(
@@ -478,8 +504,7 @@
                             Attempt* attempt) {
   const absl::Time now = SteadyNow();
   attempt->upstream = decision.upstream;
-  attempt->incarnation =
-      StableHash(upstream.id, static_cast<uint64_t>(upstream.started_ms));
+  attempt->incarnation = UpstreamDirectory::IncarnationOf(upstream);
   UpstreamRequestFields request_fields{
       .upstream_id = upstream.id,
       .account = account_,
@@ -553,6 +578,28 @@
   writer_->BeginStream(head.status, ForwardedHeaders(head));
 }
 
+void RequestHandler::OnAnnouncement(const ResponseClassification& response) {
+  RecordAnnouncement(current_, response);
+}
+
+void RequestHandler::RecordAnnouncement(
+    const Attempt& attempt,
+    const ResponseClassification& response) {
+  const absl::Time now = SteadyNow();
+  if (response.leaving && state_->announcements.OnLeaving(
+                              attempt.upstream, attempt.incarnation, now)) {
+    telemetry_.OnUpstreamLeaving(attempt.sent);
+    state_->on_upstream_leaving();
+  }
+  if (response.rest) {
+    state_->announcements.OnRest(attempt.upstream, attempt.incarnation,
+                                 *response.rest, now);
+    telemetry_.OnUpstreamRests(attempt.sent, *response.rest);
+  }
+  if (!response.unusable_rest.empty())
+    telemetry_.OnUnusableRest(attempt.sent, response.unusable_rest);
+}
+
 void RequestHandler::OnEvents(const HttpResponseHead& head,
                               const std::string& events) {
   const auto self = shared_from_this();
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -57,6 +57,7 @@
     std::string body;
   };
 
+  void OnAnnouncement(const ResponseClassification& response) override;
   void OnEvents(const HttpResponseHead& head,
                 const std::string& events) override;
   void OnStreamComplete(const HttpResponseHead& head) override;
@@ -78,6 +79,15 @@
   /** Submits the request to the scheduler, unless a part of its prompt crashes
       upstreams. */
   void RequestPlacement();
+  /** Ends the request and returns true if all upstreams of its service have
+      announced that they accept no requests. */
+  bool RefuseWithoutOpenUpstream();
+  /** Returns the upstreams that a scheduler should not choose: those of failed
+      attempts, the last one first, and those that accept no requests. */
+  std::vector<UpstreamKey> UpstreamsToAvoid() const;
+  /** Records what a response to `attempt` says about its upstream. */
+  void RecordAnnouncement(const Attempt& attempt,
+                          const ResponseClassification& response);
   /** Submits the request to the scheduler under a new key, as `attempt`. */
   void SubmitToScheduler(Attempt* attempt);
   /** Ends the request and returns true if a part of its prompt crashes
--- a/modules/gateway/request_telemetry.cc
+++ b/modules/gateway/request_telemetry.cc
@@ -81,6 +81,29 @@
       .number = attempts_, .upstream_id = attempt.upstream_id, .sent_at = now};
 }
 
+void RequestTelemetry::OnUpstreamLeaving(const SentAttempt& attempt) {
+  metrics_.OnAnnouncement(service_, "leaving");
+  log_.Write("upstream_leaving",
+             {{"request", request_}, {"upstream", attempt.upstream_id}});
+}
+
+void RequestTelemetry::OnUpstreamRests(const SentAttempt& attempt,
+                                       absl::Duration rest) {
+  metrics_.OnAnnouncement(service_, "rest");
+  log_.Write("upstream_rests", {{"request", request_},
+                                {"upstream", attempt.upstream_id},
+                                {"for_ms", Ms(rest)}});
+}
+
+void RequestTelemetry::OnUnusableRest(const SentAttempt& attempt,
+                                      absl::string_view text) {
+  constexpr size_t kMaxLoggedBytes = 60;
+  log_.Write("upstream_rest_ignored",
+             {{"request", request_},
+              {"upstream", attempt.upstream_id},
+              {"value", text.substr(0, kMaxLoggedBytes)}});
+}
+
 void RequestTelemetry::OnRefused(const ScheduleDecision& decision,
                                  InstanceIp scheduler,
                                  absl::Time now) {
--- a/modules/gateway/request_telemetry.h
+++ b/modules/gateway/request_telemetry.h
@@ -72,6 +72,12 @@
     absl::Time sent_at;
   };
   SentAttempt OnAttemptStarted(const Attempt& attempt, absl::Time now);
+  /** Called when the upstream of `attempt` has said in its response that it is
+      leaving, that it wants no requests for `rest`, or something that should
+     say so but cannot be read. */
+  void OnUpstreamLeaving(const SentAttempt& attempt);
+  void OnUpstreamRests(const SentAttempt& attempt, absl::Duration rest);
+  void OnUnusableRest(const SentAttempt& attempt, absl::string_view text);
   /** Called when the scheduler refused the request. */
   void OnRefused(const ScheduleDecision& decision,
                  InstanceIp scheduler,
--- a/modules/gateway/upstream_exchange.cc
+++ b/modules/gateway/upstream_exchange.cc
@@ -99,6 +99,7 @@
     Fail({.reason = "answer_to_another_request"});
     return false;
   }
+  listener_->OnAnnouncement(classification);
   if (classification.not_run && head.status != kBadRequest) {
     Fail({.reason = "upstream_refused",
           .not_run = true,
--- a/modules/gateway/upstream_exchange.h
+++ b/modules/gateway/upstream_exchange.h
@@ -52,6 +52,9 @@
   class Listener {
    public:
     virtual ~Listener() = default;
+    /** Called, before anything else, with what the response to this request
+       says about the upstream itself. */
+    virtual void OnAnnouncement(const ResponseClassification& response) = 0;
     /** Called with complete events of a stream; `head` is the head of its
         response. */
     virtual void OnEvents(const HttpResponseHead& head,
--- a/modules/gateway/wire_codec.h
+++ b/modules/gateway/wire_codec.h
@@ -84,6 +84,13 @@
   bool is_signed = false;
   /** `ip:port` of another upstream that caused the failure; empty for none. */
   std::string faulty_address;
+  /** The upstream is leaving and wants no new requests. */
+  bool leaving = false;
+  /** How long the upstream wants no requests from this instance. */
+  std::optional<absl::Duration> rest;
+  /** The text that should say so, if it says nothing usable; empty otherwise.
+   */
+  std::string unusable_rest;
   /** How long the upstream keeps an idle connection open; zero if not sent. */
   absl::Duration keep_alive;
 };
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -18,7 +18,7 @@
 /** Maximum list entries per message, so that it fits into kMaxDatagramBytes. */
 constexpr size_t kMaxRunningPerMessage = 8;
 constexpr size_t kMaxMembersPerMessage = 96;
-constexpr size_t kMaxAvoidPerRequest = 4;
+constexpr size_t kMaxAvoidPerRequest = 8;
 /** Cap'n Proto traversal limit for received messages, in 8-byte words; bounds
     the work that a malformed datagram can cause. */
 constexpr uint64_t kMaxReadWords = 4096;
--- a/modules/routing/upstream_directory.cc
+++ b/modules/routing/upstream_directory.cc
@@ -11,6 +11,11 @@
   return StableHash(id);
 }
 
+UpstreamIncarnation UpstreamDirectory::IncarnationOf(
+    const UpstreamRecord& record) {
+  return StableHash(record.id, static_cast<uint64_t>(record.started_ms));
+}
+
 void UpstreamDirectory::MarkMissing(std::map<UpstreamKey, Row>::iterator row,
                                     bool after_outage,
                                     absl::Time now) {
--- a/modules/routing/upstream_directory.h
+++ b/modules/routing/upstream_directory.h
@@ -46,6 +46,8 @@
   std::vector<UpstreamSpec> Ready() const;
   size_t size() const { return rows_.size(); }
 
+  /** Returns the incarnation that registered itself with `record`. */
+  static UpstreamIncarnation IncarnationOf(const UpstreamRecord& record);
   /** Returns the key of a registration id: a hash that is the same on all
       instances. */
   static UpstreamKey KeyOf(const std::string& id);
--- a/stand_ins/platform_main.cc
+++ b/stand_ins/platform_main.cc
@@ -74,6 +74,7 @@
  private:
   struct Upstream {
     std::string service;
+    uint64_t started_ms = 1;
     std::unique_ptr<PlatformUpstream> handler_factory;
     std::unique_ptr<HttpServer> server;
     std::unique_ptr<boost::asio::steady_timer> restart_timer;
@@ -127,7 +128,8 @@
              {"zone", "dc1"},
              {"slots", 8},
              {"state", state},
-             {"sequence", 1}}
+             {"sequence", 1},
+             {"born", upstream.started_ms}}
             .dump());
   }
 
@@ -139,6 +141,7 @@
                         {"left", observations_.disconnects},
                         {"crashing_requests", observations_.crashing_requests},
                         {"crashes", observations_.crashes},
+                        {"arrivals", observations_.arrivals},
                         {"heads", observations_.request_headers},
                         {"calls", store_.calls()}}
                        .dump()};
@@ -186,6 +189,12 @@
     if (body.contains("pace_ms"))
       found->second.handler_factory->SetEventInterval(
           body.value("pace_ms", 20));
+    if (body.contains("announce")) {
+      std::vector<std::pair<std::string, std::string>> fields;
+      for (const auto& [field, value] : body["announce"].items())
+        fields.emplace_back(field, value.get<std::string>());
+      found->second.handler_factory->SetAnnouncements(std::move(fields));
+    }
     if (body.contains("crashing_part"))
       found->second.handler_factory->SetCrashingPart(
           body.value("crashing_part", ""),
@@ -194,6 +203,7 @@
       found->second.server->StopAccepting();
       found->second.server->CloseIdle();
     }
+    found->second.started_ms = body.value("born", found->second.started_ms);
     const std::string state = body.value("state", "");
     if (state == "gone")
       store_.Remove("servers", name);
--- a/stand_ins/platform_upstream.cc
+++ b/stand_ins/platform_upstream.cc
@@ -61,6 +61,7 @@
       return;
     }
     request_ = std::move(request);
+    ++upstream_->observations_->arrivals[upstream_->id_];
     if (HoldsCrashingPart())
       ++upstream_->observations_->crashing_requests;
     id_ = std::string(request_.headers.Find("Request-Id"));
@@ -69,17 +70,18 @@
     for (const auto& [name, value] : request_.headers.fields())
       request_headers.push_back(absl::StrCat(name, ": ", value));
     if (request_.headers.Find("Expect-Instance") != upstream_->id_) {
-      writer_->SendComplete(kMisdirected, {}, "");
+      writer_->SendComplete(kMisdirected, Announcements(), "");
       return;
     }
     if (id_.empty()) {
-      HttpHeaders headers;
+      HttpHeaders headers = Announcements();
       headers.Add("Not-Executed", "1");
       writer_->SendComplete(kBadRequest, headers, "");
       return;
     }
     if (upstream_->mode_ == UpstreamMode::kFull) {
-      HttpHeaders headers;
+      HttpHeaders headers = Announcements();
+      headers.Add("Request-Id", id_);
       headers.Add("Not-Executed", "1");
       writer_->SendComplete(kUnavailable, headers, "");
       return;
@@ -125,8 +127,15 @@
         });
   }
 
-  HttpHeaders Headers() const {
+  HttpHeaders Announcements() const {
     HttpHeaders headers;
+    for (const auto& [name, value] : upstream_->announcements_)
+      headers.Add(name, value);
+    return headers;
+  }
+
+  HttpHeaders Headers() const {
+    HttpHeaders headers = Announcements();
     const bool is_other_id = upstream_->mode_ == UpstreamMode::kOtherRequestId;
     headers.Add("Request-Id", is_other_id ? "other" : id_);
     if (upstream_->mode_ != UpstreamMode::kNoStamp)
--- a/stand_ins/platform_upstream.h
+++ b/stand_ins/platform_upstream.h
@@ -56,6 +56,8 @@
   /** Header fields of the requests received, as `name: value`, by request
       id. */
   std::map<std::string, std::vector<std::string>> request_headers;
+  /** Number of requests received, by upstream. */
+  std::map<std::string, int> arrivals;
   /** Number of requests received that hold a part which crashes upstreams. */
   int crashing_requests = 0;
   /** Number of crashes of upstreams. */
@@ -76,6 +78,11 @@
       : loop_(loop), id_(std::move(id)), observations_(observations) {}
 
   void SetMode(UpstreamMode mode) { mode_ = mode; }
+  /** Adds header fields to all responses, as an upstream does that leaves. */
+  void SetAnnouncements(
+      std::vector<std::pair<std::string, std::string>> fields) {
+    announcements_ = std::move(fields);
+  }
   /** Sets the time before each event, and before a response that is not a
       stream. */
   void SetEventInterval(int milliseconds) { event_interval_ms_ = milliseconds; }
@@ -101,6 +108,7 @@
   UpstreamObservations* observations_;
   UpstreamMode mode_ = UpstreamMode::kOk;
   int event_interval_ms_ = 20;
+  std::vector<std::pair<std::string, std::string>> announcements_;
   std::string crashing_part_;
   std::function<void()> on_crash_;
   std::set<Execution*> executions_;
--- a/tests/logic/request_handler_test.cc
+++ b/tests/logic/request_handler_test.cc
@@ -159,7 +159,8 @@
                .drain = DrainPlan({.admit_for = absl::Seconds(3),
                                    .finish_within = absl::Seconds(8)}),
                .random = std::minstd_rand(1),
-               .on_request_waiting = [] {}} {
+               .on_request_waiting = [] {},
+               .on_upstream_leaving = [] {}} {
     const EngineProfile engine{.slots = 4, .memory_tokens = 100000};
     RoutingTable::Options options{.version = 1};
     options.routes.push_back({.name = "stream",
--- a/tests/logic/upstream_exchange_test.cc
+++ b/tests/logic/upstream_exchange_test.cc
@@ -20,6 +20,7 @@
 /** Records what an exchange reports. */
 class Recorder : public UpstreamExchange::Listener {
  public:
+  void OnAnnouncement(const ResponseClassification&) override {}
   void OnEvents(const HttpResponseHead&, const std::string& events) override {
     body += events;
   }
--- a/tests/soak/soak.mjs
+++ b/tests/soak/soak.mjs
@@ -268,7 +268,7 @@
     const gateway = random.pick(this.gateways);
     const length = 200 + random.below(2500);
     const faultKind = random.pick([
-      'proxy', 'proxy', 'store', 'upstream', 'upstream', 'leave', 'freeze',
+      'proxy', 'proxy', 'store', 'upstream', 'upstream', 'leave', 'announce', 'freeze',
       'kill', 'term', 'hup', 'config', 'config', 'herd']);
     fs.appendFileSync(path.join(this.folder, 'faults.log'),
                       `${Date.now()} ${faultKind} ${gateway.name} ${length}\n`);
@@ -295,6 +295,20 @@
         setTimeout(() => this.control('upstream', { name, state: 'ready' }), length);
         break;
       }
+      case 'announce': {
+        // The upstream says in its responses that it leaves, or that it wants rest.
+        const name = random.pick(['engine-3', 'desk-2']);
+        const born = 2 + random.below(1e9);
+        if (random.below(2) === 0) {
+          await this.control('upstream', { name, announce: { 'Server-Leaving': '1' } });
+          setTimeout(() => this.control('upstream', { name, announce: {}, state: 'ready', born }), length);
+        } else {
+          const rest = (length / 1000).toFixed(1);
+          await this.control('upstream', { name, mode: 'full', announce: { 'Retry-After': rest } });
+          setTimeout(() => this.control('upstream', { name, mode: 'ok', announce: {} }), length);
+        }
+        break;
+      }
       case 'freeze':
         if (!gateway.isUp) break;
         markDisturbed(gateway);
