A stop ends all requests, also those that the scheduler has forgotten

What callers could see: no response from an instance that stops, for a request whose silent attempt goes on after its replacement has failed.

Change: GatewayState::requests holds what was accepted and has not ended; the stop and the in-flight figures go by it.

Test: "a stop ends a silent attempt whose replacement has failed".

--- a/modules/decisions/drain_plan.h
+++ b/modules/decisions/drain_plan.h
@@ -20,7 +20,7 @@
  public:
   struct Options {
     /** How long new requests are still accepted: the balancer needs some time
-       to send new connections elsewhere. */
+        to send new connections elsewhere. */
     absl::Duration admit_for;
     /** Time after which nothing may run any more. */
     absl::Duration finish_within;
--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -134,6 +134,7 @@
           .retries = RetryWindow(options_.retries),
           .placement = &placement_,
           .handlers = {},
+          .requests = {},
           .drain =
               DrainPlan({.admit_for = kBalancerGrace,
                          .finish_within = options_.stop_within - kStopMargin}),
@@ -380,7 +381,7 @@
 
 std::string Gateway::Metrics() {
   return metrics_.Exposition(
-      {.in_flight = state_.handlers.size(),
+      {.in_flight = state_.requests.size(),
        .live_instances = placement_.membership().LiveInstances(SteadyNow()),
        .scheduler_waiting = placement_.scheduler().waiting(),
        .scheduler_running = placement_.scheduler().running(),
@@ -398,15 +399,15 @@
   on_stopped_ = std::move(done);
   callers_.BeginDrain();
   placement_.Leave(now);
-  log_.Write("stopping", {{"in_flight", state_.handlers.size()},
+  log_.Write("stopping", {{"in_flight", state_.requests.size()},
                           {"connections", callers_.connections()}});
   ContinueStop();
 }
 
 std::vector<std::shared_ptr<RequestHandler>> Gateway::RequestsInFlight() const {
   std::vector<std::shared_ptr<RequestHandler>> requests;
-  for (const auto& [key, handler] : state_.handlers)
-    requests.push_back(handler->shared_from_this());
+  for (RequestHandler* request : state_.requests)
+    requests.push_back(request->shared_from_this());
   return requests;
 }
 
@@ -435,7 +436,7 @@
     EndRequestsForStop(now);
   const bool drained = !accepts && callers_.connections() == 0;
   if (drained || now >= stop_flush_until_) {
-    log_.Write("stopped", {{"in_flight", state_.handlers.size()},
+    log_.Write("stopped", {{"in_flight", state_.requests.size()},
                            {"connections", callers_.connections()}});
     on_stopped_();
     return;
--- a/modules/gateway/gateway_state.h
+++ b/modules/gateway/gateway_state.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/string_view.h"
 #include "modules/core/event_log.h"
 #include "modules/decisions/drain_plan.h"
@@ -59,6 +60,8 @@
   PlacementNode* placement = nullptr;
   /** Handlers of requests that await a decision or run, by key. */
   absl::flat_hash_map<WorkKey, RequestHandler*> handlers;
+  /** All requests that were accepted and have not ended. */
+  absl::flat_hash_set<RequestHandler*> requests;
   /** Begins with the graceful shutdown of this instance. */
   DrainPlan drain;
   std::minstd_rand random;
--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -151,6 +151,7 @@
     return;
   }
   state_->retries.OnRequest(service_, arrived_);
+  state_->requests.insert(this);
   ArmTimeout();
   RequestPlacement();
 }
@@ -806,6 +807,7 @@
 
 void RequestHandler::Finish(int status, const char* reason) {
   finished_ = true;
+  state_->requests.erase(this);
   timeout_.cancel();
   if (watchdog_)
     watchdog_->Stop();
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -98,7 +98,7 @@
               const ScheduleDecision& decision,
               Attempt* attempt);
   /** Returns a reservation of the memory that `decision` asks for at helpers,
-     or null if this instance does not know them all. */
+      or null if this instance does not know them all. */
   std::shared_ptr<MemoryReservation> NewReservation(
       const ScheduleDecision& decision) const;
   /** Reserves memory at the helpers and then forwards the request. */
@@ -112,8 +112,8 @@
   /** Ends the current attempt and its replacement; see End(). */
   void EndAttempt(AttemptResult result, UpstreamKey faulty_upstream);
   /** Cancels the exchange of `attempt`, releases its memory and reports
-     `result` to the scheduler. `faulty_upstream` is another upstream that
-     caused the failure; 0 for none. */
+      `result` to the scheduler. `faulty_upstream` is another upstream that
+      caused the failure; 0 for none. */
   void End(Attempt* attempt, AttemptResult result, UpstreamKey faulty_upstream);
   /** Tells the scheduler that `attempt` has ended, unless it was told before.
    */
@@ -155,8 +155,8 @@
   void OnResponseOverdue();
   /** Called with the decision that OnResponseOverdue() requested. Sends the
       request to the other upstream as well, after memory has been reserved
-     where it has to be. The first of the two to send an event, or a complete
-     response, is used, and the other cancelled. */
+      where it has to be. The first of the two to send an event, or a complete
+      response, is used, and the other cancelled. */
   void OnReplacement(const ScheduleDecision& decision, InstanceIp scheduler);
   /** Returns whether `decision` names an upstream that can replace the one that
       is silent. */
@@ -165,7 +165,7 @@
   /** Called when the replacement responds: ends the silent attempt. */
   void UseReplacement();
   /** Ends the current attempt because of `failure` and makes the replacement
-     the current one. */
+      the current one. */
   void ContinueWithReplacement(const UpstreamExchange::Failure& failure);
   void OnReplacementFailed(const UpstreamExchange::Failure& failure);
   /** Gives up the replacement and waits for the silent upstream again. */
--- a/modules/gateway/upstream_exchange.h
+++ b/modules/gateway/upstream_exchange.h
@@ -53,7 +53,7 @@
    public:
     virtual ~Listener() = default;
     /** Called, before anything else, with what the response to this request
-       says about the upstream itself. */
+        says about the upstream itself. */
     virtual void OnAnnouncement(const ResponseClassification& response) = 0;
     /** Called with complete events of a stream; `head` is the head of its
         response. */
--- a/modules/net/event_stream.h
+++ b/modules/net/event_stream.h
@@ -12,7 +12,7 @@
     after the last complete one.
 
     Also tells bytes that belong to no stream, such as the text or the head of
-   an error response, from events: their lines are no fields, or they lack the
+    an error response, from events: their lines are no fields, or they lack the
     growing id that the events of a stream have. Comments and blank lines need
     none; they are returned with the events, but not counted.
 
--- a/modules/net/http_message.h
+++ b/modules/net/http_message.h
@@ -148,7 +148,7 @@
     it arrives. Interim (1xx) responses are skipped. A head of more than 64 KiB
     or more than 16 interim responses are malformed. The size of the body is not
     limited; memory is used only for the bytes that have arrived, whatever
-   length the head announces.
+    length the head announces.
 
     Not thread-safe. */
 class HttpResponseParser {
@@ -180,8 +180,8 @@
       true. */
   BodyFraming framing() const;
   /** Returns the length of the body in bytes that the head announces, or
-     nullopt if it announces none or has_head() is false. Any value is possible:
-     a length is no promise that as many bytes arrive. */
+      nullopt if it announces none or has_head() is false. Any value is
+     possible: a length is no promise that as many bytes arrive. */
   std::optional<uint64_t> announced_length() const;
   /** Returns the body bytes received since the last call. */
   std::string TakeBody();
--- a/modules/net/run_loop.h
+++ b/modules/net/run_loop.h
@@ -14,7 +14,7 @@
     The classes of this module make that safe: a connection whose callback
     throws is closed, and its handler or listener is told; listeners and sockets
     go on. Code that repeats itself by a timer must set the timer again also
-   when it throws.
+    when it throws.
 
         RunLoop(loop, [](const std::exception& error) { Log(error.what()); });
 */
--- a/modules/routing/upstream_announcements.h
+++ b/modules/routing/upstream_announcements.h
@@ -14,7 +14,7 @@
 
     An announcement is about one incarnation of an upstream; the next one is not
     bound by it. That an upstream is leaving is believed for kLeavingMemory
-   after it was last said, which bounds what a faulty upstream can do. Not
+    after it was last said, which bounds what a faulty upstream can do. Not
     thread-safe. */
 class UpstreamAnnouncements {
  public:
--- a/tests/logic/request_handler_test.cc
+++ b/tests/logic/request_handler_test.cc
@@ -156,6 +156,7 @@
                .retries = RetryWindow({.ratio = 1, .slack = 100}),
                .placement = &placement_,
                .handlers = {},
+               .requests = {},
                .drain = DrainPlan({.admit_for = absl::Seconds(3),
                                    .finish_within = absl::Seconds(8)}),
                .random = std::minstd_rand(1),
@@ -198,8 +199,9 @@
         {.id = "holder", .service = "others", .address = address, .slots = 1});
   }
 
-  /** Handles one request until it has ended. */
-  RecordingWriter Handle() {
+  /** Handles one request until it has ended. After `stop_after`, the instance
+      ends all requests that it knows of. */
+  RecordingWriter Handle(absl::Duration stop_after = absl::InfiniteDuration()) {
     RecordingWriter writer;
     HttpRequest request{.method = "POST", .target = "/a", .body = "x"};
     request.headers.Add("Host", "h");
@@ -211,6 +213,12 @@
     while (writer.outcome.empty() && SteadyNow() - begin < absl::Seconds(9)) {
       loop.run_one_for(std::chrono::milliseconds(20));
       placement_.Tick(SteadyNow());
+      if (SteadyNow() - begin < stop_after)
+        continue;
+      const std::vector<RequestHandler*> requests(state_.requests.begin(),
+                                                  state_.requests.end());
+      for (RequestHandler* request : requests)
+        request->EndForShutdown();
     }
     return writer;
   }
@@ -359,5 +367,32 @@
   }
 }
 
+// Guards against a request that a stop did not know of: the scheduler no longer
+// knew its attempt, which had gone on after its replacement had failed.
+TEST_CASE("a stop ends a silent attempt whose replacement has failed") {
+  struct Case {
+    const char* name;
+    Script silent;
+    std::string outcome;
+  };
+  const std::vector<Case> cases = {
+      {"a stream that has begun",
+       {{kAtOnce, Head("a") + Event(0)}, {kNever, kEnd}},
+       "cut"},
+      {"no response so far", {{kNever, kEnd}}, "status 502"},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    OneInstance instance;
+    ScriptedEngines engines(instance.loop, {c.silent, {{kAtOnce, kRefusal}}});
+    instance.SetUpstreams(engines.addresses());
+    const absl::Time begin = SteadyNow();
+    const RecordingWriter writer = instance.Handle(absl::Seconds(2));
+    CHECK(SteadyNow() - begin < absl::Seconds(3));
+    CHECK(writer.outcome == c.outcome);
+    CHECK(engines.requests() == 2);
+  }
+}
+
 }  // namespace
 }  // namespace chicory
--- a/tests/logic/upstream_exchange_test.cc
+++ b/tests/logic/upstream_exchange_test.cc
@@ -59,6 +59,27 @@
   return size + "\r\n" + bytes + "\r\n";
 }
 
+/** Sends one request as `options` say and runs `loop` until the exchange has
+    ended. */
+Recorder RunExchange(boost::asio::io_context& loop,
+                     UpstreamExchange::Options options,
+                     UpstreamPool* pool,
+                     EventStreamSplitter* events) {
+  const HeaderCodec codec;
+  const UpstreamDirectory directory;
+  Recorder recorder;
+  const auto exchange = std::make_shared<UpstreamExchange>(
+      std::move(options),
+      UpstreamExchange::Shared{
+          .codec = codec, .pool = *pool, .directory = directory},
+      events, &recorder);
+  exchange->Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  const absl::Time begin = absl::Now();
+  while (recorder.outcome.empty() && absl::Now() - begin < absl::Seconds(5))
+    loop.run_one_for(std::chrono::milliseconds(100));
+  return recorder;
+}
+
 /** Runs one exchange with an upstream that responds as `c` says. */
 Recorder RunExchange(const Case& c, bool expects_stream) {
   boost::asio::io_context loop;
@@ -67,25 +88,14 @@
                             "Response-Stamp: s1\r\n" +
                                 c.framing_and_body,
                             c.ending);
-  const HeaderCodec codec;
   UpstreamPool pool(loop);
-  const UpstreamDirectory directory;
   EventStreamSplitter events;
-  Recorder recorder;
-  const auto exchange = std::make_shared<UpstreamExchange>(
-      UpstreamExchange::Options{.upstream = 1,
-                                .address = upstream.address(),
-                                .request_id = "r1",
-                                .expects_stream = expects_stream},
-      UpstreamExchange::Shared{
-          .codec = codec, .pool = pool, .directory = directory},
-      &events, &recorder);
-  exchange->Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
-  const auto give_up =
-      std::chrono::steady_clock::now() + std::chrono::seconds(5);
-  while (recorder.outcome.empty() && std::chrono::steady_clock::now() < give_up)
-    loop.run_one_for(std::chrono::milliseconds(100));
-  return recorder;
+  return RunExchange(loop,
+                     {.upstream = 1,
+                      .address = upstream.address(),
+                      .request_id = "r1",
+                      .expects_stream = expects_stream},
+                     &pool, &events);
 }
 
 // Guards against a stream that broke off but reached its caller as complete:
@@ -180,27 +190,18 @@
     INFO(c.name);
     boost::asio::io_context loop;
     ScriptedUpstream upstream(loop, "HTTP/1.1 " + c.response, Ending::kOpen);
-    const HeaderCodec codec;
     UpstreamPool pool(loop);
-    const UpstreamDirectory directory;
     EventStreamSplitter events;
     events.Add("id: 3\ndata: a\n\nid: 4\nda");
     events.TakeEvents();
-    Recorder recorder;
-    const auto exchange = std::make_shared<UpstreamExchange>(
-        UpstreamExchange::Options{.upstream = 1,
-                                  .address = upstream.address(),
-                                  .request_id = "r1",
-                                  .is_retryable = true,
-                                  .expects_stream = true,
-                                  .resumes_stream = true},
-        UpstreamExchange::Shared{
-            .codec = codec, .pool = pool, .directory = directory},
-        &events, &recorder);
-    exchange->Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
-    const absl::Time begin = absl::Now();
-    while (recorder.outcome.empty() && absl::Now() - begin < absl::Seconds(5))
-      loop.run_one_for(std::chrono::milliseconds(100));
+    const Recorder recorder = RunExchange(loop,
+                                          {.upstream = 1,
+                                           .address = upstream.address(),
+                                           .request_id = "r1",
+                                           .is_retryable = true,
+                                           .expects_stream = true,
+                                           .resumes_stream = true},
+                                          &pool, &events);
     CHECK(recorder.outcome == c.outcome);
     CHECK(recorder.body == c.body);
   }
@@ -260,26 +261,17 @@
     responses.push_back("HTTP/1.1 " + c.head + rest);
     boost::asio::io_context loop;
     ScriptedUpstream upstream(loop, responses, Ending::kOpen);
-    const HeaderCodec codec;
     UpstreamPool pool(loop);
-    const UpstreamDirectory directory;
     EventStreamSplitter events;
     Recorder recorder;
     for (size_t i = 0; i < responses.size(); ++i) {
-      recorder = Recorder();
-      const auto exchange = std::make_shared<UpstreamExchange>(
-          UpstreamExchange::Options{
-              .upstream = 1,
-              .address = upstream.address(),
-              .request_id = i + 1 == responses.size() ? "r1" : "r0",
-              .is_retryable = true},
-          UpstreamExchange::Shared{
-              .codec = codec, .pool = pool, .directory = directory},
-          &events, &recorder);
-      exchange->Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
-      const absl::Time begin = absl::Now();
-      while (recorder.outcome.empty() && absl::Now() - begin < absl::Seconds(5))
-        loop.run_one_for(std::chrono::milliseconds(100));
+      const bool is_last = i + 1 == responses.size();
+      recorder = RunExchange(loop,
+                             {.upstream = 1,
+                              .address = upstream.address(),
+                              .request_id = is_last ? "r1" : "r0",
+                              .is_retryable = true},
+                             &pool, &events);
     }
     CHECK(recorder.outcome == c.outcome);
     CHECK(recorder.not_run == c.not_run);
