A silent attempt that responds after all clears the parts of its prompt

What callers could see: a sound part of prompts refused as crashing, because a response that would have cleared it was not reported. Noticed while reading: since the scheduler no longer knows a silent attempt, and the report of its parts was tied to that.

Change: the parts are reported in any case; the scheduler is told only of attempts that it knows. Not tested by itself.

--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -610,9 +610,11 @@
   telemetry_.OnEvents(current_.sent, route_->target_latency, now);
   if (watchdog_)
     watchdog_->Extend(now + SilenceLimit());
-  if (!current_.response_start_reported && current_.work) {
+  if (!current_.response_start_reported) {
     current_.response_start_reported = true;
-    state_->placement->OnResponseStarted(*current_.work, now);
+    // The scheduler does not know of an attempt that it was told is silent.
+    if (current_.work)
+      state_->placement->OnResponseStarted(*current_.work, now);
     state_->placement->ReportPartsStarted(caller_.shared_parts, now);
   }
   writer_->SendChunk(events);
