--- a/modules/core/json_split.cc
+++ b/modules/core/json_split.cc
@@ -105,8 +105,8 @@
   size_t at_ = 0;
 };
 
-/** Returns whether the list under `cursor` goes on; sets `is_valid` to false if
-    neither a comma nor `close` follows. */
+/** Takes the comma before another element, or `close`, the end of the list.
+    Returns true for a comma; sets `is_valid` to false for anything else. */
 bool TakeSeparator(Cursor* cursor, char close, bool* is_valid) {
   if (cursor->Take(','))
     return true;
--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -612,7 +612,7 @@
     watchdog_->Extend(now + SilenceLimit());
   if (!current_.response_start_reported) {
     current_.response_start_reported = true;
-    // The scheduler does not know of an attempt that it was told is silent.
+    // Empty once the attempt was reported as silent.
     if (current_.work)
       state_->placement->OnResponseStarted(*current_.work, now);
     state_->placement->ReportPartsStarted(caller_.shared_parts, now);
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -115,8 +115,7 @@
       `result` to the scheduler. `faulty_upstream` is another upstream that
       caused the failure; 0 for none. */
   void End(Attempt* attempt, AttemptResult result, UpstreamKey faulty_upstream);
-  /** Tells the scheduler that `attempt` has ended, unless it was told before.
-   */
+  /** Reports the end of `attempt` to the scheduler, once. */
   void ReportEnd(Attempt* attempt,
                  AttemptResult result,
                  UpstreamKey faulty_upstream);
--- a/modules/net/run_loop.h
+++ b/modules/net/run_loop.h
@@ -7,9 +7,8 @@
 
 namespace chicory {
 
-/** Runs `loop` until it is stopped or has nothing left to do, and goes on after
-    a callback that has thrown, which ends only that callback. `on_error` is
-    called with the exception.
+/** Like `loop.run()`, but a callback that throws ends only itself, and its
+    exception is passed to `on_error`.
 
     The classes of this module make that safe: a connection whose callback
     throws is closed, and its handler or listener is told; listeners and sockets
--- a/tests/logic/platform_test.cc
+++ b/tests/logic/platform_test.cc
@@ -259,8 +259,8 @@
   return "{" + absl::StrJoin(texts, ",") + "}";
 }
 
-// Guards against requests that were sent to whoever has an address, because an
-// entry of another writer named it: what is no whole registration is none.
+// Guards against requests to a server that is no upstream, whose address was in
+// an incomplete registration of another writer.
 TEST_CASE("unusable registrations are ignored") {
   struct Case {
     std::string json;
--- a/tests/logic/upstream_exchange_test.cc
+++ b/tests/logic/upstream_exchange_test.cc
@@ -222,8 +222,8 @@
   }
 }
 
-// Guards against callers who were told "not run" for a request that ran: a
-// faulty upstream writes an earlier refusal once more on a kept connection.
+// Guards against a false "not run": a faulty upstream repeats an earlier
+// refusal on a kept connection while it runs the next request.
 TEST_CASE("a late copy of a refusal does not refuse the next request") {
   struct ReplayCase {
     const char* name;
