The log of a stop counts connections whose input was discarded

Requests that were sent whole around SIGTERM got nothing, and the log named none of them: a connection that has been half-closed throws its input away before there is a request. `stopped` now has idle_closed, refused_in_part and input_discarded (connections). This tells apart: input read and thrown away (input_discarded), connections closed as idle (idle_closed, nothing read), requests cut by the end of the stop (stop_time_over, request_ended).

--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -436,8 +436,12 @@
     EndRequestsForStop(now);
   const bool drained = !accepts && callers_.connections() == 0;
   if (drained || now >= stop_flush_until_) {
+    const HttpServer::Closures& closures = callers_.closures();
     log_.Write("stopped", {{"in_flight", state_.requests.size()},
-                           {"connections", callers_.connections()}});
+                           {"connections", callers_.connections()},
+                           {"idle_closed", closures.idle},
+                           {"refused_in_part", closures.refused_in_part},
+                           {"input_discarded", closures.input_discarded}});
     on_stopped_();
     return;
   }
--- a/modules/net/http_server.cc
+++ b/modules/net/http_server.cc
@@ -110,8 +110,10 @@
   const std::vector<std::shared_ptr<HttpServerConnection>> all(
       connections_.begin(), connections_.end());
   for (const auto& connection : all) {
-    if (connection->IsIdle())
-      connection->Close();
+    if (!connection->IsIdle())
+      continue;
+    ++closures_.idle;
+    connection->Close();
   }
 }
 
--- a/modules/net/http_server.h
+++ b/modules/net/http_server.h
@@ -78,6 +78,18 @@
     virtual Limits limits() const = 0;
   };
 
+  /** Numbers of connections that ended, or are ending, in other ways than with
+     a response that announced it. */
+  struct Closures {
+    /** Closed by CloseIdle(). */
+    size_t idle = 0;
+    /** Refused by RefusePartialRequests(). */
+    size_t refused_in_part = 0;
+    /** On which input was discarded after the last response: the rest of a
+        refused request, or a request that gets no response. */
+    size_t input_discarded = 0;
+  };
+
   /** Creates a server that is not yet listening. Connections beyond
       `max_connections` are closed as soon as they are accepted. `delegate` must
       outlive the server. */
@@ -103,6 +115,7 @@
 
   /** Returns the number of open connections. */
   size_t connections() const { return connections_.size(); }
+  const Closures& closures() const { return closures_; }
   /** Returns the local port. If Listen() was given port 0, the system has
       chosen it. */
   uint16_t port() const { return port_; }
@@ -120,6 +133,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_timer_;
   std::set<std::shared_ptr<HttpServerConnection>> connections_;
+  Closures closures_;
   uint16_t port_ = 0;
   bool draining_ = false;
 };
--- a/modules/net/http_server_connection.cc
+++ b/modules/net/http_server_connection.cc
@@ -53,8 +53,9 @@
   constexpr int kUnavailable = 503;
   const bool is_partial = parser_ && parser_->started() &&
                           parser_->state() == ParseState::kNeedMore;
-  if (!is_partial || lingering_)
+  if (!is_partial || lingering_ || response_ended_)
     return;
+  ++server_->closures_.refused_in_part;
   close_after_response_ = true;
   SendComplete(kUnavailable, {}, "");
 }
@@ -95,6 +96,8 @@
   // all.
   const bool is_refused = response_ended_ && !handler_;
   if (lingering_ || is_refused) {
+    if (!std::exchange(discards_input_, true))
+      ++server_->closures_.input_discarded;
     Read();
     return;
   }
--- a/modules/net/http_server_connection.h
+++ b/modules/net/http_server_connection.h
@@ -85,6 +85,7 @@
   bool response_ended_ = false;
   bool close_after_response_ = false;
   bool lingering_ = false;
+  bool discards_input_ = false;
   bool continue_sent_ = false;
   bool is_head_request_ = false;
 };
