A stop closes no connection whose request has arrived

What callers see: a request on a new connection, or on a kept one, that reaches an instance 2.6 s after SIGTERM ends in a reset or a silent close. On a new connection it may have been read: the stop takes what waits in the accept queue, begins to read it (the first read completes at once, its handler runs later) and closes it in the same step as idle.

Cause: a connection counted as idle as soon as no byte of a request had been parsed.

Change: CloseIdle(idle_for) closes a connection only when it has been idle for that time (150 ms in a stop), so that its first read has been handled, and when no input waits in the kernel. What arrives later was never read by the process, so its caller may repeat it.

Stand-ins call it with no idle time, as before.

--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -22,6 +22,9 @@
     readiness once a second and removes an instance after two failed checks. */
 constexpr absl::Duration kBalancerGrace = absl::Milliseconds(2600);
 constexpr absl::Duration kDrainPollInterval = absl::Milliseconds(50);
+/** After this time without a request a connection closes: a caller that sends
+    one request after another has sent its next one by then. */
+constexpr absl::Duration kIdleBeforeClose = absl::Milliseconds(150);
 /** A stop ends the requests that are still in flight this long before
     Options::stop_within has passed. */
 constexpr absl::Duration kStopMargin = absl::Milliseconds(300);
@@ -428,7 +431,7 @@
   const bool accepts = state_.drain.Admits(now);
   if (!accepts) {
     callers_.StopAccepting();
-    callers_.CloseIdle();
+    callers_.CloseIdle(kIdleBeforeClose);
   }
   for (const auto& request : RequestsInFlight())
     request->OnDraining();
--- a/modules/net/http_server.cc
+++ b/modules/net/http_server.cc
@@ -106,11 +106,11 @@
     connection->RefusePartialRequest();
 }
 
-void HttpServer::CloseIdle() {
+void HttpServer::CloseIdle(absl::Duration idle_for) {
   const std::vector<std::shared_ptr<HttpServerConnection>> all(
       connections_.begin(), connections_.end());
   for (const auto& connection : all) {
-    if (!connection->IsIdle())
+    if (!connection->IsIdle(idle_for))
       continue;
     ++closures_.idle;
     connection->Close();
--- a/modules/net/http_server.h
+++ b/modules/net/http_server.h
@@ -104,8 +104,9 @@
   /** Makes each connection close after the response under way, or after its
       next one if none is. */
   void BeginDrain() { draining_ = true; }
-  /** Closes the connections that have no request in progress. */
-  void CloseIdle();
+  /** Closes the connections on which no request has been received in part, has
+      been in progress for `idle_for`, or waits to be read. */
+  void CloseIdle(absl::Duration idle_for);
   /** Responds with 503 to the requests that have been received only in part,
       whose connections then close. */
   void RefusePartialRequests();
--- a/modules/net/http_server_connection.cc
+++ b/modules/net/http_server_connection.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "modules/net/loop_time.h"
 
 namespace chicory {
 
@@ -44,9 +45,13 @@
   }
 }
 
-bool HttpServerConnection::IsIdle() const {
-  return !handler_ && unsent_.empty() && sending_.empty() &&
-         !(parser_ && parser_->started());
+bool HttpServerConnection::IsIdle(absl::Duration idle_for) const {
+  const bool has_request = handler_ || !unsent_.empty() || !sending_.empty() ||
+                           (parser_ && parser_->started());
+  if (has_request || SteadyNow() < idle_since_ + idle_for)
+    return false;
+  boost::system::error_code ignored;
+  return socket_.available(ignored) == 0;
 }
 
 void HttpServerConnection::RefusePartialRequest() {
@@ -67,6 +72,7 @@
   response_ended_ = false;
   streaming_ = false;
   continue_sent_ = false;
+  idle_since_ = SteadyNow();
   ArmTimer(limits.idle_timeout);
   ParseReceived();
 }
--- a/modules/net/http_server_connection.h
+++ b/modules/net/http_server_connection.h
@@ -27,8 +27,9 @@
 
   /** Starts reading requests. */
   void Start();
-  /** Returns true if no request has been received in part or is in progress. */
-  bool IsIdle() const;
+  /** Returns true if no request has been received in part, has been in progress
+      for `idle_for`, or waits to be read. */
+  bool IsIdle(absl::Duration idle_for) const;
   /** Responds with 503 and closes if a request has been received only in part.
    */
   void RefusePartialRequest();
@@ -72,6 +73,7 @@
   boost::asio::ip::tcp::socket socket_;
   HttpServer* server_;
   boost::asio::steady_timer timer_;
+  absl::Time idle_since_ = absl::InfiniteFuture();
   std::optional<HttpRequestParser> parser_;
   std::shared_ptr<HttpHandler> handler_;
   std::string unparsed_;
--- a/stand_ins/platform_main.cc
+++ b/stand_ins/platform_main.cc
@@ -109,7 +109,7 @@
         .ip = boost::asio::ip::address_v4::loopback().to_uint(),
         .port = upstream->server->port()};
     upstream->server->StopAccepting();
-    upstream->server->CloseIdle();
+    upstream->server->CloseIdle(absl::ZeroDuration());
     upstream->restart_timer =
         std::make_unique<boost::asio::steady_timer>(loop_, kRestartTime);
     upstream->restart_timer->async_wait(
@@ -203,7 +203,7 @@
           [this, upstream = &found->second] { Restart(upstream); });
     if (!body.value("accepting", true)) {
       found->second.server->StopAccepting();
-      found->second.server->CloseIdle();
+      found->second.server->CloseIdle(absl::ZeroDuration());
     }
     found->second.started_ms = body.value("born", found->second.started_ms);
     const std::string state = body.value("state", "");
--- a/tests/logic/http_server_test.cc
+++ b/tests/logic/http_server_test.cc
@@ -53,6 +53,7 @@
 
 constexpr char kRequest[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 constexpr std::chrono::milliseconds kShortTime(50);
+constexpr absl::Duration kIdleTime = absl::Milliseconds(30);
 
 /** A server and one client connection that the kernel has completed. */
 struct Fixture {
@@ -176,12 +177,26 @@
     f.Send(kRequest);
     f.server.BeginDrain();
     f.server.StopAccepting();
-    f.server.CloseIdle();
+    f.server.CloseIdle(kIdleTime);
     CHECK(f.Received() == "HTTP/1.1 200 OK");
     CHECK(f.delegate.handled() == (c.has_stream ? 2 : 1));
   }
 }
 
+// Guards against connections that stay open during a drain, and against closing
+// them while their caller prepares its next request.
+TEST_CASE("a connection closes unread when it has been idle") {
+  Fixture f;
+  f.RunFor(kShortTime);
+  f.server.CloseIdle(absl::Seconds(5));
+  CHECK(f.server.connections() == 1);
+  f.server.CloseIdle(kIdleTime);
+  CHECK(f.server.connections() == 0);
+  f.Send(kRequest);
+  f.RunFor(kShortTime);
+  CHECK(f.delegate.handled() == 0);
+}
+
 TEST_CASE("a request received in part is refused at the end of a drain") {
   struct Case {
     const char* name;
