A stop answers the request after a stream, or leaves it unread

The caller sends its next request on the connection, gets no response, and cannot know whether it ran.

Cause: FinishResponse half-closed such a connection in a drain and went on reading for 1 s (Linger), throwing away what came. So the process read whole requests that crossed the close, most of them in slow chunks, and never answered them, in the 2.6 s too in which the balancer still sends here.

Change: a connection is half-closed, and its input discarded, only where a response has announced the close.

--- a/modules/net/http_server.h
+++ b/modules/net/http_server.h
@@ -101,8 +101,9 @@
   /** Starts accepting connections on `address`. Fails with kUnavailable if the
       address cannot be bound. */
   Result<void> Listen(Endpoint address);
-  /** Makes each connection close after the response under way, or after its
-      next one if none is. */
+  /** Makes each response from now on announce that its connection closes. A
+      connection whose response was already under way closes after its next one,
+      or by CloseIdle(): until then the caller may send a request. */
   void BeginDrain() { draining_ = true; }
   /** Closes the connections on which no request has been received in part, has
       been in progress for `idle_for`, or waits to be read. */
--- a/modules/net/http_server_connection.cc
+++ b/modules/net/http_server_connection.cc
@@ -267,14 +267,10 @@
 
 void HttpServerConnection::FinishResponse() {
   handler_.reset();
-  // A response whose head was sent before the drain does not announce the
-  // close. A request that has already been received is still handled.
-  const bool closes_for_drain = server_->draining_ && unparsed_.empty();
-  if (close_after_response_ || closes_for_drain) {
+  if (close_after_response_)
     Linger();
-    return;
-  }
-  AwaitRequest();
+  else
+    AwaitRequest();
 }
 
 void HttpServerConnection::Linger() {
