Log and count what the retry budget decides

Change: one line retry_decided for each decision, and the counter chicory_retries_total{service,granted}. No decision changes.

--- a/modules/decisions/retry_window.cc
+++ b/modules/decisions/retry_window.cc
@@ -22,18 +22,25 @@
 bool RetryWindow::Spend(const std::string& service,
                         size_t instances,
                         absl::Time now) {
-  Row& row = CurrentRow(service, now);
-  const double share =
-      options_.slack / static_cast<double>(std::max<size_t>(instances, 1));
-  const double allowed =
-      kMargin *
-      (options_.ratio * static_cast<double>(row.requests.size()) + share);
-  if (static_cast<double>(row.retries.size() + 1) > allowed)
+  const Budget budget = BudgetOf(service, instances, now);
+  if (static_cast<double>(budget.retries + 1) > budget.allowed)
     return false;
-  row.retries.push_back(now);
+  CurrentRow(service, now).retries.push_back(now);
   return true;
 }
 
+RetryWindow::Budget RetryWindow::BudgetOf(const std::string& service,
+                                          size_t instances,
+                                          absl::Time now) {
+  const Row& row = CurrentRow(service, now);
+  const double requests = static_cast<double>(row.requests.size());
+  const double share =
+      options_.slack / static_cast<double>(std::max<size_t>(instances, 1));
+  return {.requests = row.requests.size(),
+          .retries = row.retries.size(),
+          .allowed = kMargin * (options_.ratio * requests + share)};
+}
+
 size_t RetryWindow::Spent(const std::string& service, absl::Time now) {
   return CurrentRow(service, now).retries.size();
 }
--- a/modules/decisions/retry_window.h
+++ b/modules/decisions/retry_window.h
@@ -37,6 +37,17 @@
   /** Returns the number of retries in the current window. */
   size_t Spent(const std::string& service, absl::Time now);
 
+  /** What a decision on a retry is based on. */
+  struct Budget {
+    /** Requests and retries of this instance within the window. */
+    size_t requests = 0;
+    size_t retries = 0;
+    /** Number of retries that this instance may use in the window. */
+    double allowed = 0;
+  };
+  /** Returns the budget for `service` if `instances` instances share it. */
+  Budget BudgetOf(const std::string& service, size_t instances, absl::Time now);
+
  private:
   /** Share of the bound that is used. */
   static constexpr double kMargin = 0.6;
--- a/modules/gateway/gateway_metrics.cc
+++ b/modules/gateway/gateway_metrics.cc
@@ -32,6 +32,10 @@
                                  prometheus::BuildCounter(),
                                  "chicory_failed_sends_total",
                                  "Sends to upstreams that gave no answer")),
+      retries_(AddFamily(&registry_,
+                         prometheus::BuildCounter(),
+                         "chicory_retries_total",
+                         "Retries that the retry budget allowed or refused")),
       announcements_(
           AddFamily(&registry_,
                     prometheus::BuildCounter(),
@@ -110,6 +114,13 @@
       .Increment();
 }
 
+void GatewayMetrics::OnRetryDecided(const std::string& service, bool granted) {
+  retries_
+      .Add({{"service", ServiceLabel(service)},
+            {"granted", granted ? "yes" : "no"}})
+      .Increment();
+}
+
 void GatewayMetrics::OnAnnouncement(const std::string& service,
                                     absl::string_view what) {
   announcements_
--- a/modules/gateway/gateway_metrics.h
+++ b/modules/gateway/gateway_metrics.h
@@ -37,6 +37,8 @@
   void OnAttemptStarted(const std::string& service, absl::Duration waited);
   /** Counts an attempt that failed for `reason`, a label value. */
   void OnAttemptFailed(const std::string& service, absl::string_view reason);
+  /** Counts a retry that the retry budget has allowed or refused. */
+  void OnRetryDecided(const std::string& service, bool granted);
   /** Records the first event of a stream passed to the caller. */
   void OnFirstEvent(const std::string& service, absl::Duration after_arrival);
   /** Records the longest pause between two events of a complete stream. */
@@ -78,6 +80,7 @@
   prometheus::Registry registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& failed_attempts_;
+  prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& announcements_;
   prometheus::Counter& callback_failures_;
   prometheus::Family<prometheus::Histogram>& durations_;
--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -687,9 +687,17 @@
     return decisions_ < kMaxDecisions;
   if (telemetry_.attempts() - unsent_attempts_ >= route_->max_attempts)
     return false;
+  return SpendRetry();
+}
+
+bool RequestHandler::SpendRetry() {
   const absl::Time now = SteadyNow();
-  return state_->retries.Spend(
-      service_, state_->placement->membership().LiveInstances(now), now);
+  const size_t instances = state_->placement->membership().LiveInstances(now);
+  const RetryWindow::Budget budget =
+      state_->retries.BudgetOf(service_, instances, now);
+  const bool granted = state_->retries.Spend(service_, instances, now);
+  telemetry_.OnRetryDecided(granted, budget, instances);
+  return granted;
 }
 
 void RequestHandler::RecordFailure(const Attempt& attempt,
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -129,6 +129,8 @@
   /** Returns whether the request may be retried after `failure`; if so, charges
       the retry budget. */
   bool CanRetry(const UpstreamExchange::Failure& failure);
+  /** Takes one retry from the budget, if it allows one. */
+  bool SpendRetry();
   /** Requests another upstream, or responds with `reason` once kMaxDecisions
       decisions have been received. */
   void RequestNewPlacement(const char* reason);
--- a/modules/gateway/request_telemetry.cc
+++ b/modules/gateway/request_telemetry.cc
@@ -132,6 +132,19 @@
                                    {"target_ms", Ms(target_latency)}});
 }
 
+void RequestTelemetry::OnRetryDecided(bool granted,
+                                      const RetryWindow::Budget& budget,
+                                      size_t instances) {
+  metrics_.OnRetryDecided(service_, granted);
+  log_.WriteDetail("retry_decided", {{"request", request_},
+                                     {"service", service_},
+                                     {"granted", granted ? 1 : 0},
+                                     {"requests", budget.requests},
+                                     {"retries", budget.retries},
+                                     {"allowed", budget.allowed},
+                                     {"instances", instances}});
+}
+
 void RequestTelemetry::OnAttemptFailed(const SentAttempt& attempt,
                                        const UpstreamExchange::Failure& failure,
                                        bool will_retry,
--- a/modules/gateway/request_telemetry.h
+++ b/modules/gateway/request_telemetry.h
@@ -8,6 +8,7 @@
 #include "modules/core/event_log.h"
 #include "modules/decisions/fleet_scheduler.h"
 #include "modules/decisions/instance_roster.h"
+#include "modules/decisions/retry_window.h"
 #include "modules/gateway/gateway_metrics.h"
 #include "modules/gateway/upstream_exchange.h"
 #include "modules/routing/routing_table.h"
@@ -90,6 +91,11 @@
                 absl::Time now);
   /** Called at the end of each attempt, before OnAttemptFailed and OnEnded. */
   void OnBodyEnded(const UpstreamExchange::BodyEnd& end) { body_end_ = end; }
+  /** Called when the retry budget has allowed or refused a retry. `instances`
+      is the number of instances that the slack was divided by. */
+  void OnRetryDecided(bool granted,
+                      const RetryWindow::Budget& budget,
+                      size_t instances);
   /** Called when an attempt has failed; `events` counts the events that the
       caller has received so far. */
   void OnAttemptFailed(const SentAttempt& attempt,
--- a/tests/logic/gateway_parts_test.cc
+++ b/tests/logic/gateway_parts_test.cc
@@ -175,6 +175,7 @@
   metrics.OnFirstEvent("engines", absl::Milliseconds(240));
   metrics.OnStreamComplete("engines", absl::Milliseconds(90));
   metrics.OnAttemptFailed("desk", "no_connection");
+  metrics.OnRetryDecided("desk", false);
   const std::string text = metrics.Exposition({.live_instances = 3});
   for (const char* line : {
            "chicory_requests_total{reason=\"answered\",service=\"desk\","
@@ -192,6 +193,7 @@
            "chicory_longest_event_gap_seconds_count{service=\"engines\"} 1\n",
            "chicory_failed_sends_total{reason=\"no_connection\","
            "service=\"desk\"} 1\n",
+           "chicory_retries_total{granted=\"no\",service=\"desk\"} 1\n",
            "chicory_live_instances 3\n",
        }) {
     INFO(line);
