--- a/stand_ins/platform_main.cc
+++ b/stand_ins/platform_main.cc
@@ -144,6 +144,7 @@
                         {"crashing_requests", observations_.crashing_requests},
                         {"crashes", observations_.crashes},
                         {"arrivals", observations_.arrivals},
+                        {"repeats", observations_.repeats},
                         {"heads", observations_.request_headers},
                         {"calls", store_.calls()}}
                        .dump()};
--- a/stand_ins/platform_upstream.cc
+++ b/stand_ins/platform_upstream.cc
@@ -67,6 +67,8 @@
     id_ = std::string(request_.headers.Find("Request-Id"));
     std::vector<std::string>& request_headers =
         upstream_->observations_->request_headers[id_];
+    if (!request_headers.empty())
+      ++upstream_->observations_->repeats;
     for (const auto& [name, value] : request_.headers.fields())
       request_headers.push_back(absl::StrCat(name, ": ", value));
     if (request_.headers.Find("Expect-Instance") != upstream_->id_) {
--- a/stand_ins/platform_upstream.h
+++ b/stand_ins/platform_upstream.h
@@ -58,6 +58,8 @@
   std::map<std::string, std::vector<std::string>> request_headers;
   /** Number of requests received, by upstream. */
   std::map<std::string, int> arrivals;
+  /** Number of requests received with an id that was received before. */
+  int repeats = 0;
   /** Number of requests received that hold a part which crashes upstreams. */
   int crashing_requests = 0;
   /** Number of crashes of upstreams. */
--- a/tests/process/gateway_lib.sh
+++ b/tests/process/gateway_lib.sh
@@ -53,6 +53,9 @@
   seeds: [${SEEDS:-}]
   store: $STORE
   stop_within: 6s
+  retry_ratio: ${RETRY_RATIO:-0.2}
+  retry_slack: ${RETRY_SLACK:-100}
+  retry_window: ${RETRY_WINDOW:-10s}
 YAML
   start "$name" chicory_gateway --config "$FLEET/$name.yaml" "$@"
 }
