Tests: responses cut at every byte, and requests late in a planned stop

Two reports of other operators: a worker that stopped inside its answer's head and closed gave callers a 200 with an empty or short body; requests late in the grace of a planned stop were cut without an answer.

--- a/tests/logic/entry_clients_test.cc
+++ b/tests/logic/entry_clients_test.cc
@@ -10,6 +10,7 @@
 #include "modules/serving/http_upstream_client.h"
 #include "modules/serving/interrupt.h"
 #include "modules/store/http_object_store.h"
+#include "tests/logic/cut_responses.h"
 #include "tests/logic/scripted_upstream.h"
 
 namespace chicory {
@@ -164,6 +165,89 @@
   }
 }
 
+// The entry's side of "a response cut inside its head is a failure that may have
+// run" and "a response cut inside its body is not complete".
+TEST_CASE("a service's response that is cut is not complete") {
+  const std::string body = "hello, world";
+  for (const int status : {200, 503}) {
+    for (const WholeResponse& whole :
+         WholeResponses(absl::StrCat("HTTP/1.1 ", status, " Status\r\n"),
+                        "Content-Type: text/plain\r\n", body)) {
+      for (size_t cut = 1; cut < whole.bytes().size(); ++cut) {
+        for (const Ending ending : {Ending::kClose, Ending::kReset}) {
+          if (ending == Ending::kClose && whole.IsWholeAfter(cut))
+            continue;
+          const ScriptedServer server(whole.bytes().substr(0, cut), ending);
+          HttpUpstreamClient client;
+          Interrupt interrupt;
+          ServiceResponse response;
+          const UpstreamCallResult result =
+              client.Call({.address = server.address(),
+                           .method = "GET",
+                           .target = "/a",
+                           .timeout = absl::Seconds(2)},
+                          &response, &interrupt);
+          INFO("status " << status << ", " << BodyFramingName(whole.framing)
+                         << ", cut after " << cut << " bytes"
+                         << (ending == Ending::kReset ? ", reset" : ""));
+          CHECK(result.outcome == AttemptOutcome::kDied);
+          CHECK(response.status == ServiceResponse().status);
+        }
+      }
+    }
+  }
+}
+
+// The same for streams and for refusals, of which only whole ones count.
+TEST_CASE("an engine's response that is cut is neither complete nor a refusal") {
+  struct Kind {
+    const char* name;
+    std::string status_line;
+    std::string body;
+    AttemptOutcome whole_outcome;
+  };
+  const std::vector<Kind> kinds = {
+      {"a stream", "HTTP/1.1 200 OK\r\n",
+       R"({"a":"r","i":0,"end":true,"total":0})"
+       "\n",
+       AttemptOutcome::kCompleted},
+      {"a refusal", "HTTP/1.1 503 Full\r\n",
+       R"({"ran":false,"reason":"full"})"
+       "\n",
+       AttemptOutcome::kRefused},
+  };
+  for (const Kind& kind : kinds) {
+    for (const WholeResponse& whole :
+         WholeResponses(kind.status_line, "Content-Type: text/plain\r\n",
+                        kind.body)) {
+      const size_t body_end =
+          whole.bytes().find(kind.body) + kind.body.size() - 1;
+      for (size_t cut = 1; cut < body_end; ++cut) {
+        for (const Ending ending : {Ending::kClose, Ending::kReset}) {
+          const ScriptedServer server(whole.bytes().substr(0, cut), ending);
+          HttpUpstreamClient client;
+          Interrupt interrupt;
+          const StreamCall call{.address = server.address(), .attempt = "r"};
+          const auto result = client.Stream(
+              call, [](StreamEvent) { return true; }, &interrupt);
+          INFO(kind.name << ", " << BodyFramingName(whole.framing)
+                         << ", cut after " << cut << " bytes"
+                         << (ending == Ending::kReset ? ", reset" : ""));
+          CHECK((result.outcome == AttemptOutcome::kDied ||
+                 result.outcome == AttemptOutcome::kFailed));
+        }
+      }
+      const ScriptedServer server(whole.bytes(), Ending::kClose);
+      HttpUpstreamClient client;
+      Interrupt interrupt;
+      const auto result =
+          client.Stream({.address = server.address(), .attempt = "r"},
+                        [](StreamEvent) { return true; }, &interrupt);
+      CHECK(result.outcome == kind.whole_outcome);
+    }
+  }
+}
+
 // The entry's side of "an announced length that never arrives uses no memory"
 // and "a response without end is given up".
 TEST_CASE("a service's response is limited in size") {
--- a/tests/logic/http_message_test.cc
+++ b/tests/logic/http_message_test.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "modules/net/event_stream.h"
+#include "tests/logic/cut_responses.h"
 
 namespace chicory {
 namespace {
@@ -111,6 +112,17 @@
   CHECK(request.headers.Find("y").data() != nullptr);
 }
 
+/** Passes `bytes` to `parser` as if `step` of them arrived at a time. */
+void FeedInSteps(const std::string& bytes,
+                 size_t step,
+                 HttpResponseParser* parser) {
+  std::string unparsed;
+  for (size_t i = 0; i < bytes.size(); i += step) {
+    unparsed += bytes.substr(i, step);
+    unparsed.erase(0, parser->Feed(unparsed));
+  }
+}
+
 struct ResponseCase {
   const char* name;
   std::string bytes;
@@ -221,6 +233,34 @@
   CHECK(parser.error_status() == 431);
 }
 
+// Guards against a response whose upstream had stopped inside the head, or
+// inside the body, and that reached its caller as whole.
+TEST_CASE("a response that is cut is not complete") {
+  const std::vector<std::string> beginnings = {
+      "HTTP/1.1 200 OK\r\n", "HTTP/1.1 503 Full\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"};
+  const std::string fields = "Request-Id: r1\r\nNot-Executed: 1\r\n";
+  const std::string body = "hello, world";
+  for (const std::string& beginning : beginnings) {
+    for (const WholeResponse& whole : WholeResponses(beginning, fields, body)) {
+      for (size_t cut = 0; cut < whole.bytes().size(); ++cut) {
+        for (const size_t step : {size_t{1}, whole.bytes().size()}) {
+          INFO(beginning << BodyFramingName(whole.framing) << ", cut after "
+                         << cut << " bytes, in steps of " << step);
+          HttpResponseParser parser(/*head_only=*/false);
+          FeedInSteps(whole.bytes().substr(0, cut), step, &parser);
+          CHECK(parser.state() == ParseState::kNeedMore);
+          CHECK(parser.has_head() == (cut >= whole.head.size()));
+          parser.FeedEof();
+          const bool is_whole = whole.IsWholeAfter(cut);
+          CHECK((parser.state() == ParseState::kComplete) == is_whole);
+          CHECK((parser.state() == ParseState::kMalformed) == !is_whole);
+        }
+      }
+    }
+  }
+}
+
 TEST_CASE("a connection that ends after an interim response is malformed") {
   HttpResponseParser parser(/*head_only=*/false);
   parser.Feed("HTTP/1.1 100 Continue\r\n\r\n");
--- a/tests/logic/request_handler_test.cc
+++ b/tests/logic/request_handler_test.cc
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -164,27 +165,47 @@
                .on_upstream_leaving = [] {}} {
     const EngineProfile engine{.slots = 4, .memory_tokens = 100000};
     RoutingTable::Options options{.version = 1};
-    options.routes.push_back({.name = "stream",
-                              .host = "h",
-                              .path_prefix = "/",
-                              .targets = {{.service = "engines"}},
-                              .repeatability = Repeatability::kStreaming,
-                              .timeout = absl::Seconds(8),
-                              .target_latency = absl::Milliseconds(300),
-                              .event_gap = absl::Milliseconds(200),
-                              .max_attempts = 3,
-                              .anonymous = true,
-                              .resumable = true});
+    RouteEntry route{.name = "stream",
+                     .host = "h",
+                     .path_prefix = "/",
+                     .targets = {{.service = "engines"}},
+                     .repeatability = Repeatability::kStreaming,
+                     .timeout = absl::Seconds(8),
+                     .target_latency = absl::Milliseconds(300),
+                     .event_gap = absl::Milliseconds(200),
+                     .max_attempts = 3,
+                     .anonymous = true,
+                     .resumable = true};
+    options.routes.push_back(route);
+    route.resumable = false;
+    route.name = "fixed";
+    route.path_prefix = "/fixed/";
+    options.routes.push_back(route);
+    route.name = "once";
+    route.path_prefix = "/once/";
+    route.repeatability = Repeatability::kNonIdempotent;
+    options.routes.push_back(route);
+    route.name = "again";
+    route.path_prefix = "/again/";
+    route.repeatability = Repeatability::kIdempotent;
+    options.routes.push_back(route);
+    route.name = "desk";
+    route.path_prefix = "/desk/";
+    route.targets = {{.service = "desk"}};
+    route.repeatability = Repeatability::kNonIdempotent;
+    options.routes.push_back(route);
     options.services.push_back({.name = "engines", .engine = engine});
+    options.services.push_back({.name = "desk"});
     state_.table = std::make_shared<const RoutingTable>(std::move(options));
     placement_.SetEngine("engines", engine);
   }
 
-  void SetUpstreams(const std::vector<std::string>& addresses) {
+  void SetUpstreams(const std::vector<std::string>& addresses,
+                    const std::string& service = "engines") {
     std::vector<UpstreamRecord> records;
     for (const std::string& address : addresses) {
       records.push_back({.id = "engine-" + std::to_string(records.size()),
-                         .service = "engines",
+                         .service = service,
                          .address = address,
                          .slots = 4});
     }
@@ -199,16 +220,19 @@
         {.id = "holder", .service = "others", .address = address, .slots = 1});
   }
 
-  /** Handles one request until it has ended. After `stop_after`, the instance
-      ends all requests that it knows of. */
-  RecordingWriter Handle(absl::Duration stop_after = absl::InfiniteDuration()) {
+  /** Handles one request for `target` until it has ended. After `stop_after`,
+      the instance ends all requests that it knows of. */
+  RecordingWriter Handle(absl::Duration stop_after = absl::InfiniteDuration(),
+                         const std::string& target = "/a") {
     RecordingWriter writer;
-    HttpRequest request{.method = "POST", .target = "/a", .body = "x"};
+    HttpRequest request{.method = "POST", .target = target, .body = "x"};
     request.headers.Add("Host", "h");
     request.headers.Add("Request-Id", "r1");
     request.headers.Add("Token-Count", "100,10");
     const auto handler = std::make_shared<RequestHandler>(&state_);
     handler->Start(std::move(request), &writer);
+    if (stopping_for_)
+      state_.drain.Begin(SteadyNow() - *stopping_for_);
     const absl::Time begin = SteadyNow();
     while (writer.outcome.empty() && SteadyNow() - begin < absl::Seconds(9)) {
       loop.run_one_for(std::chrono::milliseconds(20));
@@ -223,6 +247,10 @@
     return writer;
   }
 
+  /** Makes a stop that will have begun `before` the next request go on from
+      then. */
+  void StopDuringNextRequest(absl::Duration before) { stopping_for_ = before; }
+
   void Send(InstanceIp, const PeerMessage&) override {}
   void OnDecision(const ScheduleDecision& decision,
                   InstanceIp scheduler) override {
@@ -248,6 +276,7 @@
   GatewayState state_;
   int decisions_ = 0;
   bool needs_memory_ = false;
+  std::optional<absl::Duration> stopping_for_;
 };
 
 std::string Events(int first, int last) {
@@ -394,5 +423,80 @@
   }
 }
 
+// Guards against a request that a stopping instance passed on just before its
+// end, so that it may have run and may not be repeated: an upstream had refused
+// it before, and nobody asked how long another one would take.
+TEST_CASE("a stopping instance passes on no plain request that it must cut") {
+  struct Case {
+    const char* name;
+    absl::Duration stopping_for;
+    std::string outcome;
+    size_t requests;
+  };
+  // The refusal comes after 0.3 s, and the target of the route is 0.3 s too.
+  const std::vector<Case> cases = {
+      {"the target is over before the end", absl::Seconds(5), "status 200", 2},
+      {"the target is over after the end", absl::Seconds(7.5), "status 503", 1},
+  };
+  const std::string response =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: b\r\n"
+      "Content-Length: 2\r\n\r\nhi";
+  for (const Case& c : cases) {
+    INFO(c.name);
+    OneInstance instance;
+    ScriptedEngines desks(instance.loop,
+                          {{{std::chrono::milliseconds(300), kRefusal}},
+                           {{std::chrono::milliseconds(300), response}}});
+    instance.SetUpstreams(desks.addresses(), "desk");
+    instance.StopDuringNextRequest(c.stopping_for);
+    const RecordingWriter writer =
+        instance.Handle(absl::Seconds(8) - c.stopping_for, "/desk/a");
+    CHECK(writer.outcome == c.outcome);
+    CHECK(desks.requests() == c.requests);
+  }
+}
+
+// Guards against a caller that got the status of a response whose head was cut,
+// or a promise that its request has not run.
+TEST_CASE("a request whose response is cut inside its head may have run") {
+  struct Case {
+    const char* target;
+    /** Response of the second upstream, if there is a second attempt. */
+    std::string second;
+    std::string outcome;
+    size_t requests;
+  };
+  const std::string plain =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: b\r\n"
+      "Content-Length: 2\r\n\r\nhi";
+  const std::string stream = Head("b") + Event(0) + kEnd;
+  const std::vector<Case> cases = {
+      {"/once/a", plain, "status 502", 1},
+      {"/fixed/a", stream, "status 502", 1},
+      {"/again/a", plain, "status 200", 2},
+      {"/a", stream, "whole", 2},
+  };
+  const std::vector<std::string> heads = {kRefusal, Head("a"), plain};
+  for (const Case& c : cases) {
+    for (const std::string& head : heads) {
+      const size_t size = head.find("\r\n\r\n") + 4;
+      for (size_t cut = 1; cut < size; ++cut) {
+        OneInstance instance;
+        ScriptedEngines engines(
+            instance.loop,
+            {{{kAtOnce, head.substr(0, cut)}, {kAtOnce, ""}},
+             {{kAtOnce, c.second}}});
+        instance.SetUpstreams(engines.addresses());
+        const RecordingWriter writer =
+            instance.Handle(absl::InfiniteDuration(), c.target);
+        INFO(c.target << ", cut after " << cut << " bytes of "
+                      << head.substr(0, size));
+        CHECK(writer.outcome == c.outcome);
+        CHECK(engines.requests() == c.requests);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicory
--- a/tests/logic/upstream_exchange_test.cc
+++ b/tests/logic/upstream_exchange_test.cc
@@ -12,6 +12,7 @@
 #include "absl/time/clock.h"
 #include "modules/net/http_client.h"
 #include "platform/header_codec.h"
+#include "tests/logic/cut_responses.h"
 #include "tests/logic/scripted_upstream.h"
 
 namespace chicory {
@@ -222,6 +223,126 @@
   }
 }
 
+/** Runs an exchange whose response is `bytes`, after which the upstream ends
+    the connection, on a connection that has carried another exchange if
+    `is_reused` is set. */
+Recorder RunCutExchange(const std::string& bytes,
+                        Ending ending,
+                        bool is_reused,
+                        bool expects_stream) {
+  boost::asio::io_context loop;
+  std::vector<std::string> responses = {bytes};
+  if (is_reused) {
+    responses.insert(responses.begin(),
+                     "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n"
+                     "Response-Stamp: s\r\nContent-Length: 0\r\n\r\n");
+  }
+  ScriptedUpstream upstream(loop, responses, ending);
+  UpstreamPool pool(loop);
+  EventStreamSplitter events;
+  UpstreamExchange::Options options{.upstream = 1,
+                                    .address = upstream.address(),
+                                    .request_id = "r0",
+                                    .is_retryable = true};
+  if (is_reused)
+    RunExchange(loop, options, &pool, &events);
+  options.request_id = "r1";
+  options.expects_stream = expects_stream;
+  return RunExchange(loop, options, &pool, &events);
+}
+
+// Guards against a response whose upstream had stopped inside the head, and
+// that reached its caller as a whole one with an empty or short body; and
+// against a false "not run" because the part of a head held a refusal.
+TEST_CASE("a response cut inside its head is a failure that may have run") {
+  struct Kind {
+    const char* name;
+    std::string status_line;
+    std::string fields;
+    bool expects_stream;
+  };
+  const std::string own = "Request-Id: r1\r\nResponse-Stamp: s1\r\n";
+  const std::vector<Kind> kinds = {
+      {"a stream", "HTTP/1.1 200 OK\r\n", own, true},
+      {"a success", "HTTP/1.1 200 OK\r\n", own, false},
+      {"a refusal", "HTTP/1.1 503 Full\r\n", "Not-Executed: 1\r\n" + own,
+       false},
+  };
+  const std::string body = "id: 0\ndata: a\n\n";
+  for (const Kind& kind : kinds) {
+    for (const WholeResponse& whole :
+         WholeResponses(kind.status_line, kind.fields, body)) {
+      for (size_t cut = 1; cut < whole.head.size(); ++cut) {
+        for (const Ending ending : {Ending::kClose, Ending::kReset}) {
+          for (const bool is_reused : {false, true}) {
+            const Recorder recorder =
+                RunCutExchange(whole.head.substr(0, cut), ending, is_reused,
+                               kind.expects_stream);
+            INFO(kind.name << ", " << BodyFramingName(whole.framing)
+                           << ", cut after " << cut << " bytes"
+                           << (ending == Ending::kReset ? ", reset" : "")
+                           << (is_reused ? ", kept connection" : ""));
+            CHECK((recorder.outcome == "connection_broken" ||
+                   recorder.outcome == "kept_connection_stale"));
+            CHECK_FALSE(recorder.not_run);
+            CHECK(recorder.body.empty());
+          }
+        }
+      }
+    }
+  }
+}
+
+// Guards against upstreams that crash while they respond and are not found out:
+// on a kept connection the crash was taken for an end while it was idle.
+TEST_CASE("a kept connection that ends inside a head is no stale one") {
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n";
+  for (size_t cut = 0; cut < head.size(); ++cut) {
+    const Recorder recorder =
+        RunCutExchange(head.substr(0, cut), Ending::kClose,
+                       /*is_reused=*/true, /*expects_stream=*/false);
+    INFO("cut after " << cut << " bytes");
+    CHECK(recorder.outcome ==
+          (cut == 0 ? "kept_connection_stale" : "connection_broken"));
+    CHECK(recorder.result ==
+          (cut == 0 ? AttemptResult::kCancelled : AttemptResult::kCrash));
+  }
+}
+
+// The same inside the body: only a body without a length may end with its
+// connection, in good order.
+TEST_CASE("a response cut inside its body is not complete") {
+  const std::string own = "Request-Id: r1\r\nResponse-Stamp: s1\r\n";
+  const std::string body = "id: 0\ndata: a\n\n";
+  for (const bool expects_stream : {false, true}) {
+    for (const int status : {200, 503}) {
+      for (const WholeResponse& whole :
+           WholeResponses("HTTP/1.1 " + std::to_string(status) + " Status\r\n",
+                          own, body)) {
+        for (size_t cut = whole.head.size(); cut < whole.bytes().size();
+             ++cut) {
+          for (const Ending ending : {Ending::kClose, Ending::kReset}) {
+            if (ending == Ending::kClose && whole.IsWholeAfter(cut) &&
+                !(expects_stream && status == 200))
+              continue;
+            const Recorder recorder =
+                RunCutExchange(whole.bytes().substr(0, cut), ending,
+                               /*is_reused=*/false, expects_stream);
+            INFO((expects_stream ? "stream" : "plain")
+                 << ", status " << status << ", "
+                 << BodyFramingName(whole.framing) << ", cut after " << cut
+                 << " bytes" << (ending == Ending::kReset ? ", reset" : ""));
+            CHECK((recorder.outcome == "connection_broken" ||
+                   recorder.outcome == "stream_truncated"));
+            CHECK_FALSE(recorder.not_run);
+            CHECK((recorder.body.empty() || recorder.body == body));
+          }
+        }
+      }
+    }
+  }
+}
+
 // Guards against a false "not run": a faulty upstream repeats an earlier
 // refusal on a kept connection while it runs the next request.
 TEST_CASE("a late copy of a refusal does not refuse the next request") {
