A stopping instance plans for the time that plain requests take

Callers saw: in the last 0.3 s of a planned stop, a request that may not be repeated and that an upstream had just refused was passed on to a second upstream, and got 502 at the end ("may have run") instead of a promise that it has not run.

Cause: before a request is sent, a stopping instance asks whether it will end in time. For plain requests the scheduler gives no expected time (0), so the answer was always yes; only the arrival and the wait for an upstream were planned with the target of the route. The class: a time that nobody knows was taken for none.

Ruled out: a close without an answer.

Change: a plain request is planned for its route's target latency at least, wherever it is planned.

--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -168,7 +168,7 @@
     absl::Duration to_first_event) const {
   const Service* service = table_->FindService(service_);
   if (!service || !service->engine)
-    return to_first_event;
+    return std::max(to_first_event, route_->target_latency);
   return to_first_event + DecodeTime(*service->engine, PlannedOutputTokens());
 }
 
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -68,7 +68,8 @@
   /** Returns the number of tokens that the upstream is expected to generate. */
   int64_t PlannedOutputTokens() const;
   /** Returns how long the response takes to its end if it begins after
-      `to_first_event`. */
+      `to_first_event`. Schedulers do not know how long a plain response takes;
+      it is planned for the target latency of its route at least. */
   absl::Duration PlannedDuration(absl::Duration to_first_event) const;
   /** Ends the request, which has no attempt, since this instance ends before it
       could be served. */
--- a/tests/logic/request_handler_test.cc
+++ b/tests/logic/request_handler_test.cc
@@ -483,9 +483,8 @@
       for (size_t cut = 1; cut < size; ++cut) {
         OneInstance instance;
         ScriptedEngines engines(
-            instance.loop,
-            {{{kAtOnce, head.substr(0, cut)}, {kAtOnce, ""}},
-             {{kAtOnce, c.second}}});
+            instance.loop, {{{kAtOnce, head.substr(0, cut)}, {kAtOnce, ""}},
+                            {{kAtOnce, c.second}}});
         instance.SetUpstreams(engines.addresses());
         const RecordingWriter writer =
             instance.Handle(absl::InfiniteDuration(), c.target);
