A kept connection that ends inside a response is no stale one

An upstream that crashed inside the head of its response, within 50 ms of a request on a kept connection, was not found out: the attempt ended as kept_connection_stale, which is no fault of the upstream, is no crash for the count of parts of prompts that crash engines, and does not make schedulers avoid it. Callers got no wrong answer: the request counted as one that may have run before and after.

Cause: whether the connection had been closed while it was idle was told from the absence of a whole head. A byte of a response is proof enough that it had not.

--- a/modules/gateway/upstream_exchange.cc
+++ b/modules/gateway/upstream_exchange.cc
@@ -11,8 +11,9 @@
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
-/** A reused connection that breaks this soon after an attempt started had
-    already been closed by the upstream while it was idle. */
+/** A reused connection that breaks this soon after an attempt started, before
+    any byte of a response, had already been closed by the upstream while it was
+    idle. */
 constexpr absl::Duration kStaleConnectionWindow = absl::Milliseconds(50);
 
 /** Far above any response of a plain service or event of an engine, and below
@@ -73,6 +74,7 @@
 }
 
 void UpstreamExchange::OnResponse(HttpResponseParser& parser) {
+  has_response_bytes_ = true;
   if (!parser.has_head())
     return;
   const auto self = shared_from_this();
@@ -198,7 +200,7 @@
     Fail({.reason = "no_connection", .not_run = true, .not_sent = true});
     return;
   }
-  const bool is_stale = connection->is_reused() && !has_head_ &&
+  const bool is_stale = connection->is_reused() && !has_response_bytes_ &&
                         SteadyNow() - sent_at_ < kStaleConnectionWindow;
   if (is_stale)
     Fail({.reason = "kept_connection_stale",
--- a/modules/gateway/upstream_exchange.h
+++ b/modules/gateway/upstream_exchange.h
@@ -138,6 +138,7 @@
   absl::Time sent_at_;
   absl::Duration keep_alive_;
   BodyEnd body_end_;
+  bool has_response_bytes_ = false;
   bool has_head_ = false;
   bool is_stream_ = false;
   /** A complete event was received. */
