--- a/tests/node/stop_load.mjs
+++ b/tests/node/stop_load.mjs
@@ -59,7 +59,7 @@
   const { socket } = connection;
   const tokens = streams ? 'Token-Count: 500,50\r\n' : '';
   socket.write(
-    `POST ${streams ? '/s/a' : '/once/a'} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: ${id}\r\n` +
+    `POST ${streams ? '/long/a' : '/once/a'} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: ${id}\r\n` +
       `${tokens}Transfer-Encoding: chunked\r\n\r\n`
   );
   for (let chunks = Math.ceil(between(2, 8)); chunks > 0 && !connection.reset; chunks -= 1) {
--- a/tests/stop_load.sh
+++ b/tests/stop_load.sh
@@ -1,11 +1,12 @@
 # For runs by hand: stops six of seven gateways under the load of tests/node/stop_load.mjs
-# and prints how the requests ended and what the gateways logged of their stops.
+# and prints how the requests ended and what the gateways logged of their stops. SLOWER=N
+# makes the streams N times as long.
 . "$(dirname "$0")/process/gateway_lib.sh"
 platform --set engines=3 --set desks=3
-configure 2
-control upstream '{"name":"engine-1","pace_ms":600}'
-control upstream '{"name":"engine-2","pace_ms":400}'
-control upstream '{"name":"engine-3","pace_ms":300}'
+configure 2 '{"name":"long","host":"a.example","path-prefix":"/long/","kind":"streaming","timeout-ms":15000,"target-latency-ms":300,"gap-aim-ms":250,"service":"engines","max-attempts":1,"anonymous":true},'
+upstream engine-1 '"pace_ms":'$((500 * ${SLOWER:-1}))
+upstream engine-2 '"pace_ms":'$((400 * ${SLOWER:-1}))
+upstream engine-3 '"pace_ms":'$((300 * ${SLOWER:-1}))
 PEER_PORT=$((21000 + RANDOM % 20000))
 SEEDS="127.0.0.11:1, 127.0.0.12:1"
 gateways=()
