The retry budget is divided by all instances known of late

Cause: the slack was divided by the number of instances that live as far as this one hears. An instance that is cut off, or resumes after a pause longer than the liveness timeout, counts itself alone and takes all of the slack, and so does each of the others. The class of fault: a share of a common limit grows when knowledge is lost.

Change: Membership::SharingInstances, the largest count of the last ten minutes and at least the number of seeds; nullopt while the others are not known, in which case an instance uses its own requests' share only. What an instance announces is still the live count, so that the maximum does not feed itself.

--- a/modules/decisions/retry_window.cc
+++ b/modules/decisions/retry_window.cc
@@ -20,7 +20,7 @@
 }
 
 bool RetryWindow::Spend(const std::string& service,
-                        size_t instances,
+                        InstanceCount instances,
                         absl::Time now) {
   const Budget budget = BudgetOf(service, instances, now);
   if (static_cast<double>(budget.retries + 1) > budget.allowed)
@@ -29,16 +29,21 @@
   return true;
 }
 
+double RetryWindow::ShareOfSlack(InstanceCount instances) const {
+  if (!instances)
+    return 0;
+  return options_.slack / static_cast<double>(std::max<size_t>(*instances, 1));
+}
+
 RetryWindow::Budget RetryWindow::BudgetOf(const std::string& service,
-                                          size_t instances,
+                                          InstanceCount instances,
                                           absl::Time now) {
   const Row& row = CurrentRow(service, now);
   const double requests = static_cast<double>(row.requests.size());
-  const double share =
-      options_.slack / static_cast<double>(std::max<size_t>(instances, 1));
   return {.requests = row.requests.size(),
           .retries = row.retries.size(),
-          .allowed = kMargin * (options_.ratio * requests + share)};
+          .allowed =
+              kMargin * (options_.ratio * requests + ShareOfSlack(instances))};
 }
 
 size_t RetryWindow::Spent(const std::string& service, absl::Time now) {
--- a/modules/decisions/retry_window.h
+++ b/modules/decisions/retry_window.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <optional>
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
@@ -27,13 +28,19 @@
     absl::Duration window = absl::Seconds(10);
   };
 
+  /** Number of instances that share the slack, this one included; nullopt if it
+      is not known, in which case this instance uses none of the slack. */
+  using InstanceCount = std::optional<size_t>;
+
   explicit RetryWindow(Options options) : options_(options) {}
 
   /** Counts a request for `service`. */
   void OnRequest(const std::string& service, absl::Time now);
-  /** Takes one retry from the budget. Returns false if the budget is used up.
-      `instances` is the number of live instances including this one. */
-  bool Spend(const std::string& service, size_t instances, absl::Time now);
+  /** Takes one retry from the budget. Returns false if the budget is used
+      up. */
+  bool Spend(const std::string& service,
+             InstanceCount instances,
+             absl::Time now);
   /** Returns the number of retries in the current window. */
   size_t Spent(const std::string& service, absl::Time now);
 
@@ -45,8 +52,9 @@
     /** Number of retries that this instance may use in the window. */
     double allowed = 0;
   };
-  /** Returns the budget for `service` if `instances` instances share it. */
-  Budget BudgetOf(const std::string& service, size_t instances, absl::Time now);
+  Budget BudgetOf(const std::string& service,
+                  InstanceCount instances,
+                  absl::Time now);
 
  private:
   /** Share of the bound that is used. */
@@ -60,6 +68,8 @@
   /** Returns the row of `service` after dropping what is older than the
       window. */
   Row& CurrentRow(const std::string& service, absl::Time now);
+  /** Returns the share of the slack that one of `instances` may use. */
+  double ShareOfSlack(InstanceCount instances) const;
 
   Options options_;
   absl::flat_hash_map<std::string, Row> rows_;
--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -692,7 +692,8 @@
 
 bool RequestHandler::SpendRetry() {
   const absl::Time now = SteadyNow();
-  const size_t instances = state_->placement->membership().LiveInstances(now);
+  const RetryWindow::InstanceCount instances =
+      state_->placement->membership().SharingInstances(now);
   const RetryWindow::Budget budget =
       state_->retries.BudgetOf(service_, instances, now);
   const bool granted = state_->retries.Spend(service_, instances, now);
--- a/modules/gateway/request_telemetry.cc
+++ b/modules/gateway/request_telemetry.cc
@@ -134,7 +134,7 @@
 
 void RequestTelemetry::OnRetryDecided(bool granted,
                                       const RetryWindow::Budget& budget,
-                                      size_t instances) {
+                                      RetryWindow::InstanceCount instances) {
   metrics_.OnRetryDecided(service_, granted);
   log_.WriteDetail("retry_decided", {{"request", request_},
                                      {"service", service_},
@@ -142,7 +142,7 @@
                                      {"requests", budget.requests},
                                      {"retries", budget.retries},
                                      {"allowed", budget.allowed},
-                                     {"instances", instances}});
+                                     {"instances", instances.value_or(0)}});
 }
 
 void RequestTelemetry::OnAttemptFailed(const SentAttempt& attempt,
--- a/modules/gateway/request_telemetry.h
+++ b/modules/gateway/request_telemetry.h
@@ -95,7 +95,7 @@
       is the number of instances that the slack was divided by. */
   void OnRetryDecided(bool granted,
                       const RetryWindow::Budget& budget,
-                      size_t instances);
+                      RetryWindow::InstanceCount instances);
   /** Called when an attempt has failed; `events` counts the events that the
       caller has received so far. */
   void OnAttemptFailed(const SentAttempt& attempt,
--- a/modules/peers/membership.cc
+++ b/modules/peers/membership.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <string_view>
 #include <utility>
 
@@ -241,6 +242,7 @@
     return;
   announced_live_count_ = count;
   live_count_announced_at_ = now;
+  most_live_instances_.Add(count, now);
 }
 
 size_t Membership::LiveInstances(absl::Time now) const {
@@ -250,6 +252,17 @@
   return std::max(here, announced_live_count_);
 }
 
+std::optional<size_t> Membership::SharingInstances(absl::Time now) const {
+  const size_t most =
+      std::max(most_live_instances_.Largest(), LiveInstances(now));
+  const std::set<InstanceIp> seeds(options_.seeds.begin(),
+                                   options_.seeds.end());
+  const size_t other_seeds = seeds.size() - seeds.count(options_.self);
+  if (other_seeds > 0 && (most == 1 || IsJoining(now)))
+    return std::nullopt;
+  return std::max(most, other_seeds + 1);
+}
+
 bool Membership::IsJoining(absl::Time now) const {
   return now - started_ < kJoinPhase;
 }
@@ -271,6 +284,7 @@
   next_hello_ = now + (IsJoining(now) ? kJoinHelloInterval : kHelloInterval);
   ++hello_rounds_;
   roster_live_count_ = roster_.LiveCount(now);
+  most_live_instances_.Add(roster_live_count_, now);
   for (auto& [ip, count] : unanswered_hellos_) {
     if (count >= kMaxUnansweredHellos) {
       roster_.Suspect(ip, now);
--- a/modules/peers/membership.h
+++ b/modules/peers/membership.h
@@ -8,6 +8,7 @@
 
 #include "absl/container/flat_hash_set.h"
 #include "absl/time/time.h"
+#include "modules/core/recent_maximum.h"
 #include "modules/decisions/instance_roster.h"
 #include "modules/peers/placement_message.h"
 #include "modules/routing/upstream_change_log.h"
@@ -31,6 +32,8 @@
  public:
   /** Number of instances that watch the source. */
   static constexpr size_t kWatchers = 3;
+  /** How long a number of live instances is remembered. */
+  static constexpr absl::Duration kCountRetention = absl::Minutes(10);
 
   struct Options {
     InstanceIp self = 0;
@@ -111,6 +114,12 @@
   /** Returns the number of live instances including this one: the larger of the
       roster's count and the count recently announced in replies to hellos. */
   size_t LiveInstances(absl::Time now) const;
+  /** Returns the number of instances among which a limit is divided that all of
+      them share: the most that have been known to live within
+      kCountRetention, since those that are gone from here may live on out of
+      reach, or may have used their share. Returns nullopt while this instance
+      does not know the others. */
+  std::optional<size_t> SharingInstances(absl::Time now) const;
   /** Returns the live instances other than this one. */
   std::vector<InstanceRoster::Member> Members(absl::Time now) const {
     return roster_.Members(now);
@@ -164,6 +173,7 @@
   /** Largest live count recently announced in a reply to a hello. */
   size_t announced_live_count_ = 1;
   absl::Time live_count_announced_at_ = absl::InfinitePast();
+  RecentMaximum<size_t> most_live_instances_{kCountRetention};
 };
 
 }  // namespace chicory
--- a/tests/logic/membership_test.cc
+++ b/tests/logic/membership_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -192,6 +193,47 @@
       in_flight_;
 };
 
+// Guards against an instance that uses more than its part of a shared limit
+// once it no longer hears of the others.
+TEST_CASE("a shared limit is divided by all instances known of late") {
+  Fleet fleet(20, /*loss=*/0);
+  const auto sharing = [&](InstanceIp ip) {
+    return fleet.members[ip]->node.membership().SharingInstances(fleet.now);
+  };
+  CHECK(sharing(7) == 20);
+  for (InstanceIp ip = 8; ip <= 20; ++ip)
+    fleet.members.erase(ip);
+  fleet.Run(absl::Seconds(60));
+  CHECK(fleet.members[7]->node.membership().LiveInstances(fleet.now) == 7);
+  CHECK(sharing(7) == 20);
+  fleet.Run(Membership::kCountRetention);
+  CHECK(sharing(7) == 7);
+}
+
+TEST_CASE("an instance that knows no others does not know how many share") {
+  struct Case {
+    const char* name;
+    std::vector<InstanceIp> seeds;
+    absl::Duration up;
+    std::optional<size_t> sharing;
+  };
+  const std::vector<Case> cases = {
+      {"no seeds", {}, absl::Seconds(1), 1},
+      {"the only seed", {1}, absl::Seconds(1), 1},
+      {"just started", {1, 2, 3}, absl::Seconds(1), std::nullopt},
+      {"no other responds", {1, 2, 3}, absl::Minutes(5), std::nullopt},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    Membership membership({.self = 1, .seeds = c.seeds});
+    const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+    for (absl::Time now = start; now <= start + c.up;
+         now += absl::Milliseconds(100))
+      membership.TakeHelloTargets(now);
+    CHECK(membership.SharingInstances(start + c.up) == c.sharing);
+  }
+}
+
 // Guards against instances that miss a change because they do not watch the
 // source themselves, whether one registration changes or many at once.
 TEST_CASE("few instances watch the source and all receive its changes") {
--- a/tests/logic/retry_budget_fleet_test.cc
+++ b/tests/logic/retry_budget_fleet_test.cc
@@ -167,7 +167,7 @@
 
   bool MayRetry(Instance* instance) {
     return instance->retries->Spend(
-        "s", instance->membership->LiveInstances(now_), now_);
+        "s", instance->membership->SharingInstances(now_), now_);
   }
 
   Options options_;
