A restarted instance does not use its share of the retry slack again

Cause: what an instance has used of its share is lost with it. The margin of 0.6 covers less than one restart of all instances in a window. The class of fault: soft state that guards a limit is lost by a restart.

Change: the share of the slack grows from none over the first two windows of an instance. Then all later incarnations within a window use at most half of what the first one may, however often they start. The margin becomes 0.5 for both parts: requests of one window and of the one before it both count for retries of a window, as two incarnations, or two instances at unlike times, may each use the ratio.

Cost: a restarted instance makes few retries in its first seconds, and all make 0.5 instead of 0.6 of what the budget allows.

--- a/modules/decisions/retry_window.cc
+++ b/modules/decisions/retry_window.cc
@@ -29,10 +29,15 @@
   return true;
 }
 
-double RetryWindow::ShareOfSlack(InstanceCount instances) const {
+double RetryWindow::ShareOfSlack(InstanceCount instances,
+                                 absl::Time now) const {
   if (!instances)
     return 0;
-  return options_.slack / static_cast<double>(std::max<size_t>(*instances, 1));
+  const double windows_since_start =
+      absl::FDivDuration(now - options_.started, options_.window);
+  const double grown = std::min(1.0, windows_since_start / kWindowsToFullShare);
+  return grown * options_.slack /
+         static_cast<double>(std::max<size_t>(*instances, 1));
 }
 
 RetryWindow::Budget RetryWindow::BudgetOf(const std::string& service,
@@ -42,8 +47,8 @@
   const double requests = static_cast<double>(row.requests.size());
   return {.requests = row.requests.size(),
           .retries = row.retries.size(),
-          .allowed =
-              kMargin * (options_.ratio * requests + ShareOfSlack(instances))};
+          .allowed = kMargin * (options_.ratio * requests +
+                                ShareOfSlack(instances, now))};
 }
 
 size_t RetryWindow::Spent(const std::string& service, absl::Time now) {
--- a/modules/decisions/retry_window.h
+++ b/modules/decisions/retry_window.h
@@ -16,8 +16,11 @@
     instances.
 
     Each instance may use `ratio` of its own requests and an equal share of the
-    slack. Both are reduced by kMargin to allow for instances that start or stop
-    within the window. Not thread-safe. */
+    slack, both reduced by kMargin. Since an instance does not know what it used
+    before a restart, its share of the slack grows from none over its first
+    kWindowsToFullShare windows.
+
+    docs/INVARIANTS.md has the proof and what it assumes. Not thread-safe. */
 class RetryWindow {
  public:
   struct Options {
@@ -26,6 +29,8 @@
     /** Retries allowed per window in addition, over all instances. */
     double slack = 0;
     absl::Duration window = absl::Seconds(10);
+    /** Start of this instance. */
+    absl::Time started = absl::InfinitePast();
   };
 
   /** Number of instances that share the slack, this one included; nullopt if it
@@ -58,7 +63,10 @@
 
  private:
   /** Share of the bound that is used. */
-  static constexpr double kMargin = 0.6;
+  static constexpr double kMargin = 0.5;
+  /** Windows after its start in which an instance's share of the slack grows.
+   */
+  static constexpr double kWindowsToFullShare = 2;
 
   struct Row {
     std::deque<absl::Time> requests;
@@ -68,8 +76,8 @@
   /** Returns the row of `service` after dropping what is older than the
       window. */
   Row& CurrentRow(const std::string& service, absl::Time now);
-  /** Returns the share of the slack that one of `instances` may use. */
-  double ShareOfSlack(InstanceCount instances) const;
+  /** Returns the share of the slack that one of `instances` may use now. */
+  double ShareOfSlack(InstanceCount instances, absl::Time now) const;
 
   Options options_;
   absl::flat_hash_map<std::string, Row> rows_;
--- a/tests/logic/gateway_parts_test.cc
+++ b/tests/logic/gateway_parts_test.cc
@@ -73,6 +73,41 @@
   CHECK(window.Spent("s", absl::UnixEpoch() + absl::Seconds(11)) == 0);
 }
 
+// Guards against instances that use their share of the slack again after each
+// restart, or all of it while they know of no other.
+TEST_CASE("the share of the retry slack depends on what an instance knows") {
+  struct Case {
+    const char* name;
+    absl::Duration up;
+    RetryWindow::InstanceCount instances;
+    size_t requests;
+    size_t allowed;
+  };
+  const std::vector<Case> cases = {
+      {"just started", absl::ZeroDuration(), 1, 0, 0},
+      {"up for half a window", kWindow / 2, 1, 0, 29},
+      {"up for a window", kWindow, 1, 0, 59},
+      {"up for two windows", kWindow * 2, 1, 0, 118},
+      {"up for long", kWindow * 100, 1, 0, 118},
+      {"up for long, one of 20", kWindow * 100, 20, 0, 5},
+      {"the others are not known", kWindow * 100, std::nullopt, 0, 0},
+      {"requests of its own", absl::ZeroDuration(), std::nullopt, 100, 10},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    const absl::Time start = absl::UnixEpoch();
+    RetryWindow window({.ratio = kRatio,
+                        .slack = kSlack,
+                        .window = kWindow,
+                        .started = start});
+    for (size_t i = 0; i < c.requests; ++i)
+      window.OnRequest("s", start + c.up);
+    for (size_t i = 0; i < c.allowed; ++i)
+      CHECK(window.Spend("s", c.instances, start + c.up));
+    CHECK_FALSE(window.Spend("s", c.instances, start + c.up));
+  }
+}
+
 UpstreamRecord Record(const std::string& id,
                       RegistrationState state = RegistrationState::kReady) {
   return {.id = id,
--- a/tests/logic/retry_budget_fleet_test.cc
+++ b/tests/logic/retry_budget_fleet_test.cc
@@ -49,7 +49,7 @@
     instance.membership = std::make_unique<Membership>(
         Membership::Options{.self = ip, .seeds = {1, 2, 3}});
     instance.retries = std::make_unique<RetryWindow>(RetryWindow::Options{
-        .ratio = kRatio, .slack = kSlack, .window = kWindow});
+        .ratio = kRatio, .slack = kSlack, .window = kWindow, .started = now_});
   }
   void Kill(InstanceIp ip) { instances_[ip].membership.reset(); }
   void SetFrozen(InstanceIp ip, bool frozen) {
