A retry is charged to the budget when it is sent

Cause: the budget limits what arrives at a service in a window, and was charged when a retry was granted. A retry may wait for an upstream as long as its caller, 10 s and more, so the grants of two and a half windows can arrive in one. The class of fault: a limit is charged when something is promised, not when it happens.

Change: a granted retry is reserved, charged when it is sent, and released if it is not sent; reservations count against later ones. If the budget no longer allows it when an upstream is free, the request ends with retries_used_up. A charged retry that got no connection is refunded.

Ruled out, by reading: ways of sending that are not charged; no_connection is reported only before a byte is written.

--- a/modules/decisions/retry_window.cc
+++ b/modules/decisions/retry_window.cc
@@ -19,16 +19,38 @@
   CurrentRow(service, now).requests.push_back(now);
 }
 
+bool RetryWindow::Reserve(const std::string& service,
+                          InstanceCount instances,
+                          absl::Time now) {
+  const Budget budget = BudgetOf(service, instances, now);
+  const size_t wanted = budget.retries + budget.reserved + 1;
+  if (static_cast<double>(wanted) > budget.allowed)
+    return false;
+  ++rows_[service].reserved;
+  return true;
+}
+
+void RetryWindow::Release(const std::string& service) {
+  --rows_[service].reserved;
+}
+
 bool RetryWindow::Spend(const std::string& service,
                         InstanceCount instances,
                         absl::Time now) {
   const Budget budget = BudgetOf(service, instances, now);
   if (static_cast<double>(budget.retries + 1) > budget.allowed)
     return false;
-  CurrentRow(service, now).retries.push_back(now);
+  rows_[service].retries.push_back(now);
   return true;
 }
 
+void RetryWindow::Refund(const std::string& service, absl::Time spent_at) {
+  std::deque<absl::Time>& retries = rows_[service].retries;
+  const auto found = std::find(retries.begin(), retries.end(), spent_at);
+  if (found != retries.end())
+    retries.erase(found);
+}
+
 double RetryWindow::ShareOfSlack(InstanceCount instances,
                                  absl::Time now) const {
   if (!instances)
@@ -47,6 +69,7 @@
   const double requests = static_cast<double>(row.requests.size());
   return {.requests = row.requests.size(),
           .retries = row.retries.size(),
+          .reserved = row.reserved,
           .allowed = kMargin * (options_.ratio * requests +
                                 ShareOfSlack(instances, now))};
 }
--- a/modules/decisions/retry_window.h
+++ b/modules/decisions/retry_window.h
@@ -18,7 +18,8 @@
     Each instance may use `ratio` of its own requests and an equal share of the
     slack, both reduced by kMargin. Since an instance does not know what it used
     before a restart, its share of the slack grows from none over its first
-    kWindowsToFullShare windows.
+    kWindowsToFullShare windows. A retry counts when it is sent; until then it
+   is reserved.
 
     docs/INVARIANTS.md has the proof and what it assumes. Not thread-safe. */
 class RetryWindow {
@@ -41,11 +42,20 @@
 
   /** Counts a request for `service`. */
   void OnRequest(const std::string& service, absl::Time now);
-  /** Takes one retry from the budget. Returns false if the budget is used
-      up. */
+  /** Reserves a retry that will be sent later. Returns false if the budget is
+      used up. */
+  bool Reserve(const std::string& service,
+               InstanceCount instances,
+               absl::Time now);
+  /** Ends a reservation. */
+  void Release(const std::string& service);
+  /** Counts a retry that is sent now. Returns false, without any change, if the
+      budget is used up. Reservations do not count. */
   bool Spend(const std::string& service,
              InstanceCount instances,
              absl::Time now);
+  /** Undoes the Spend() of `spent_at`, as nothing was sent. */
+  void Refund(const std::string& service, absl::Time spent_at);
   /** Returns the number of retries in the current window. */
   size_t Spent(const std::string& service, absl::Time now);
 
@@ -54,6 +64,8 @@
     /** Requests and retries of this instance within the window. */
     size_t requests = 0;
     size_t retries = 0;
+    /** Retries that wait until they are sent. */
+    size_t reserved = 0;
     /** Number of retries that this instance may use in the window. */
     double allowed = 0;
   };
@@ -71,6 +83,7 @@
   struct Row {
     std::deque<absl::Time> requests;
     std::deque<absl::Time> retries;
+    size_t reserved = 0;
   };
 
   /** Returns the row of `service` after dropping what is older than the
--- a/modules/gateway/attempt.h
+++ b/modules/gateway/attempt.h
@@ -22,6 +22,8 @@
   UpstreamKey upstream = 0;
   UpstreamIncarnation incarnation = 0;
   RequestTelemetry::SentAttempt sent;
+  /** When the retry budget was charged; nullopt for the first attempt. */
+  std::optional<absl::Time> charged_at;
   bool response_start_reported = false;
 };
 
--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -349,11 +349,21 @@
     return;
   }
   if (decision.memory.empty())
-    SendTo(*upstream, decision, &current_);
+    SendCurrent(*upstream, decision);
   else
     ReserveHelperMemory(*upstream, decision);
 }
 
+void RequestHandler::SendCurrent(const UpstreamRecord& upstream,
+                                 const ScheduleDecision& decision) {
+  if (ChargeRetry(&current_)) {
+    SendTo(upstream, decision, &current_);
+    return;
+  }
+  EndAttempt(AttemptResult::kCancelled, 0);
+  RespondUnavailable("retries_used_up");
+}
+
 bool RequestHandler::CanReplace(const ScheduleDecision& decision) const {
   return decision.kind == ScheduleDecision::Kind::kAssign &&
          state_->FindOpen(decision.upstream, SteadyNow()) &&
@@ -395,6 +405,10 @@
 }
 
 void RequestHandler::SendReplacement(const ScheduleDecision& decision) {
+  if (!ChargeRetry(&replacement_)) {
+    KeepSilentAttempt();
+    return;
+  }
   replacement_events_ = events_;
   // The scheduler must not choose the silent upstream for others meanwhile.
   ReportEnd(&current_, AttemptResult::kFault, 0);
@@ -430,6 +444,7 @@
 
 void RequestHandler::KeepSilentAttempt() {
   CancelReplacement();
+  ReleaseRetry();
   watchdog_->Start(SteadyNow() + SilenceLimit());
 }
 
@@ -474,7 +489,7 @@
       return;
     self->telemetry_.OnMemoryReservation(decision.memory.size(), granted);
     if (granted) {
-      self->SendTo(upstream, decision, &self->current_);
+      self->SendCurrent(upstream, decision);
       return;
     }
     self->EndAttempt(AttemptResult::kCancelled, 0);
@@ -607,6 +622,7 @@
   const absl::Time now = SteadyNow();
   BeginStream(head);
   CancelReplacement();
+  ReleaseRetry();
   telemetry_.OnEvents(current_.sent, route_->target_latency, now);
   if (watchdog_)
     watchdog_->Extend(now + SilenceLimit());
@@ -687,24 +703,51 @@
     return decisions_ < kMaxDecisions;
   if (telemetry_.attempts() - unsent_attempts_ >= route_->max_attempts)
     return false;
-  return SpendRetry();
+  return ReserveRetry();
+}
+
+bool RequestHandler::ReserveRetry() {
+  if (has_reserved_retry_)
+    return true;
+  const absl::Time now = SteadyNow();
+  const RetryWindow::InstanceCount instances =
+      state_->placement->membership().SharingInstances(now);
+  const RetryWindow::Budget budget =
+      state_->retries.BudgetOf(service_, instances, now);
+  has_reserved_retry_ = state_->retries.Reserve(service_, instances, now);
+  telemetry_.OnRetryDecided(has_reserved_retry_, budget, instances);
+  return has_reserved_retry_;
 }
 
-bool RequestHandler::SpendRetry() {
+void RequestHandler::ReleaseRetry() {
+  if (std::exchange(has_reserved_retry_, false))
+    state_->retries.Release(service_);
+}
+
+bool RequestHandler::ChargeRetry(Attempt* attempt) {
+  const bool is_first = telemetry_.attempts() == unsent_attempts_;
+  if (is_first)
+    return true;
+  ReleaseRetry();
   const absl::Time now = SteadyNow();
   const RetryWindow::InstanceCount instances =
       state_->placement->membership().SharingInstances(now);
   const RetryWindow::Budget budget =
       state_->retries.BudgetOf(service_, instances, now);
-  const bool granted = state_->retries.Spend(service_, instances, now);
-  telemetry_.OnRetryDecided(granted, budget, instances);
-  return granted;
+  if (!state_->retries.Spend(service_, instances, now)) {
+    telemetry_.OnRetryDecided(/*granted=*/false, budget, instances);
+    return false;
+  }
+  attempt->charged_at = now;
+  return true;
 }
 
 void RequestHandler::RecordFailure(const Attempt& attempt,
                                    const UpstreamExchange::Failure& failure) {
   may_have_run_ |= !failure.not_run;
   unsent_attempts_ += failure.not_sent ? 1 : 0;
+  if (failure.not_sent && attempt.charged_at)
+    state_->retries.Refund(service_, *attempt.charged_at);
   if (failure.result == AttemptResult::kCrash &&
       !attempt.response_start_reported) {
     state_->placement->ReportCrash(caller_.shared_parts, attempt.incarnation,
@@ -818,6 +861,7 @@
 
 void RequestHandler::Finish(int status, const char* reason) {
   finished_ = true;
+  ReleaseRetry();
   state_->requests.erase(this);
   timeout_.cancel();
   if (watchdog_)
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -94,6 +94,10 @@
   /** Ends the request and returns true if a part of its prompt crashes
       upstreams. */
   bool RefuseCrashingParts();
+  /** Sends the request to `upstream`, or ends it if it was sent before and the
+      retry budget is used up. */
+  void SendCurrent(const UpstreamRecord& upstream,
+                   const ScheduleDecision& decision);
   /** Sends the request to `upstream`, as `attempt`. */
   void SendTo(const UpstreamRecord& upstream,
               const ScheduleDecision& decision,
@@ -127,11 +131,16 @@
   /** Returns the upstream to which the request is not sent again. */
   static UpstreamKey UpstreamAtFault(const Attempt& attempt,
                                      const UpstreamExchange::Failure& failure);
-  /** Returns whether the request may be retried after `failure`; if so, charges
-      the retry budget. */
+  /** Returns whether the request may be retried after `failure`; if so, has
+      reserved a retry unless nothing was sent. */
   bool CanRetry(const UpstreamExchange::Failure& failure);
-  /** Takes one retry from the budget, if it allows one. */
-  bool SpendRetry();
+  /** Reserves a retry, if the budget allows one. */
+  bool ReserveRetry();
+  void ReleaseRetry();
+  /** Called before the request is sent as `attempt`. Charges the retry budget
+     if it has been sent before; returns false if the budget does not allow it.
+   */
+  bool ChargeRetry(Attempt* attempt);
   /** Requests another upstream, or responds with `reason` once kMaxDecisions
       decisions have been received. */
   void RequestNewPlacement(const char* reason);
@@ -215,6 +224,8 @@
   int decisions_ = 0;
   /** Attempts that ended before a byte of the request was sent. */
   int unsent_attempts_ = 0;
+  /** A retry is reserved that has not been sent. */
+  bool has_reserved_retry_ = false;
   bool may_have_run_ = false;
   bool stream_started_ = false;
   bool finished_ = false;
--- a/modules/gateway/request_telemetry.cc
+++ b/modules/gateway/request_telemetry.cc
@@ -141,6 +141,7 @@
                                      {"granted", granted ? 1 : 0},
                                      {"requests", budget.requests},
                                      {"retries", budget.retries},
+                                     {"reserved", budget.reserved},
                                      {"allowed", budget.allowed},
                                      {"instances", instances.value_or(0)}});
 }
--- a/tests/logic/gateway_parts_test.cc
+++ b/tests/logic/gateway_parts_test.cc
@@ -108,6 +108,19 @@
   }
 }
 
+TEST_CASE("reserved retries count against later reservations until released") {
+  RetryWindow window({.ratio = kRatio, .slack = 4, .window = kWindow});
+  const absl::Time now = absl::UnixEpoch();
+  CHECK(window.Reserve("s", 1, now));
+  CHECK(window.Reserve("s", 1, now));
+  CHECK_FALSE(window.Reserve("s", 1, now + kWindow * 2));
+  window.Release("s");
+  CHECK(window.Spend("s", 1, now + kWindow * 2));
+  CHECK_FALSE(window.Reserve("s", 1, now + kWindow * 2));
+  window.Refund("s", now + kWindow * 2);
+  CHECK(window.Reserve("s", 1, now + kWindow * 2));
+}
+
 UpstreamRecord Record(const std::string& id,
                       RegistrationState state = RegistrationState::kReady) {
   return {.id = id,
--- a/tests/logic/request_handler_test.cc
+++ b/tests/logic/request_handler_test.cc
@@ -251,6 +251,11 @@
       then. */
   void StopDuringNextRequest(absl::Duration before) { stopping_for_ = before; }
 
+  /** Returns the retries to the engines that are charged or reserved. */
+  RetryWindow::Budget RetryBudget() {
+    return state_.retries.BudgetOf("engines", /*instances=*/1, SteadyNow());
+  }
+
   void Send(InstanceIp, const PeerMessage&) override {}
   void OnDecision(const ScheduleDecision& decision,
                   InstanceIp scheduler) override {
@@ -497,5 +502,44 @@
   }
 }
 
+// Guards against retries that are charged long before they are sent, or that
+// stay reserved: both let the shared budget be exceeded or wasted.
+TEST_CASE("a retry is charged when it is sent") {
+  struct Case {
+    const char* name;
+    std::vector<Script> scripts;
+    bool needs_memory = false;
+    size_t charged = 0;
+  };
+  const Script served = {{kAtOnce, Head("a") + Event(0) + kEnd}};
+  const std::vector<Case> cases = {
+      {.name = "served", .scripts = {served}, .charged = 0},
+      {.name = "refused, then served",
+       .scripts = {{{kAtOnce, kRefusal}}, served},
+       .charged = 1},
+      {.name = "a replacement that is not sent, for lack of memory",
+       .scripts = {{{kAtOnce, Head("a") + Event(0)}, {kPause, kEnd}}},
+       .needs_memory = true,
+       .charged = 0},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    OneInstance instance;
+    ScriptedEngines engines(instance.loop, c.scripts);
+    ScriptedUpstream holder(
+        instance.loop,
+        std::vector<std::string>(
+            9, "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"),
+        Ending::kOpen);
+    instance.SetUpstreams(engines.addresses());
+    if (c.needs_memory)
+      instance.SetMemoryHolder(EndpointText(holder.address()));
+    CHECK(instance.Handle().outcome == "whole");
+    CHECK(engines.requests() == c.scripts.size());
+    CHECK(instance.RetryBudget().retries == c.charged);
+    CHECK(instance.RetryBudget().reserved == 0);
+  }
+}
+
 }  // namespace
 }  // namespace chicory
--- a/tests/logic/retry_budget_fleet_test.cc
+++ b/tests/logic/retry_budget_fleet_test.cc
@@ -159,13 +159,19 @@
     if (now_ < begin_ + options_.upstreams_return_at)
       return;
     for (const absl::Time arrived : instance->waiting) {
-      if (now_ - arrived < kPatience)
+      instance->retries->Release("s");
+      if (now_ - arrived < kPatience && SendRetry(instance))
         retries_.push_back(now_);
     }
     instance->waiting.clear();
   }
 
   bool MayRetry(Instance* instance) {
+    return instance->retries->Reserve(
+        "s", instance->membership->SharingInstances(now_), now_);
+  }
+
+  bool SendRetry(Instance* instance) {
     return instance->retries->Spend(
         "s", instance->membership->SharingInstances(now_), now_);
   }
