--- a/stand_ins/platform_main.cc
+++ b/stand_ins/platform_main.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,6 +12,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "modules/net/loop_time.h"
 #include "programs/program.h"
 #include "stand_ins/platform_store.h"
 #include "stand_ins/platform_upstream.h"
@@ -149,6 +151,8 @@
                         {"calls", store_.calls()}}
                        .dump()};
     }
+    if (path == "/limits")
+      return {200, LimitsJson().dump()};
     constexpr absl::string_view kEntryPrefix = "/entry/";
     if (absl::StartsWith(path, kEntryPrefix)) {
       store_.Put("servers", path.substr(kEntryPrefix.size()), request.body);
@@ -165,6 +169,29 @@
     return HandleUpstreamCommand(body);
   }
 
+  /** Returns what was counted for each limit that an upstream has named, in
+      their order. */
+  Json LimitsJson() const {
+    const absl::Time now = SteadyNow();
+    Json limits = Json::array();
+    for (const auto& [name, upstream] : upstreams_) {
+      for (const RequestLimitCheck::Period& period :
+           upstream.handler_factory->limit_check().periods()) {
+        const absl::Duration named_for =
+            std::max(std::min(period.end, now) - period.first_named,
+                     absl::ZeroDuration());
+        limits.push_back({{"upstream", name},
+                          {"limit", period.limit},
+                          {"allowed", period.allowed},
+                          {"worst", period.worst},
+                          {"worst_of_all", period.worst_of_all},
+                          {"requests", period.requests},
+                          {"seconds", absl::ToDoubleSeconds(named_for)}});
+      }
+    }
+    return limits;
+  }
+
   std::pair<int, std::string> HandleStoreCommand(const std::string& mode) {
     if (mode == "compact")
       store_.CompactHistory();
@@ -194,8 +221,11 @@
           body.value("pace_ms", 20));
     if (body.contains("announce")) {
       std::vector<std::pair<std::string, std::string>> fields;
-      for (const auto& [field, value] : body["announce"].items())
-        fields.emplace_back(field, value.get<std::string>());
+      for (const auto& [field, value] : body["announce"].items()) {
+        // A list names the field more than once.
+        for (const Json& line : value.is_array() ? value : Json::array({value}))
+          fields.emplace_back(field, line.get<std::string>());
+      }
       found->second.handler_factory->SetAnnouncements(std::move(fields));
     }
     if (body.contains("crashing_part"))
@@ -206,7 +236,10 @@
       found->second.server->StopAccepting();
       found->second.server->CloseIdle(absl::ZeroDuration());
     }
-    found->second.started_ms = body.value("born", found->second.started_ms);
+    if (body.contains("born")) {
+      found->second.started_ms = body.value("born", found->second.started_ms);
+      found->second.handler_factory->OnNewIncarnation();
+    }
     const std::string state = body.value("state", "");
     if (state == "gone")
       store_.Remove("servers", name);
--- a/stand_ins/platform_upstream.cc
+++ b/stand_ins/platform_upstream.cc
@@ -2,11 +2,14 @@
 
 #include <array>
 #include <boost/asio/steady_timer.hpp>
+#include <cmath>
+#include <optional>
 #include <utility>
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "modules/net/loop_time.h"
 
 namespace chicory {
 
@@ -32,6 +35,24 @@
     {"forget", UpstreamMode::kResetNext},
 }};
 
+constexpr absl::string_view kLimitField = "Server-Limit";
+
+/** Returns the usable limit in requests per second that `fields` name. */
+std::optional<double> NamedLimit(
+    const std::vector<std::pair<std::string, std::string>>& fields) {
+  std::optional<double> limit;
+  for (const auto& [name, value] : fields) {
+    double number = 0;
+    if (name != kLimitField)
+      continue;
+    if (!absl::SimpleAtod(value, &number) || !std::isfinite(number) ||
+        std::signbit(number))
+      return std::nullopt;
+    limit = number;
+  }
+  return limit;
+}
+
 }  // namespace
 
 UpstreamMode ParseUpstreamMode(const std::string& name) {
@@ -65,6 +86,7 @@
     if (HoldsCrashingPart())
       ++upstream_->observations_->crashing_requests;
     id_ = std::string(request_.headers.Find("Request-Id"));
+    upstream_->limit_check_.OnRequest(Gateway(), SteadyNow());
     std::vector<std::string>& request_headers =
         upstream_->observations_->request_headers[id_];
     if (!request_headers.empty())
@@ -129,7 +151,15 @@
         });
   }
 
+  /** Returns the name of the gateway, with which its request ids begin. */
+  std::string Gateway() const { return id_.substr(0, id_.find('-')); }
+
+  /** Returns the announcements for the head of a response that is sent now. */
   HttpHeaders Announcements() const {
+    // A gateway believes only responses to its own requests.
+    const bool is_believed = upstream_->mode_ != UpstreamMode::kOtherRequestId;
+    if (is_believed)
+      upstream_->limit_check_.OnResponse(Gateway(), SteadyNow());
     HttpHeaders headers;
     for (const auto& [name, value] : upstream_->announcements_)
       headers.Add(name, value);
@@ -249,6 +279,16 @@
   on_crash_();
 }
 
+void PlatformUpstream::SetAnnouncements(
+    std::vector<std::pair<std::string, std::string>> fields) {
+  announcements_ = std::move(fields);
+  limit_check_.SetLimit(NamedLimit(announcements_), SteadyNow());
+}
+
+void PlatformUpstream::OnNewIncarnation() {
+  limit_check_.Restart(SteadyNow());
+}
+
 std::shared_ptr<HttpHandler> PlatformUpstream::NewHandler() {
   return std::make_shared<Execution>(this);
 }
--- a/stand_ins/platform_upstream.h
+++ b/stand_ins/platform_upstream.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "modules/net/http_server.h"
+#include "stand_ins/request_limit_check.h"
 
 namespace chicory {
 
@@ -80,11 +81,16 @@
       : loop_(loop), id_(std::move(id)), observations_(observations) {}
 
   void SetMode(UpstreamMode mode) { mode_ = mode; }
-  /** Adds header fields to all responses, as an upstream does that leaves. */
+  /** Adds header fields to all responses, as an upstream does that leaves or
+      names a limit. */
   void SetAnnouncements(
-      std::vector<std::pair<std::string, std::string>> fields) {
-    announcements_ = std::move(fields);
-  }
+      std::vector<std::pair<std::string, std::string>> fields);
+  /** Called when another incarnation of the upstream begins. */
+  void OnNewIncarnation();
+  /** Returns what was counted while the responses named a usable limit.
+      Gateways are told apart by the ids of their requests, which must begin
+     with the gateway's name and a hyphen. */
+  const RequestLimitCheck& limit_check() const { return limit_check_; }
   /** Sets the time before each event, and before a response that is not a
       stream. */
   void SetEventInterval(int milliseconds) { event_interval_ms_ = milliseconds; }
@@ -111,6 +117,7 @@
   UpstreamMode mode_ = UpstreamMode::kOk;
   int event_interval_ms_ = 20;
   std::vector<std::pair<std::string, std::string>> announcements_;
+  RequestLimitCheck limit_check_;
   std::string crashing_part_;
   std::function<void()> on_crash_;
   std::set<Execution*> executions_;
