--- a/tests/soak/soak.mjs
+++ b/tests/soak/soak.mjs
@@ -186,7 +186,7 @@
       const proxy = new Proxy(storePort);
       this.gateways.push({ name: `g${i}`, ip: `127.0.${1 + this.options.seed % 200}.${11 + i}`,
                            port: 0, proxy, storePort: await proxy.listen(),
-                           disturbedUntil: 0 });
+                           disturbedUntil: 0, epoch: 0 });
     }
     for (const gateway of this.gateways) await this.startGateway(gateway);
     await this.waitUntilServing('at the start');
@@ -221,11 +221,13 @@
     const random = createRandom(this.options.seed * 1000 + index);
     for (let n = 0; !this.isStopping; ++n) {
       const kind = random.pick(['s', 's', 'once', 'once', 'again']);
-      const id = `r${index}x${n}`;
+      const gateway = random.pick(this.gateways);
+      // By what is before the hyphen the stand-in tells the gateways apart, for the
+      // limits. A restart or freeze makes another gateway of it, which knows none.
+      const id = `${gateway.name}e${gateway.epoch}-r${index}x${n}`;
       const request = { id, kind, path: `/${kind}/${id}`, body: `body-${id}`,
                         timeoutMs: random.pick([400, 1500, 4000]),
                         disconnectsAfterMs: random.below(12) === 0 ? 100 : 0 };
-      const gateway = random.pick(this.gateways);
       if (!gateway.isUp) {
         await sleep(20);
         continue;
@@ -268,11 +270,14 @@
     const gateway = random.pick(this.gateways);
     const length = 200 + random.below(2500);
     const faultKind = random.pick([
-      'proxy', 'proxy', 'store', 'upstream', 'upstream', 'leave', 'announce', 'freeze',
+      'proxy', 'proxy', 'store', 'upstream', 'upstream', 'leave', 'announce', 'limit', 'freeze',
       'kill', 'term', 'hup', 'config', 'config', 'herd']);
     fs.appendFileSync(path.join(this.folder, 'faults.log'),
                       `${Date.now()} ${faultKind} ${gateway.name} ${length}\n`);
-    const markDisturbed = (g) => { g.disturbedUntil = Date.now() + length + 6000; };
+    const markDisturbed = (g) => {
+      g.disturbedUntil = Date.now() + length + 6000;
+      g.epoch += 1;
+    };
     switch (faultKind) {
       case 'proxy':
         gateway.proxy.setMode(random.pick(['delay', 'reset', 'silent', 'cut_to', 'cut_from']));
@@ -309,6 +314,13 @@
         }
         break;
       }
+      case 'limit': {
+        // The upstream names a limit, sometimes another one before this is over.
+        const name = random.pick(['engine-3', 'desk-2']);
+        await this.control('upstream', { name, announce: { 'Server-Limit': random.pick(['0', '0.5', '2', '5']) } });
+        setTimeout(() => this.control('upstream', { name, announce: {} }), 4000 + 2 * length);
+        break;
+      }
       case 'freeze':
         if (!gateway.isUp) break;
         markDisturbed(gateway);
@@ -389,6 +401,14 @@
     return Object.keys(executions.runs).length;
   }
 
+  async checkLimits() {
+    for (const period of JSON.parse(await this.control('limits', {}))) {
+      fs.appendFileSync(path.join(this.folder, 'limits.log'), `${JSON.stringify(period)}\n`);
+      if (period.worst > period.allowed)
+        reportProblem(`${period.upstream} named ${period.limit} requests a second and got ${period.worst} in 4 s, allowed ${period.allowed}`);
+    }
+  }
+
   async run() {
     await this.startAll();
     const callers = [...Array(6).keys()].map((i) => this.runCaller(i));
@@ -403,6 +423,7 @@
     this.isStopping = true;
     await Promise.all(callers);
     const ran = await this.checkExecutions();
+    await this.checkLimits();
     const servedCount = this.requests.filter((r) => r.response.status === 200).length;
     console.log(`seed=${this.options.seed} requests=${this.requests.length} ` +
                 `served=${servedCount} ran=${ran} problems=${problems.length}`);
