--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -12,7 +12,7 @@
     GossipNode, AtMostOnceCall, LeaseManager, OrphanCollector,
     PendingCancellations; for gateways SchedulerGroups, FleetScheduler,
     ScheduledUpstreamTable, InstanceRoster, CrashHistory,
-    CrashingParts, RetryWindow, DrainPlan. */
+    CrashingParts, RequestLimits, RetryWindow, DrainPlan. */
 
 #include "modules/decisions/dispatcher.h"
 #include "modules/decisions/least_busy_placement.h"
--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -39,8 +39,8 @@
 constexpr double kOverheadSmoothing = 0.05;
 /** Share of the slots reserved for prompts that can still be on time. */
 constexpr double kReservedSlots = 0.04;
-/** Share of the time from due to deadline for which a late prompt waits for a
-    slot before it is refused. */
+/** Share of the time from due to deadline for which a late request waits for a
+    slot, or for its turn at limited upstreams, before it is refused. */
 constexpr double kLateSlotWaitShare = 0.2;
 /** Waiting prompts are evaluated again after this share of the time to their
     deadline, within the bounds below. */
@@ -54,6 +54,11 @@
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(500);
 constexpr absl::Duration kMaxRetryAfter = absl::Seconds(3);
 
+/** Returns until when a request waits for a slot or for its turn. */
+absl::Time SlotWaitEnd(const WorkRequest& request) {
+  return request.due + (request.deadline - request.due) * kLateSlotWaitShare;
+}
+
 absl::Duration EvaluationInterval(const WorkRequest& request, absl::Time now) {
   return std::clamp((request.deadline - now) * kEvaluationIntervalShare,
                     kMinEvaluationInterval, kMaxEvaluationInterval);
@@ -63,7 +68,8 @@
 
 const char* RefusalCauseName(RefusalCause cause) {
   static constexpr const char* kNames[] = {"deadline_over", "no_slots",
-                                           "costs_others", "crashes_upstreams"};
+                                           "costs_others", "crashes_upstreams",
+                                           "upstreams_limited"};
   return kNames[static_cast<int>(cause)];
 }
 
@@ -151,7 +157,8 @@
                                             absl::Time now) {
   PlacementOption best;
   std::tuple<bool, double, absl::Time, double> best_rank;
-  for (ScheduledUpstream* state : upstreams_.Usable(request.service, now)) {
+  for (ScheduledUpstream* state :
+       upstreams_.Usable(request.service, *limits_, uses_limited_, now)) {
     const double slots = std::max(state->info.slots, 1);
     const double running = static_cast<double>(state->loads.size());
     if (running >= slots * (1 + kPlainOverflow))
@@ -219,8 +226,7 @@
                                       .cause = RefusalCause::kDeadlineOver};
   constexpr Evaluation kRefuseCostsOthers{.action = Action::kRefuse,
                                           .cause = RefusalCause::kCostsOthers};
-  const absl::Time slot_wait_end =
-      request.due + (request.deadline - request.due) * kLateSlotWaitShare;
+  const absl::Time slot_wait_end = SlotWaitEnd(request);
   if (choice.upstreams.empty()) {
     const bool waited_too_long = prefill > absl::ZeroDuration() &&
                                  now >= slot_wait_end &&
@@ -320,14 +326,44 @@
 ScheduleDecision FleetScheduler::Refuse(WorkKey key,
                                         RefusalCause cause,
                                         absl::Time now) {
-  const WorkRequest request = waiting_.at(key).request;
+  return RefuseUntil(key, cause,
+                     MeanPrefillBacklog(waiting_.at(key).request,
+                                        absl::InfiniteDuration(), now));
+}
+
+ScheduleDecision FleetScheduler::RefuseUntil(WorkKey key,
+                                             RefusalCause cause,
+                                             absl::Duration retry_after) {
   waiting_.erase(key);
-  return {.kind = ScheduleDecision::Kind::kRefuse,
-          .key = key,
-          .cause = cause,
-          .retry_after = std::clamp(
-              MeanPrefillBacklog(request, absl::InfiniteDuration(), now),
-              kMinRetryAfter, kMaxRetryAfter)};
+  return {
+      .kind = ScheduleDecision::Kind::kRefuse,
+      .key = key,
+      .cause = cause,
+      .retry_after = std::clamp(retry_after, kMinRetryAfter, kMaxRetryAfter)};
+}
+
+absl::Duration FleetScheduler::WaitForLimits(const WorkRequest& request,
+                                             absl::Time now) const {
+  const double rate = upstreams_.LimitedRateOf(request.service, *limits_, now);
+  if (rate == RequestLimit::kNone)
+    return absl::ZeroDuration();
+  // The order of EvaluationOrder() for requests of one service.
+  const auto rank = [now](const WorkRequest& work) {
+    return std::tuple(work.due < now, work.priority, work.due, work.key);
+  };
+  int turns = 1;
+  for (const auto& [key, entry] : waiting_) {
+    const WorkRequest& other = entry.request;
+    if (other.service == request.service && rank(other) < rank(request))
+      ++turns;
+  }
+  return absl::Seconds(turns / rate);
+}
+
+void FleetScheduler::CountAgainstLimits(const PlacementOption& choice,
+                                        absl::Time now) {
+  for (const ScheduledUpstream* upstream : choice.upstreams)
+    limits_->OnPlaced(upstream->info.key, now);
 }
 
 std::optional<ScheduleDecision> FleetScheduler::Decide(WorkKey key,
@@ -344,8 +380,15 @@
              : absl::ZeroDuration();
   const PlacementOption choice =
       engine ? ChooseEngines(*engine, request,
-                             upstreams_.Usable(request.service, now), now)
+                             upstreams_.Usable(request.service, *limits_,
+                                               uses_limited_, now),
+                             now)
              : ChoosePlain(request, now);
+  if (choice.upstreams.empty()) {
+    const absl::Duration wait = WaitForLimits(request, now);
+    if (wait > absl::ZeroDuration() && now + wait > SlotWaitEnd(request))
+      return RefuseUntil(key, RefusalCause::kUpstreamsLimited, wait);
+  }
   const Evaluation evaluation = Evaluate(request, choice, prefill, now);
   switch (evaluation.action) {
     case Action::kWait:
@@ -359,6 +402,7 @@
       break;
   }
   Place(request, choice, now);
+  CountAgainstLimits(choice, now);
   waiting_.erase(key);
   ScheduleDecision decision{.key = key,
                             .upstream = choice.upstreams.front()->info.key,
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -2,6 +2,7 @@
 #define MODULES_DECISIONS_FLEET_SCHEDULER_H_
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -12,6 +13,7 @@
 #include "modules/decisions/crash_history.h"
 #include "modules/decisions/engine_timing.h"
 #include "modules/decisions/prompt_placement.h"
+#include "modules/decisions/request_limits.h"
 #include "modules/decisions/scheduled_upstream.h"
 #include "modules/decisions/scheduled_upstream_table.h"
 
@@ -28,6 +30,9 @@
   kCostsOthers,
   /** Several upstreams crashed while they ran it. @see CrashHistory */
   kCrashesUpstreams,
+  /** All upstreams of its service have limited their requests, and it would not
+      get its turn in time. @see RequestLimits */
+  kUpstreamsLimited,
 };
 /** Returns the name under which the cause is logged. */
 const char* RefusalCauseName(RefusalCause cause);
@@ -71,6 +76,11 @@
     thread-safe. */
 class FleetScheduler {
  public:
+  /** `limits` may be shared by several schedulers. */
+  explicit FleetScheduler(
+      std::shared_ptr<RequestLimits> limits = std::make_shared<RequestLimits>())
+      : limits_(std::move(limits)) {}
+
   /** Replaces the upstreams that may get new work. Requests that run at other
       upstreams continue. */
   void SetUpstreams(const std::vector<UpstreamSpec>& upstreams) {
@@ -82,6 +92,10 @@
   /** Sets the published speed of a service's engines. */
   void SetEngine(const std::string& service, const EngineProfile& engine);
 
+  /** Sets whether upstreams that have named a limit may get work from this
+      scheduler. Only one scheduler may use a limit. */
+  void SetUsesLimited(bool uses_limited) { uses_limited_ = uses_limited; }
+
   /** Adds a request to those that wait. A key that already waits or runs is
       ignored. */
   void Submit(const WorkRequest& request);
@@ -142,6 +156,14 @@
       waiting. */
   std::optional<ScheduleDecision> Decide(WorkKey key, absl::Time now);
   ScheduleDecision Refuse(WorkKey key, RefusalCause cause, absl::Time now);
+  ScheduleDecision RefuseUntil(WorkKey key,
+                               RefusalCause cause,
+                               absl::Duration retry_after);
+  /** Returns how long a waiting request will wait for its turn because all
+      upstreams of its service have limited their requests; zero if they have
+      not. */
+  absl::Duration WaitForLimits(const WorkRequest& request,
+                               absl::Time now) const;
   /** Returns true if so few slots are free that they are reserved for prompts
       that can still be on time. */
   bool IsShortOfSlots(const WorkRequest& request) const;
@@ -157,6 +179,8 @@
   void Place(const WorkRequest& request,
              const PlacementOption& choice,
              absl::Time now);
+  /** Counts a new placement against the limits of its upstreams. */
+  void CountAgainstLimits(const PlacementOption& choice, absl::Time now);
   /** Returns the waiting requests to evaluate now: those that can still be on
       time first, then by priority and latest start. */
   std::vector<WorkKey> EvaluationOrder(absl::Time now) const;
@@ -164,6 +188,8 @@
       end was lost. */
   void ExpireRunning(absl::Time now);
 
+  std::shared_ptr<RequestLimits> limits_;
+  bool uses_limited_ = true;
   ScheduledUpstreamTable upstreams_;
   absl::flat_hash_map<std::string, EngineProfile> engines_;
   /** A request that has not been placed. */
--- a/modules/decisions/scheduled_upstream_table.cc
+++ b/modules/decisions/scheduled_upstream_table.cc
@@ -50,12 +50,16 @@
 
 std::vector<ScheduledUpstream*> ScheduledUpstreamTable::Usable(
     const std::string& service,
+    const RequestLimits& limits,
+    bool uses_limited,
     absl::Time now) {
   std::vector<ScheduledUpstream*> healthy;
   std::vector<ScheduledUpstream*> suspended;
   for (auto& [key, state] : rows_) {
     if (!state.eligible || state.info.service != service ||
-        state.full_until > now)
+        state.full_until > now || !limits.Allows(key, now))
+      continue;
+    if (!uses_limited && limits.RateOf(key, now) != RequestLimit::kNone)
       continue;
     if (state.suspended_until > now)
       suspended.push_back(&state);
@@ -66,6 +70,17 @@
   return healthy.empty() ? suspended : healthy;
 }
 
+double ScheduledUpstreamTable::LimitedRateOf(const std::string& service,
+                                             const RequestLimits& limits,
+                                             absl::Time now) const {
+  double rate = 0;
+  for (const auto& [key, state] : rows_) {
+    if (state.eligible && state.info.service == service)
+      rate += limits.RateOf(key, now);
+  }
+  return rate > 0 ? rate : RequestLimit::kNone;
+}
+
 std::vector<UpstreamKey> ScheduledUpstreamTable::Add(
     const WorkRequest& request,
     const PlacementOption& choice,
--- a/modules/decisions/scheduled_upstream_table.h
+++ b/modules/decisions/scheduled_upstream_table.h
@@ -8,6 +8,7 @@
 
 #include "absl/time/time.h"
 #include "modules/decisions/prompt_placement.h"
+#include "modules/decisions/request_limits.h"
 #include "modules/decisions/scheduled_upstream.h"
 
 namespace chicory {
@@ -28,10 +29,18 @@
 
   /** Returns nullptr if the upstream is unknown. */
   ScheduledUpstream* Find(UpstreamKey key);
-  /** Returns the upstreams of a service that may get work now. Suspended ones
-      are included only if there are no others. */
+  /** Returns the upstreams of a service that may get work now: neither at
+      capacity nor at their limit, and without a limit if `uses_limited` is
+      false. Suspended ones are included only if there are no others. */
   std::vector<ScheduledUpstream*> Usable(const std::string& service,
+                                         const RequestLimits& limits,
+                                         bool uses_limited,
                                          absl::Time now);
+  /** Returns the requests per second that the eligible upstreams of a service
+      take together; RequestLimit::kNone if one of them names no limit. */
+  double LimitedRateOf(const std::string& service,
+                       const RequestLimits& limits,
+                       absl::Time now) const;
 
   /** Adds the load of a request to the upstreams of its placement, and
       `prefill` to the prefill backlog of each. Returns the keys of these
--- a/modules/decisions/scheduler_groups.cc
+++ b/modules/decisions/scheduler_groups.cc
@@ -78,7 +78,7 @@
 
 FleetScheduler& SchedulerGroups::SchedulerOf(const WorkRequest& request) {
   const uint32_t group = request.group % GroupCountOf(request.service);
-  auto [found, is_new] = schedulers_.try_emplace(group);
+  auto [found, is_new] = schedulers_.try_emplace(group, limits_);
   FleetScheduler& scheduler = found->second;
   if (is_new) {
     scheduler.SetPreference(preference_seed_);
@@ -115,6 +115,12 @@
     scheduler.Forget(key, now);
 }
 
+void SchedulerGroups::SetUsesLimited(
+    const std::function<bool(uint32_t)>& of_group) {
+  for (auto& [group, scheduler] : schedulers_)
+    scheduler.SetUsesLimited(of_group(group));
+}
+
 std::vector<ScheduleDecision> SchedulerGroups::Run(absl::Time now) {
   std::vector<ScheduleDecision> decisions;
   for (auto& [group, scheduler] : schedulers_) {
--- a/modules/decisions/scheduler_groups.h
+++ b/modules/decisions/scheduler_groups.h
@@ -2,7 +2,9 @@
 #define MODULES_DECISIONS_SCHEDULER_GROUPS_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -68,6 +70,12 @@
   std::vector<WorkKey> KeysOf(uint32_t owner) const;
   size_t waiting() const;
   size_t running() const;
+  /** Sets for each group whether this instance may use the limits of its
+      upstreams. @see FleetScheduler::SetUsesLimited */
+  void SetUsesLimited(const std::function<bool(uint32_t)>& of_group);
+  /** The limits that upstreams have named, for all groups. */
+  RequestLimits& limits() { return *limits_; }
+  const RequestLimits& limits() const { return *limits_; }
   /** Returns the number of groups that this instance has a scheduler for. */
   size_t groups() const { return schedulers_.size(); }
 
@@ -79,6 +87,7 @@
   void Partition(uint32_t preferred);
   std::vector<UpstreamSpec> UpstreamsOf(uint32_t group) const;
 
+  std::shared_ptr<RequestLimits> limits_ = std::make_shared<RequestLimits>();
   std::vector<UpstreamSpec> upstreams_;
   /** The number of groups by service. */
   absl::flat_hash_map<std::string, uint32_t> group_counts_;
--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -394,6 +394,8 @@
        .configuration_version = state_.table ? state_.table->version() : 0,
        .upstreams = state_.upstreams.size(),
        .refused_parts = refused_parts_.size(),
+       .limited_upstreams =
+           placement_.scheduler().limits().limited(SteadyNow()),
        .log_lines_dropped = log_.dropped()});
 }
 
--- a/modules/gateway/gateway_metrics.cc
+++ b/modules/gateway/gateway_metrics.cc
@@ -40,8 +40,8 @@
           AddFamily(&registry_,
                     prometheus::BuildCounter(),
                     "chicory_upstream_announcements_total",
-                    "Responses in which an upstream says that it is leaving or "
-                    "wants no requests for some time")),
+                    "Responses in which an upstream says that it is leaving, "
+                    "wants no requests for some time or changes its limit")),
       callback_failures_(
           AddFamily(&registry_,
                     prometheus::BuildCounter(),
@@ -161,6 +161,9 @@
       {"chicory_refused_prompt_parts",
        "Parts of prompts that are refused because they crash upstreams",
        static_cast<double>(levels.refused_parts)},
+      {"chicory_limited_upstreams",
+       "Upstreams that have limited their requests, as known here",
+       static_cast<double>(levels.limited_upstreams)},
       {"chicory_log_lines_dropped", "Log lines that were not written",
        static_cast<double>(levels.log_lines_dropped)},
   };
--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -614,6 +614,22 @@
   }
   if (!response.unusable_rest.empty())
     telemetry_.OnUnusableRest(attempt.sent, response.unusable_rest);
+  RecordRequestLimit(attempt, response, now);
+}
+
+void RequestHandler::RecordRequestLimit(const Attempt& attempt,
+                                        const ResponseClassification& response,
+                                        absl::Time now) {
+  // What cannot be read does not say that the upstream has no limit.
+  if (!response.unusable_limit.empty()) {
+    telemetry_.OnUnusableLimit(attempt.sent, response.unusable_limit);
+    return;
+  }
+  const bool has_changed = state_->placement->ReportLimit(
+      attempt.upstream, attempt.incarnation, response.request_limit,
+      attempt.sent.sent_at, now);
+  if (has_changed)
+    telemetry_.OnUpstreamLimit(attempt.sent, response.request_limit);
 }
 
 void RequestHandler::OnEvents(const HttpResponseHead& head,
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -182,6 +182,10 @@
   /** Gives up the replacement and waits for the silent upstream again. */
   void KeepSilentAttempt();
   void CancelReplacement();
+  /** Records the limit that the response of `attempt` names, if any. */
+  void RecordRequestLimit(const Attempt& attempt,
+                          const ResponseClassification& response,
+                          absl::Time now);
   /** Ends the current attempt and requests another upstream. */
   void Retry(const UpstreamExchange::Failure& failure);
   /** Ends the request at its deadline. */
--- a/modules/gateway/request_telemetry.cc
+++ b/modules/gateway/request_telemetry.cc
@@ -97,11 +97,30 @@
 
 void RequestTelemetry::OnUnusableRest(const SentAttempt& attempt,
                                       absl::string_view text) {
+  LogUnusable("upstream_rest_ignored", attempt, text);
+}
+
+void RequestTelemetry::LogUnusable(const char* event,
+                                   const SentAttempt& attempt,
+                                   absl::string_view text) {
   constexpr size_t kMaxLoggedBytes = 60;
-  log_.Write("upstream_rest_ignored",
+  log_.Write(event, {{"request", request_},
+                     {"upstream", attempt.upstream_id},
+                     {"value", text.substr(0, kMaxLoggedBytes)}});
+}
+
+void RequestTelemetry::OnUpstreamLimit(const SentAttempt& attempt,
+                                       std::optional<double> per_second) {
+  metrics_.OnAnnouncement(service_, "limit");
+  log_.Write("upstream_limit",
              {{"request", request_},
               {"upstream", attempt.upstream_id},
-              {"value", text.substr(0, kMaxLoggedBytes)}});
+              {"per_second", per_second ? absl::StrCat(*per_second) : "none"}});
+}
+
+void RequestTelemetry::OnUnusableLimit(const SentAttempt& attempt,
+                                       absl::string_view text) {
+  LogUnusable("upstream_limit_ignored", attempt, text);
 }
 
 void RequestTelemetry::OnRefused(const ScheduleDecision& decision,
--- a/modules/gateway/request_telemetry.h
+++ b/modules/gateway/request_telemetry.h
@@ -79,6 +79,11 @@
   void OnUpstreamLeaving(const SentAttempt& attempt);
   void OnUpstreamRests(const SentAttempt& attempt, absl::Duration rest);
   void OnUnusableRest(const SentAttempt& attempt, absl::string_view text);
+  /** Called when the limit that the upstream of `attempt` names has changed, or
+      when its response holds something that cannot be read as a limit. */
+  void OnUpstreamLimit(const SentAttempt& attempt,
+                       std::optional<double> per_second);
+  void OnUnusableLimit(const SentAttempt& attempt, absl::string_view text);
   /** Called when the scheduler refused the request. */
   void OnRefused(const ScheduleDecision& decision,
                  InstanceIp scheduler,
@@ -110,6 +115,10 @@
   int attempts() const { return attempts_; }
 
  private:
+  void LogUnusable(const char* event,
+                   const SentAttempt& attempt,
+                   absl::string_view text);
+
   EventLog& log_;
   GatewayMetrics& metrics_;
   std::string request_;
--- a/modules/gateway/wire_codec.h
+++ b/modules/gateway/wire_codec.h
@@ -91,6 +91,11 @@
   /** The text that should say so, if it says nothing usable; empty otherwise.
    */
   std::string unusable_rest;
+  /** Requests per second that the upstream takes from all instances together;
+      unset if it names no limit. */
+  std::optional<double> request_limit;
+  /** The text that should name the limit, if it names nothing usable. */
+  std::string unusable_limit;
   /** How long the upstream keeps an idle connection open; zero if not sent. */
   absl::Duration keep_alive;
 };
--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -65,6 +65,15 @@
   wantsReply @6 :Bool;
 }
 
+# Limits that upstreams have named. @see chicory::RequestLimit. Parallel lists,
+# because a list of structs would take more bytes.
+struct RequestLimits {
+  upstreams @0 :List(UInt64);
+  # Infinite: the upstream no longer names a limit.
+  perSecond @1 :List(Float32);
+  agesMilliseconds @2 :List(UInt16);
+}
+
 # One datagram between instances. @see chicory::PeerMessage
 struct Datagram {
   sender @0 :UInt32;
@@ -101,6 +110,8 @@
   memberIps @28 :List(UInt32);
   memberAgesMilliseconds @29 :List(UInt16);
   memberLostSource @30 :List(Bool);
+  # In submit: limits that the sender knows of; null if it knows of none.
+  requestLimits @36 :RequestLimits;
   union {
     # Heartbeat with the sender's running requests.
     hello @2 :List(Running);
--- a/modules/peers/placement.capnp.h
+++ b/modules/peers/placement.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(aaed7fd3b4aea498);
 CAPNP_DECLARE_SCHEMA(950b2c0c70a38c21);
 CAPNP_DECLARE_SCHEMA(9c275ff0ac9c799e);
+CAPNP_DECLARE_SCHEMA(84470ce9427e5d3e);
 CAPNP_DECLARE_SCHEMA(fbb30b84410a6efa);
 CAPNP_DECLARE_SCHEMA(ceb049bfcf0fbed3);
 CAPNP_DECLARE_SCHEMA(e5ad0fab8ff98dfa);
@@ -107,6 +108,21 @@
   };
 };
 
+struct RequestLimits {
+  RequestLimits() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(84470ce9427e5d3e, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Datagram {
   Datagram() = delete;
 
@@ -130,7 +146,7 @@
   struct Ended;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 9, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -145,7 +161,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 9, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -160,7 +176,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 9, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -175,7 +191,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 9, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -798,6 +814,110 @@
 };
 #endif  // !CAPNP_LITE
 
+class RequestLimits::Reader {
+public:
+  typedef RequestLimits Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstreams() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getUpstreams() const;
+
+  inline bool hasPerSecond() const;
+  inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Reader getPerSecond() const;
+
+  inline bool hasAgesMilliseconds() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getAgesMilliseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RequestLimits::Builder {
+public:
+  typedef RequestLimits Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstreams();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getUpstreams();
+  inline void setUpstreams( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUpstreams(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initUpstreams(unsigned int size);
+  inline void adoptUpstreams(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownUpstreams();
+
+  inline bool hasPerSecond();
+  inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Builder getPerSecond();
+  inline void setPerSecond( ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setPerSecond(::kj::ArrayPtr<const float> value);
+  inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Builder initPerSecond(unsigned int size);
+  inline void adoptPerSecond(::capnp::Orphan< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>> disownPerSecond();
+
+  inline bool hasAgesMilliseconds();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getAgesMilliseconds();
+  inline void setAgesMilliseconds( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAgesMilliseconds(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initAgesMilliseconds(unsigned int size);
+  inline void adoptAgesMilliseconds(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownAgesMilliseconds();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RequestLimits::Pipeline {
+public:
+  typedef RequestLimits Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Datagram::Reader {
 public:
   typedef Datagram Reads;
@@ -888,6 +1008,9 @@
   inline bool hasCrashEvidence() const;
   inline  ::chicory::wire::CrashEvidence::Reader getCrashEvidence() const;
 
+  inline bool hasRequestLimits() const;
+  inline  ::chicory::wire::RequestLimits::Reader getRequestLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1040,6 +1163,13 @@
   inline void adoptCrashEvidence(::capnp::Orphan< ::chicory::wire::CrashEvidence>&& value);
   inline ::capnp::Orphan< ::chicory::wire::CrashEvidence> disownCrashEvidence();
 
+  inline bool hasRequestLimits();
+  inline  ::chicory::wire::RequestLimits::Builder getRequestLimits();
+  inline void setRequestLimits( ::chicory::wire::RequestLimits::Reader value);
+  inline  ::chicory::wire::RequestLimits::Builder initRequestLimits();
+  inline void adoptRequestLimits(::capnp::Orphan< ::chicory::wire::RequestLimits>&& value);
+  inline ::capnp::Orphan< ::chicory::wire::RequestLimits> disownRequestLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1059,6 +1189,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::chicory::wire::UpstreamBatch::Pipeline getMissedUpstreams();
+  inline  ::chicory::wire::RequestLimits::Pipeline getRequestLimits();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2175,6 +2306,120 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RequestLimits::Reader::hasUpstreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestLimits::Builder::hasUpstreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader RequestLimits::Reader::getUpstreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder RequestLimits::Builder::getUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RequestLimits::Builder::setUpstreams( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void RequestLimits::Builder::setUpstreams(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder RequestLimits::Builder::initUpstreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RequestLimits::Builder::adoptUpstreams(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> RequestLimits::Builder::disownUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RequestLimits::Reader::hasPerSecond() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestLimits::Builder::hasPerSecond() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Reader RequestLimits::Reader::getPerSecond() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Builder RequestLimits::Builder::getPerSecond() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RequestLimits::Builder::setPerSecond( ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void RequestLimits::Builder::setPerSecond(::kj::ArrayPtr<const float> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Builder RequestLimits::Builder::initPerSecond(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RequestLimits::Builder::adoptPerSecond(
+    ::capnp::Orphan< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>> RequestLimits::Builder::disownPerSecond() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool RequestLimits::Reader::hasAgesMilliseconds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestLimits::Builder::hasAgesMilliseconds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader RequestLimits::Reader::getAgesMilliseconds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder RequestLimits::Builder::getAgesMilliseconds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RequestLimits::Builder::setAgesMilliseconds( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void RequestLimits::Builder::setAgesMilliseconds(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder RequestLimits::Builder::initAgesMilliseconds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void RequestLimits::Builder::adoptAgesMilliseconds(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> RequestLimits::Builder::disownAgesMilliseconds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::chicory::wire::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
@@ -2869,6 +3114,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::hasRequestLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasRequestLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::chicory::wire::RequestLimits::Reader Datagram::Reader::getRequestLimits() const {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::chicory::wire::RequestLimits::Builder Datagram::Builder::getRequestLimits() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::chicory::wire::RequestLimits::Pipeline Datagram::Pipeline::getRequestLimits() {
+  return  ::chicory::wire::RequestLimits::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void Datagram::Builder::setRequestLimits( ::chicory::wire::RequestLimits::Reader value) {
+  ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::chicory::wire::RequestLimits::Builder Datagram::Builder::initRequestLimits() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptRequestLimits(
+    ::capnp::Orphan< ::chicory::wire::RequestLimits>&& value) {
+  ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::chicory::wire::RequestLimits> Datagram::Builder::disownRequestLimits() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Datagram::Assign::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -19,6 +19,7 @@
 constexpr size_t kMaxRunningPerMessage = 8;
 constexpr size_t kMaxMembersPerMessage = 96;
 constexpr size_t kMaxAvoidPerRequest = 8;
+constexpr size_t kMaxLimitsPerRequest = 16;
 /** Cap'n Proto traversal limit for received messages, in 8-byte words; bounds
     the work that a malformed datagram can cause. */
 constexpr uint64_t kMaxReadWords = 4096;
@@ -156,6 +157,19 @@
   }
   void operator()(const SubmitMessage& submit) {
     WriteWork(submit.work, builder.initSubmit());
+    const uint32_t count = static_cast<uint32_t>(
+        std::min(submit.limits.size(), kMaxLimitsPerRequest));
+    if (count == 0)
+      return;
+    auto limits = builder.initRequestLimits();
+    auto upstreams = limits.initUpstreams(count);
+    auto rates = limits.initPerSecond(count);
+    auto ages = limits.initAgesMilliseconds(count);
+    for (uint32_t i = 0; i < count; ++i) {
+      upstreams.set(i, submit.limits[i].upstream);
+      rates.set(i, static_cast<float>(submit.limits[i].per_second));
+      ages.set(i, WireAge(submit.limits[i].age));
+    }
   }
   void operator()(const QueuedMessage& queued) {
     builder.setWaits(queued.sequence);
@@ -299,7 +313,7 @@
 
 DecisionMessage ReadRefuse(wire::Datagram::Refuse::Reader refuse) {
   const uint8_t cause = std::min(
-      refuse.getCause(), static_cast<uint8_t>(RefusalCause::kCrashesUpstreams));
+      refuse.getCause(), static_cast<uint8_t>(RefusalCause::kUpstreamsLimited));
   return {.decision = {.kind = ScheduleDecision::Kind::kRefuse,
                        .key = {.sequence = refuse.getRefusedSequence()},
                        .cause = static_cast<RefusalCause>(cause),
@@ -340,6 +354,25 @@
   return message;
 }
 
+SubmitMessage ReadSubmit(wire::Datagram::Reader reader) {
+  SubmitMessage message{.work = ReadWork(reader.getSubmit())};
+  const auto limits = reader.getRequestLimits();
+  const auto upstreams = limits.getUpstreams();
+  const auto rates = limits.getPerSecond();
+  const auto ages = limits.getAgesMilliseconds();
+  const uint32_t count =
+      std::min({upstreams.size(), rates.size(), ages.size()});
+  for (uint32_t i = 0; i < count; ++i) {
+    const bool is_rate = rates[i] >= 0;
+    if (!is_rate)
+      continue;
+    message.limits.push_back({.upstream = upstreams[i],
+                              .per_second = rates[i],
+                              .age = absl::Milliseconds(ages[i])});
+  }
+  return message;
+}
+
 bool ReadContent(wire::Datagram::Reader reader, PeerMessage* message) {
   switch (reader.which()) {
     case wire::Datagram::HELLO:
@@ -349,7 +382,7 @@
       message->content = ReadWelcome(reader);
       return true;
     case wire::Datagram::SUBMIT:
-      message->content = SubmitMessage{.work = ReadWork(reader.getSubmit())};
+      message->content = ReadSubmit(reader);
       return true;
     case wire::Datagram::WAITS:
       message->content = QueuedMessage{.sequence = reader.getWaits()};
--- a/modules/peers/placement_message.h
+++ b/modules/peers/placement_message.h
@@ -12,6 +12,7 @@
 #include "modules/decisions/crashing_parts.h"
 #include "modules/decisions/fleet_scheduler.h"
 #include "modules/decisions/instance_roster.h"
+#include "modules/decisions/request_limits.h"
 #include "modules/routing/upstream_change_log.h"
 
 namespace chicory {
@@ -74,6 +75,15 @@
 /** Requests a placement from a scheduler. Resent until there is a reply. */
 struct SubmitMessage {
   RelativeWorkRequest work;
+  /** A limit that an upstream has named, with the age of the observation. */
+  struct Limit {
+    UpstreamKey upstream = 0;
+    double per_second = RequestLimit::kNone;
+    absl::Duration age;
+  };
+  /** Limits that the sender knows of, so that a scheduler which places its
+      request observes them as well. */
+  std::vector<Limit> limits;
 };
 
 /** Acknowledges a SubmitMessage: the request is in the scheduler's queue. */
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -108,9 +108,23 @@
     return;
   }
   ++job->unanswered_submits;
-  Send(
-      scheduler,
-      {.content = SubmitMessage{RelativeWorkRequest::From(job->request, now)}});
+  Send(scheduler, {.content = MakeSubmit(job->request, now)});
+}
+
+SubmitMessage PlacementNode::MakeSubmit(const WorkRequest& request,
+                                        absl::Time now) const {
+  SubmitMessage submit{.work = RelativeWorkRequest::From(request, now)};
+  const std::vector<RequestLimit> known =
+      scheduler_.limits().OwnObservations(now);
+  // A message has room for a few limits; the next request tells the next ones.
+  for (size_t i = 0; i < known.size(); ++i) {
+    const RequestLimit& limit =
+        known[(request.key.sequence + i) % known.size()];
+    submit.limits.push_back({.upstream = limit.upstream,
+                             .per_second = limit.per_second,
+                             .age = now - limit.observed});
+  }
+  return submit;
 }
 
 void PlacementNode::OnResponseStarted(WorkKey key, absl::Time now) {
@@ -182,6 +196,13 @@
 }
 
 void PlacementNode::RunScheduler(absl::Time now) {
+  // An instance that suspects the scheduler wrongly turns to this one
+  // meanwhile; two schedulers would together exceed a limit.
+  if (scheduler_.limits().limited(now) > 0) {
+    scheduler_.SetUsesLimited([&](uint32_t group) {
+      return membership_.SchedulingInstance(now, group) == self_;
+    });
+  }
   for (const ScheduleDecision& decision : scheduler_.Run(now))
     DeliverDecision(decision);
 }
@@ -329,6 +350,13 @@
     Send(sender, {.content = DecisionMessage{found->second.decision}});
     return;
   }
+  std::vector<RequestLimit> limits;
+  for (const SubmitMessage::Limit& limit : submit.limits) {
+    limits.push_back({.upstream = limit.upstream,
+                      .per_second = limit.per_second,
+                      .observed = now - limit.age});
+  }
+  scheduler_.limits().Merge(limits, now);
   scheduler_.Submit(request);
   RunScheduler(now);
   if (scheduler_.IsWaiting(request.key))
@@ -451,6 +479,7 @@
   absl::erase_if(assignments_, [this](const auto& entry) {
     return !scheduler_.IsRunning(entry.first);
   });
+  scheduler_.limits().Expire(now);
   JobsByScheduler jobs = RunningJobs(now);
   for (InstanceIp target : targets)
     Send(target, {.content = MakeHello(jobs[target], now)});
--- a/modules/peers/placement_node.h
+++ b/modules/peers/placement_node.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -101,6 +102,18 @@
   /** Reports that an upstream began to respond to a request of this instance
       with the prompt parts `parts`. */
   void ReportPartsStarted(const std::vector<PromptPart>& parts, absl::Time now);
+  /** Reports the limit that a response of `upstream` to a request sent at
+      `sent_at` names, if any. Returns whether it differs from the limit known
+      before. @see RequestLimits::OnResponse */
+  bool ReportLimit(UpstreamKey upstream,
+                   UpstreamIncarnation incarnation,
+                   std::optional<double> per_second,
+                   absl::Time sent_at,
+                   absl::Time now) {
+    return scheduler_.limits().OnResponse(upstream, incarnation, per_second,
+                                          sent_at, now);
+  }
+
   /** What all instances have reported of crashes. */
   CrashingParts& crashing_parts() { return crashing_parts_; }
 
@@ -141,6 +154,7 @@
   /** Submits the request to the scheduler of its group, which may be this
       instance. */
   void SubmitToScheduler(Job* job, absl::Time now);
+  SubmitMessage MakeSubmit(const WorkRequest& request, absl::Time now) const;
   void Send(InstanceIp to, PeerMessage message);
   /** Sequence numbers of running requests, by the instances that schedule them
       or are next in order to take over. */
--- a/tests/logic/placement_node_test.cc
+++ b/tests/logic/placement_node_test.cc
@@ -726,5 +726,83 @@
   }
 }
 
+// Guards against an upstream that gets more requests than the limit that it has
+// named to all instances together, also when the scheduler is lost.
+TEST_CASE("all instances together keep the limit that an upstream names") {
+  struct Case {
+    double per_second;
+    bool scheduler_dies;
+    double loss;
+  };
+  for (const Case& c : std::vector<Case>{{0.5, false, 0},
+                                         {2, false, 0},
+                                         {2, false, 0.1},
+                                         {2, true, 0},
+                                         {5, true, 0.1}}) {
+    INFO(c.per_second << " a second, dies " << c.scheduler_dies << ", loss "
+                      << c.loss);
+    constexpr UpstreamKey kLimited = 1;
+    Fleet fleet(20, 3, c.loss);
+    fleet.Run(absl::Seconds(4));
+    const absl::Time named = fleet.now;
+    std::map<InstanceIp, absl::Time> told;
+    std::vector<absl::Time> arrivals;
+    std::set<WorkKey> open;
+    bool has_died = false;
+    for (int i = 0; i < 800; ++i) {
+      auto sender = fleet.members.begin();
+      std::advance(sender, i % static_cast<int>(fleet.members.size()));
+      open.insert(fleet.Submit(sender->first));
+      fleet.Run(absl::Milliseconds(20));
+      std::set<WorkKey> ended;
+      for (WorkKey key : open) {
+        const auto owner = fleet.members.find(key.owner);
+        if (owner == fleet.members.end()) {
+          ended.insert(key);
+          continue;
+        }
+        const auto found = owner->second->decisions.find(key);
+        if (found == owner->second->decisions.end())
+          continue;
+        ended.insert(key);
+        if (found->second.kind == ScheduleDecision::Kind::kRefuse)
+          continue;
+        fleet.End(key);
+        if (found->second.upstream != kLimited)
+          continue;
+        owner->second->node.ReportLimit(kLimited, 1, c.per_second, fleet.now,
+                                        fleet.now);
+        const absl::Time told_at =
+            told.try_emplace(key.owner, fleet.now).first->second;
+        if (fleet.now >= told_at + absl::Milliseconds(500))
+          arrivals.push_back(fleet.now);
+      }
+      for (WorkKey key : ended)
+        open.erase(key);
+      if (c.scheduler_dies && !has_died && i == 400) {
+        has_died = true;
+        const InstanceIp scheduler =
+            fleet.members.begin()->second->node.membership().SchedulingInstance(
+                fleet.now);
+        fleet.members.erase(scheduler);
+        told.erase(scheduler);
+      }
+    }
+    constexpr absl::Duration kWindow = absl::Seconds(4);
+    size_t most = 0;
+    for (size_t first = 0; first < arrivals.size(); ++first) {
+      size_t last = first;
+      while (last < arrivals.size() &&
+             arrivals[last] < arrivals[first] + kWindow)
+        ++last;
+      if (arrivals[last - 1] >= named + absl::Seconds(3))
+        most = std::max(most, last - first);
+    }
+    CHECK(static_cast<double>(most) <= 1.5 * 4 * c.per_second + 5);
+    CHECK(told.size() > 1);
+    CHECK(fleet.largest <= kMaxDatagramBytes);
+  }
+}
+
 }  // namespace
 }  // namespace chicory
--- a/tests/logic/platform_test.cc
+++ b/tests/logic/platform_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -197,6 +198,67 @@
  "tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":0},
             {"name":"t2","api-keys":["k3"]}],"unknown":{"a":1}})";
 
+// Guards against requests beyond the limit that an upstream has named, and
+// against a limit that nobody can have meant.
+TEST_CASE("the limit that an upstream names is read from the head") {
+  struct Case {
+    const char* name;
+    int status;
+    /** Values of the field, one for each line. */
+    std::vector<std::string> values;
+    std::optional<double> limit;
+    /** Whether the values are reported as unusable. */
+    bool is_reported;
+  };
+  const std::vector<Case> cases = {
+      {"not named", 200, {}, std::nullopt, false},
+      {"a whole number", 200, {"2"}, 2, false},
+      {"a fraction", 200, {"0.5"}, 0.5, false},
+      {"a fraction without a leading digit", 200, {".5"}, 0.5, false},
+      {"none at all", 200, {"0"}, 0, false},
+      {"with spaces", 200, {" 2 "}, 2, false},
+      {"with leading zeros", 200, {"007.50"}, 7.5, false},
+      {"a large number", 200, {"1000000"}, 1000000, false},
+      {"with a refusal", 503, {"2"}, 2, false},
+      {"with an error", 500, {"2"}, 2, false},
+      {"empty", 200, {""}, std::nullopt, true},
+      {"spaces only", 200, {"  "}, std::nullopt, true},
+      {"a point only", 200, {"."}, std::nullopt, true},
+      {"two points", 200, {"1.2.3"}, std::nullopt, true},
+      {"not a number", 200, {"NaN"}, std::nullopt, true},
+      {"infinite", 200, {"inf"}, std::nullopt, true},
+      {"negative", 200, {"-1"}, std::nullopt, true},
+      {"negative zero", 200, {"-0"}, std::nullopt, true},
+      {"signed", 200, {"+2"}, std::nullopt, true},
+      {"an exponent out of range", 200, {"1e999"}, std::nullopt, true},
+      {"an exponent", 200, {"1e1"}, std::nullopt, true},
+      {"hexadecimal", 200, {"0x10"}, std::nullopt, true},
+      {"digits without end", 200, {std::string(400, '9')}, std::nullopt, true},
+      {"a decimal comma", 200, {"0,5"}, std::nullopt, true},
+      {"a list", 200, {"2, 3"}, std::nullopt, true},
+      {"a unit", 200, {"2/s"}, std::nullopt, true},
+      {"a space within", 200, {"2 3"}, std::nullopt, true},
+      {"a word", 200, {"two"}, std::nullopt, true},
+      {"bytes that are not ASCII", 200, {"\xc2\xb2"}, std::nullopt, true},
+      {"listed twice", 200, {"2", "3"}, std::nullopt, true},
+      {"listed twice with one value", 200, {"2", "2"}, std::nullopt, true},
+  };
+  const HeaderCodec codec;
+  for (const Case& c : cases) {
+    INFO(c.name);
+    HttpResponseHead head{.status = c.status};
+    head.headers.Add("Request-Id", "1");
+    for (const std::string& value : c.values)
+      head.headers.Add("server-limit", value);
+    const ResponseClassification classification =
+        codec.ClassifyResponse(head, "1");
+    REQUIRE(classification.request_limit.has_value() == c.limit.has_value());
+    if (c.limit)
+      CHECK(*classification.request_limit == Approx(*c.limit));
+    CHECK(classification.unusable_limit.empty() == !c.is_reported);
+  }
+}
+
 TEST_CASE("a configuration document is decoded into a routing table") {
   const auto decoded =
       Capture([] { return DecodeConfiguration(kConfiguration); });
--- a/tests/process/gateway_lib.sh
+++ b/tests/process/gateway_lib.sh
@@ -91,3 +91,39 @@
 }
 # log_of GATEWAY EVENT: prints the gateway's log lines of one event.
 log_of() { grep -a " event=$2 " "$FLEET/$1.out"; }
+
+# Limits that upstreams name; GATEWAYS and DEADLINE_MS are set by the test.
+
+# field NAME LINE: prints the value of NAME=VALUE in LINE; 0 if there is none.
+field() { tr ' ' '\n' <<<"$2" | sed -n "s/^$1=//p" | grep . || echo 0; }
+# at_least NAME VALUE MINIMUM, at_most NAME VALUE MAXIMUM: check numbers.
+at_least() { awk -v a="$2" -v b="$3" 'BEGIN { exit !(a >= b) }' || problem "$1: $2, expected at least $3"; }
+at_most() { awk -v a="$2" -v b="$3" 'BEGIN { exit !(a <= b) }' || problem "$1: $2, expected at most $3"; }
+# load KIND RATE SECONDS: sends requests to all gateways; the result is in LOAD.
+load() {
+  local g addresses=()
+  for g in $GATEWAYS; do addresses+=("$g=$(address "$g" callers)"); done
+  LOAD=$(node tests/node/limit_load.mjs load "$1" "$2" "$3" "$DEADLINE_MS" "${addresses[@]}")
+  echo "load: $LOAD"
+}
+name_limit() { upstream "$1" '"announce":{"Server-Limit":"'"$2"'"}'; }
+name_none() { upstream "$1" '"announce":{}'; }
+# holds NAME UPSTREAM: checks the limit that the upstream named last.
+holds() {
+  local line
+  line=$(node tests/node/limit_load.mjs check "$CONTROL" "$2") || problem "$1: more requests than allowed: $line"
+  echo "limit: $line"
+  # Otherwise nothing would show that the limit was raised or is over.
+  at_least "$1: requests at $2" "$(field requests "$line")" 1
+}
+all_served() { expect "$1: all served" "$LOAD" ' refused=0 other=0 unsent=0 '; }
+# find_busy_engine: sets `busy` to the engine that gets the most streams and `other` to
+# the other one. Few engines serve as many streams as they can, so that one may get none.
+find_busy_engine() {
+  load s 60 2
+  busy=engine-1
+  [ "$(field engine-1 "$LOAD")" -ge "$(field engine-2 "$LOAD")" ] || busy=engine-2
+  other=engine-$((3 - ${busy#engine-}))
+}
+# Name of the gateway that schedules, by its address in the log of g3.
+scheduler() { echo "g$(log_of g3 membership_changed | sed -n 's/.* scheduler=127\.0\.0\.1\([0-9]\).*/\1/p' | tail -1)"; }
