Process tests have the users' retry ratio again

Change: 0.2 is the default again. Conclusion: tests that need retries in the first seconds have to set their own ratio.

--- a/tests/process/gateway_lib.sh
+++ b/tests/process/gateway_lib.sh
@@ -53,8 +53,7 @@
   seeds: [${SEEDS:-}]
   store: $STORE
   stop_within: 6s
-  # Calls are made in a gateway's first seconds, when it may use little of the slack.
-  retry_ratio: ${RETRY_RATIO:-4}
+  retry_ratio: ${RETRY_RATIO:-0.2}
   retry_slack: ${RETRY_SLACK:-100}
   retry_window: ${RETRY_WINDOW:-10s}
 YAML
