Limits of requests do not enlarge other datagrams

Cause: a field beside the union is in each message. Ruled out: more messages; the number is the same. Change: a submission with limits is a message of its own within the union. Instances of earlier builds ignore it, so that a request of a newer one waits for the next scheduler. Conclusion: nothing grows while no limit is known.

--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -110,8 +110,6 @@
   memberIps @28 :List(UInt32);
   memberAgesMilliseconds @29 :List(UInt16);
   memberLostSource @30 :List(Bool);
-  # In submit: limits that the sender knows of; null if it knows of none.
-  requestLimits @36 :RequestLimits;
   union {
     # Heartbeat with the sender's running requests.
     hello @2 :List(Running);
@@ -146,5 +144,11 @@
     # The sender is shutting down.
     goodbye @16 :Void;
     crashEvidence @35 :CrashEvidence;
+    # The same as submit, of a sender that knows of limits. Within the union, so
+    # that other datagrams do not grow.
+    submitWithLimits :group {
+      work @36 :Work;
+      limits @37 :RequestLimits;
+    }
   }
 }
--- a/modules/peers/placement.capnp.h
+++ b/modules/peers/placement.capnp.h
@@ -26,6 +26,7 @@
 CAPNP_DECLARE_SCHEMA(ceb049bfcf0fbed3);
 CAPNP_DECLARE_SCHEMA(e5ad0fab8ff98dfa);
 CAPNP_DECLARE_SCHEMA(d644d23b36b0b6f4);
+CAPNP_DECLARE_SCHEMA(be73766630daf0e1);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -140,13 +141,15 @@
     ENDED,
     GOODBYE,
     CRASH_EVIDENCE,
+    SUBMIT_WITH_LIMITS,
   };
   struct Assign;
   struct Refuse;
   struct Ended;
+  struct SubmitWithLimits;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 9, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 9, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -161,7 +164,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 9, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 9, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -176,7 +179,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 9, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 9, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -191,7 +194,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 9, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 9, 8)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Datagram::SubmitWithLimits {
+  SubmitWithLimits() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(be73766630daf0e1, 9, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1008,8 +1026,8 @@
   inline bool hasCrashEvidence() const;
   inline  ::chicory::wire::CrashEvidence::Reader getCrashEvidence() const;
 
-  inline bool hasRequestLimits() const;
-  inline  ::chicory::wire::RequestLimits::Reader getRequestLimits() const;
+  inline bool isSubmitWithLimits() const;
+  inline typename SubmitWithLimits::Reader getSubmitWithLimits() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1163,12 +1181,9 @@
   inline void adoptCrashEvidence(::capnp::Orphan< ::chicory::wire::CrashEvidence>&& value);
   inline ::capnp::Orphan< ::chicory::wire::CrashEvidence> disownCrashEvidence();
 
-  inline bool hasRequestLimits();
-  inline  ::chicory::wire::RequestLimits::Builder getRequestLimits();
-  inline void setRequestLimits( ::chicory::wire::RequestLimits::Reader value);
-  inline  ::chicory::wire::RequestLimits::Builder initRequestLimits();
-  inline void adoptRequestLimits(::capnp::Orphan< ::chicory::wire::RequestLimits>&& value);
-  inline ::capnp::Orphan< ::chicory::wire::RequestLimits> disownRequestLimits();
+  inline bool isSubmitWithLimits();
+  inline typename SubmitWithLimits::Builder getSubmitWithLimits();
+  inline typename SubmitWithLimits::Builder initSubmitWithLimits();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1189,7 +1204,6 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::chicory::wire::UpstreamBatch::Pipeline getMissedUpstreams();
-  inline  ::chicory::wire::RequestLimits::Pipeline getRequestLimits();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1489,6 +1503,99 @@
 };
 #endif  // !CAPNP_LITE
 
+class Datagram::SubmitWithLimits::Reader {
+public:
+  typedef SubmitWithLimits Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWork() const;
+  inline  ::chicory::wire::Work::Reader getWork() const;
+
+  inline bool hasLimits() const;
+  inline  ::chicory::wire::RequestLimits::Reader getLimits() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Datagram::SubmitWithLimits::Builder {
+public:
+  typedef SubmitWithLimits Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWork();
+  inline  ::chicory::wire::Work::Builder getWork();
+  inline void setWork( ::chicory::wire::Work::Reader value);
+  inline  ::chicory::wire::Work::Builder initWork();
+  inline void adoptWork(::capnp::Orphan< ::chicory::wire::Work>&& value);
+  inline ::capnp::Orphan< ::chicory::wire::Work> disownWork();
+
+  inline bool hasLimits();
+  inline  ::chicory::wire::RequestLimits::Builder getLimits();
+  inline void setLimits( ::chicory::wire::RequestLimits::Reader value);
+  inline  ::chicory::wire::RequestLimits::Builder initLimits();
+  inline void adoptLimits(::capnp::Orphan< ::chicory::wire::RequestLimits>&& value);
+  inline ::capnp::Orphan< ::chicory::wire::RequestLimits> disownLimits();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::SubmitWithLimits::Pipeline {
+public:
+  typedef SubmitWithLimits Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::chicory::wire::Work::Pipeline getWork();
+  inline  ::chicory::wire::RequestLimits::Pipeline getLimits();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint64_t Work::Reader::getSequence() const {
@@ -3114,45 +3221,29 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::hasRequestLimits() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::Builder::hasRequestLimits() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
-}
-inline  ::chicory::wire::RequestLimits::Reader Datagram::Reader::getRequestLimits() const {
-  return ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-inline  ::chicory::wire::RequestLimits::Builder Datagram::Builder::getRequestLimits() {
-  return ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::chicory::wire::RequestLimits::Pipeline Datagram::Pipeline::getRequestLimits() {
-  return  ::chicory::wire::RequestLimits::Pipeline(_typeless.getPointerField(8));
+inline bool Datagram::Reader::isSubmitWithLimits() const {
+  return which() == Datagram::SUBMIT_WITH_LIMITS;
 }
-#endif  // !CAPNP_LITE
-inline void Datagram::Builder::setRequestLimits( ::chicory::wire::RequestLimits::Reader value) {
-  ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+inline bool Datagram::Builder::isSubmitWithLimits() {
+  return which() == Datagram::SUBMIT_WITH_LIMITS;
 }
-inline  ::chicory::wire::RequestLimits::Builder Datagram::Builder::initRequestLimits() {
-  return ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline typename Datagram::SubmitWithLimits::Reader Datagram::Reader::getSubmitWithLimits() const {
+  KJ_IREQUIRE((which() == Datagram::SUBMIT_WITH_LIMITS),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::SubmitWithLimits::Reader(_reader);
 }
-inline void Datagram::Builder::adoptRequestLimits(
-    ::capnp::Orphan< ::chicory::wire::RequestLimits>&& value) {
-  ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+inline typename Datagram::SubmitWithLimits::Builder Datagram::Builder::getSubmitWithLimits() {
+  KJ_IREQUIRE((which() == Datagram::SUBMIT_WITH_LIMITS),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::SubmitWithLimits::Builder(_builder);
 }
-inline ::capnp::Orphan< ::chicory::wire::RequestLimits> Datagram::Builder::disownRequestLimits() {
-  return ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline typename Datagram::SubmitWithLimits::Builder Datagram::Builder::initSubmitWithLimits() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Datagram::SUBMIT_WITH_LIMITS);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename Datagram::SubmitWithLimits::Builder(_builder);
 }
-
 inline  ::uint64_t Datagram::Assign::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
@@ -3393,6 +3484,84 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::SubmitWithLimits::Reader::hasWork() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::SubmitWithLimits::Builder::hasWork() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::chicory::wire::Work::Reader Datagram::SubmitWithLimits::Reader::getWork() const {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::Work>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::chicory::wire::Work::Builder Datagram::SubmitWithLimits::Builder::getWork() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::Work>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::chicory::wire::Work::Pipeline Datagram::SubmitWithLimits::Pipeline::getWork() {
+  return  ::chicory::wire::Work::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Datagram::SubmitWithLimits::Builder::setWork( ::chicory::wire::Work::Reader value) {
+  ::capnp::_::PointerHelpers< ::chicory::wire::Work>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::chicory::wire::Work::Builder Datagram::SubmitWithLimits::Builder::initWork() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::Work>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::SubmitWithLimits::Builder::adoptWork(
+    ::capnp::Orphan< ::chicory::wire::Work>&& value) {
+  ::capnp::_::PointerHelpers< ::chicory::wire::Work>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::chicory::wire::Work> Datagram::SubmitWithLimits::Builder::disownWork() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::Work>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::SubmitWithLimits::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::SubmitWithLimits::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::chicory::wire::RequestLimits::Reader Datagram::SubmitWithLimits::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::chicory::wire::RequestLimits::Builder Datagram::SubmitWithLimits::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::chicory::wire::RequestLimits::Pipeline Datagram::SubmitWithLimits::Pipeline::getLimits() {
+  return  ::chicory::wire::RequestLimits::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Datagram::SubmitWithLimits::Builder::setLimits( ::chicory::wire::RequestLimits::Reader value) {
+  ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::chicory::wire::RequestLimits::Builder Datagram::SubmitWithLimits::Builder::initLimits() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Datagram::SubmitWithLimits::Builder::adoptLimits(
+    ::capnp::Orphan< ::chicory::wire::RequestLimits>&& value) {
+  ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::chicory::wire::RequestLimits> Datagram::SubmitWithLimits::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::chicory::wire::RequestLimits>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -156,12 +156,15 @@
       WriteBatch(*welcome.missed, builder.initMissedUpstreams());
   }
   void operator()(const SubmitMessage& submit) {
-    WriteWork(submit.work, builder.initSubmit());
     const uint32_t count = static_cast<uint32_t>(
         std::min(submit.limits.size(), kMaxLimitsPerRequest));
-    if (count == 0)
+    if (count == 0) {
+      WriteWork(submit.work, builder.initSubmit());
       return;
-    auto limits = builder.initRequestLimits();
+    }
+    auto written = builder.initSubmitWithLimits();
+    WriteWork(submit.work, written.initWork());
+    auto limits = written.initLimits();
     auto upstreams = limits.initUpstreams(count);
     auto rates = limits.initPerSecond(count);
     auto ages = limits.initAgesMilliseconds(count);
@@ -354,9 +357,10 @@
   return message;
 }
 
-SubmitMessage ReadSubmit(wire::Datagram::Reader reader) {
-  SubmitMessage message{.work = ReadWork(reader.getSubmit())};
-  const auto limits = reader.getRequestLimits();
+SubmitMessage ReadSubmitWithLimits(
+    wire::Datagram::SubmitWithLimits::Reader reader) {
+  SubmitMessage message{.work = ReadWork(reader.getWork())};
+  const auto limits = reader.getLimits();
   const auto upstreams = limits.getUpstreams();
   const auto rates = limits.getPerSecond();
   const auto ages = limits.getAgesMilliseconds();
@@ -382,7 +386,10 @@
       message->content = ReadWelcome(reader);
       return true;
     case wire::Datagram::SUBMIT:
-      message->content = ReadSubmit(reader);
+      message->content = SubmitMessage{.work = ReadWork(reader.getSubmit())};
+      return true;
+    case wire::Datagram::SUBMIT_WITH_LIMITS:
+      message->content = ReadSubmitWithLimits(reader.getSubmitWithLimits());
       return true;
     case wire::Datagram::WAITS:
       message->content = QueuedMessage{.sequence = reader.getWaits()};
--- a/tests/logic/placement_node_test.cc
+++ b/tests/logic/placement_node_test.cc
@@ -566,6 +566,32 @@
   CHECK(decoded.expected == absl::Milliseconds(40));
 }
 
+TEST_CASE("the limits in a submission are the same after decoding") {
+  // A message has room for 16 of them.
+  for (const size_t count : {0, 1, 16, 40}) {
+    INFO(count);
+    SubmitMessage submit{.work = {.sequence = 5, .service = "desk"}};
+    for (size_t i = 0; i < count; ++i) {
+      submit.limits.push_back({.upstream = i + 1,
+                               .per_second = i == 0 ? RequestLimit::kNone : 0.5,
+                               .age = absl::Milliseconds(20)});
+    }
+    const std::string bytes =
+        EncodePeerMessage({.sender = 3, .content = submit});
+    CHECK(bytes.size() <= kMaxDatagramBytes);
+    const auto read = DecodePeerMessage(bytes);
+    REQUIRE(read.has_value());
+    const auto& decoded = std::get<SubmitMessage>(read->content);
+    CHECK(decoded.work.sequence == 5);
+    REQUIRE(decoded.limits.size() == std::min<size_t>(count, 16));
+    for (size_t i = 0; i < decoded.limits.size(); ++i) {
+      CHECK(decoded.limits[i].upstream == i + 1);
+      CHECK(decoded.limits[i].per_second == submit.limits[i].per_second);
+      CHECK(decoded.limits[i].age == absl::Milliseconds(20));
+    }
+  }
+}
+
 TEST_CASE("evidence on crashes is the same after encoding and decoding") {
   CrashingParts crashing_parts;
   const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
