A test of what a scheduler may place when it learns of a limit

Cause: the mutant "a scheduler that takes over starts with a full limit" survived: its test places at a bound that also holds for a full bucket of one second. Change: a test of its own; nothing may be placed at the moment a limit becomes known.

--- a/tests/logic/request_limits_test.cc
+++ b/tests/logic/request_limits_test.cc
@@ -77,6 +77,22 @@
   }
 }
 
+// Guards against a change of the scheduler at which the former and the new one
+// both use up the limit.
+TEST_CASE("a limit that becomes known leaves nothing to place at once") {
+  for (const double per_second : {0.5, 2.0, 50.0}) {
+    INFO(per_second);
+    RequestLimits limits;
+    const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+    limits.Merge({{.upstream = kUpstream,
+                   .per_second = per_second,
+                   .observed = start - absl::Milliseconds(1)}},
+                 start);
+    CHECK_FALSE(limits.Allows(kUpstream, start));
+    CHECK(limits.Allows(kUpstream, start + absl::Seconds(1 / per_second)));
+  }
+}
+
 TEST_CASE("what ends a limit") {
   struct Case {
     const char* name;
