Logs tell what identifies a request and whether a broken connection was kept

Cause: the logs of the incident cannot tell a request that is not remembered from one that is forgotten, nor a stale connection from an upstream that ended. Ruled out: that existing keys tell it; request_admitted names neither body nor fingerprint, send_failed not whether its connection had carried requests before. Change: request_admitted has `fingerprint` and `body_bytes`, send_failed `kept_connection`. No decision changes.

--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -143,6 +143,8 @@
                          .configuration = table_->version(),
                          .prompt_tokens = caller_.prompt_tokens,
                          .shared_parts = caller_.shared_parts,
+                         .fingerprint = fingerprint_,
+                         .body_bytes = request_.body.size(),
                          .time_limit = deadline_ - arrived_});
   if (!state_->drain.Admits(arrived_) ||
       !state_->drain.CanFinish(PlannedDuration(route_->target_latency),
--- a/modules/gateway/request_telemetry.cc
+++ b/modules/gateway/request_telemetry.cc
@@ -15,6 +15,10 @@
   return absl::ToInt64Milliseconds(duration);
 }
 
+std::string Hex(uint64_t value) {
+  return absl::StrCat(absl::Hex(value));
+}
+
 /** The announced length of a body as a log value. */
 std::string AnnouncedBytes(const UpstreamExchange::BodyEnd& end) {
   return end.announced_bytes ? absl::StrCat(*end.announced_bytes) : "none";
@@ -45,6 +49,8 @@
                     {"configuration", admission.configuration},
                     {"prompt_tokens", admission.prompt_tokens},
                     {"shared_parts", JoinParts(admission.shared_parts)},
+                    {"fingerprint", Hex(admission.fingerprint)},
+                    {"body_bytes", admission.body_bytes},
                     {"patience_ms", Ms(admission.time_limit)}});
 }
 
@@ -177,6 +183,7 @@
                              {"not_run", failure.not_run ? 1 : 0},
                              {"send", attempt.number},
                              {"after_ms", Ms(now - attempt.sent_at)},
+                             {"kept_connection", failure.kept_connection ? 1 : 0},
                              {"events", events},
                              {"framing", BodyFramingName(body_end_.framing)},
                              {"announced_bytes", AnnouncedBytes(body_end_)},
--- a/modules/gateway/request_telemetry.h
+++ b/modules/gateway/request_telemetry.h
@@ -40,6 +40,9 @@
     uint64_t configuration = 0;
     int64_t prompt_tokens = 0;
     const std::vector<PromptPart>& shared_parts;
+    /** Equal for repeats of the same request; 0 if there is none. */
+    uint64_t fingerprint = 0;
+    size_t body_bytes = 0;
     absl::Duration time_limit;
   };
   void OnAdmitted(const Admission& admission);
--- a/modules/gateway/upstream_exchange.cc
+++ b/modules/gateway/upstream_exchange.cc
@@ -200,13 +200,18 @@
     Fail({.reason = "no_connection", .not_run = true, .not_sent = true});
     return;
   }
-  const bool is_stale = connection->is_reused() && !has_response_bytes_ &&
+  const bool is_reused = connection->is_reused();
+  const bool is_stale = is_reused && !has_response_bytes_ &&
                         SteadyNow() - sent_at_ < kStaleConnectionWindow;
-  if (is_stale)
+  if (is_stale) {
     Fail({.reason = "kept_connection_stale",
+          .kept_connection = true,
           .result = AttemptResult::kCancelled});
-  else
-    Fail({.reason = "connection_broken", .result = AttemptResult::kCrash});
+  } else {
+    Fail({.reason = "connection_broken",
+          .kept_connection = is_reused,
+          .result = AttemptResult::kCrash});
+  }
 }
 
 }  // namespace chicory
--- a/modules/gateway/upstream_exchange.h
+++ b/modules/gateway/upstream_exchange.h
@@ -34,6 +34,8 @@
     /** Set if no byte of the request was sent, because no connection came
         about. */
     bool not_sent = false;
+    /** Set if the connection broke, and had carried requests before. */
+    bool kept_connection = false;
     AttemptResult result = AttemptResult::kFault;
     /** Another upstream that caused the failure; 0 for none. */
     UpstreamKey faulty_upstream = 0;
