--- a/modules/decisions/crashing_parts.cc
+++ b/modules/decisions/crashing_parts.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <string_view>
 #include <tuple>
 #include <utility>
@@ -12,8 +13,8 @@
 
 namespace {
 
-constexpr size_t kMaxCrashesPerPart = 24;
-/** Maximum number of parts in a generation of responses. */
+constexpr size_t kMaxCrashesPerSuspect = 24;
+/** Maximum number of suspects in a generation of responses. */
 constexpr size_t kMaxStarts = 4096;
 /** What fits into one datagram. */
 constexpr size_t kMaxCrashesSent = 40;
@@ -21,41 +22,55 @@
 /** Interval of decisions while the evidence does not change. */
 constexpr absl::Duration kUpdateInterval = absl::Milliseconds(100);
 
-uint32_t CrashHash(PromptPart part, UpstreamIncarnation upstream) {
-  const std::array<uint64_t, 2> key = {part, upstream};
+/** Crashes from which on a request is known to all instances. */
+constexpr size_t kMinSharedCrashes = 2;
+
+uint32_t CrashHash(const CrashSuspect& suspect, UpstreamIncarnation upstream) {
+  const std::array<uint64_t, 3> key = {static_cast<uint64_t>(suspect.kind),
+                                       suspect.id, upstream};
   return static_cast<uint32_t>(StableHash(std::string_view(
       reinterpret_cast<const char*>(key.data()), sizeof(key))));
 }
 
 }  // namespace
 
-absl::Time CrashingParts::LastStart(PromptPart part) const {
-  if (auto found = starts_.find(part); found != starts_.end())
+std::vector<CrashSuspect> CrashingParts::ListOf(const CrashSuspects& suspects) {
+  std::vector<CrashSuspect> list;
+  if (suspects.request != 0) {
+    list.push_back(
+        {.kind = CrashSuspect::Kind::kRequest, .id = suspects.request});
+  }
+  for (PromptPart part : suspects.parts)
+    list.push_back({.kind = CrashSuspect::Kind::kPromptPart, .id = part});
+  return list;
+}
+
+absl::Time CrashingParts::LastStart(const CrashSuspect& suspect) const {
+  if (auto found = starts_.find(suspect); found != starts_.end())
     return found->second;
-  auto found = former_starts_.find(part);
+  auto found = former_starts_.find(suspect);
   return found == former_starts_.end() ? absl::InfinitePast() : found->second;
 }
 
-void CrashingParts::OnCrash(const std::vector<PromptPart>& parts,
+void CrashingParts::OnCrash(const CrashSuspects& suspects,
                             UpstreamIncarnation upstream,
                             absl::Time sent_at,
                             absl::Time now) {
-  for (PromptPart part : parts)
-    AddCrash(part, {.upstream = upstream, .at = now, .wait = now - sent_at});
+  for (const CrashSuspect& suspect : ListOf(suspects))
+    AddCrash(suspect, {.upstream = upstream, .at = now, .wait = now - sent_at});
   UpdateDigest();
   next_update_ = absl::InfinitePast();
 }
 
-bool CrashingParts::OnStarted(const std::vector<PromptPart>& parts,
-                              absl::Time now) {
+bool CrashingParts::OnStarted(const CrashSuspects& suspects, absl::Time now) {
   if (now - generation_began_ >= kRecentStart || starts_.size() >= kMaxStarts) {
     former_starts_ = std::exchange(starts_, {});
     generation_began_ = now;
   }
   bool has_cleared = false;
-  for (PromptPart part : parts) {
-    starts_[part] = now;
-    auto row = rows_.find(part);
+  for (const CrashSuspect& suspect : ListOf(suspects)) {
+    starts_[suspect] = now;
+    auto row = rows_.find(suspect);
     if (row == rows_.end())
       continue;
     has_cleared |= !OpenCrashes(row->second).empty();
@@ -68,11 +83,11 @@
   return has_cleared;
 }
 
-void CrashingParts::AddCrash(PromptPart part, const Crash& crash) {
-  if (!rows_.contains(part) && rows_.size() >= kMaxParts)
+void CrashingParts::AddCrash(const CrashSuspect& suspect, const Crash& crash) {
+  if (!rows_.contains(suspect) && rows_.size() >= kMaxSuspects)
     EvictRow();
-  Row& row = rows_[part];
-  row.last_start = std::max(row.last_start, LastStart(part));
+  Row& row = rows_[suspect];
+  row.last_start = std::max(row.last_start, LastStart(suspect));
   const auto known = std::find_if(
       row.crashes.begin(), row.crashes.end(),
       [&](const Crash& other) { return other.upstream == crash.upstream; });
@@ -82,10 +97,10 @@
     return;
   }
   row.crashes.push_back(crash);
-  if (row.crashes.size() <= kMaxCrashesPerPart)
+  if (row.crashes.size() <= kMaxCrashesPerSuspect)
     return;
   // The last but one: the earliest tell since when, the last one until when the
-  // part is refused.
+  // suspect is refused.
   std::sort(row.crashes.begin(), row.crashes.end(),
             [](const Crash& a, const Crash& b) { return a.at < b.at; });
   row.crashes.erase(row.crashes.end() - 2);
@@ -130,34 +145,66 @@
   return count;
 }
 
-std::tuple<size_t, int64_t, int64_t> CrashingParts::Suspect::Rank() const {
-  // Parts without a recent response come first: they explain the crashes of
-  // the parts that happened to be at the same upstreams.
+std::tuple<size_t, int64_t, int64_t> CrashingParts::Candidate::Rank() const {
+  // Suspects without a recent response come first: they explain the crashes of
+  // what happened to be at the same upstreams.
   return {limit, -static_cast<int64_t>(count),
           -static_cast<int64_t>(crashes.size())};
 }
 
-std::vector<CrashingParts::Suspect> CrashingParts::Suspects() const {
-  std::vector<Suspect> suspects;
-  for (const auto& [part, row] : rows_) {
+void CrashingParts::RaiseLimits(std::vector<Candidate>* candidates) {
+  const auto is_request = [](const Candidate& candidate) {
+    return candidate.suspect.kind == CrashSuspect::Kind::kRequest;
+  };
+  // The two largest numbers of crashes of the requests at each crash.
+  absl::flat_hash_map<UpstreamIncarnation, std::pair<size_t, size_t>> largest;
+  for (const Candidate& candidate : *candidates) {
+    if (!is_request(candidate))
+      continue;
+    for (const Crash& crash : candidate.crashes) {
+      auto& [first, second] = largest[crash.upstream];
+      second = std::max(second, std::min(first, candidate.count));
+      first = std::max(first, candidate.count);
+    }
+  }
+  for (Candidate& candidate : *candidates) {
+    const bool is_doubtful =
+        is_request(candidate) &&
+        std::all_of(candidate.crashes.begin(), candidate.crashes.end(),
+                    [&](const Crash& crash) {
+                      return largest[crash.upstream].second >= candidate.count;
+                    });
+    if (is_doubtful)
+      candidate.limit = kMaxCrashesIfDoubtful;
+  }
+}
+
+std::vector<CrashingParts::Candidate> CrashingParts::Candidates() const {
+  std::vector<Candidate> candidates;
+  for (const auto& [suspect, row] : rows_) {
     std::vector<Crash> open = OpenCrashes(row);
     if (open.empty())
       continue;
     const bool had_start = open.front().at - row.last_start < kRecentStart;
     const size_t count = CountCrashes(open, {});
-    const size_t limit = had_start ? kMaxCrashesAfterStart : kMaxCrashes;
-    if (count < limit)
+    if (count < kMaxCrashes)
       continue;
-    suspects.push_back({.part = part,
-                        .crashes = std::move(open),
-                        .count = count,
-                        .limit = limit});
+    candidates.push_back(
+        {.suspect = suspect,
+         .crashes = std::move(open),
+         .count = count,
+         .limit = had_start ? kMaxCrashesIfDoubtful : kMaxCrashes});
   }
-  std::sort(suspects.begin(), suspects.end(),
-            [](const Suspect& a, const Suspect& b) {
-              return std::pair(a.Rank(), a.part) < std::pair(b.Rank(), b.part);
+  RaiseLimits(&candidates);
+  std::erase_if(candidates, [](const Candidate& candidate) {
+    return candidate.count < candidate.limit;
+  });
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return std::pair(a.Rank(), a.suspect) <
+                     std::pair(b.Rank(), b.suspect);
             });
-  return suspects;
+  return candidates;
 }
 
 void CrashingParts::Update(absl::Time now) {
@@ -167,48 +214,74 @@
   RemoveExpired(now);
   refusals_.clear();
   absl::flat_hash_set<UpstreamIncarnation> explained;
-  // Crashes are not explained by parts of the same rank.
+  // Crashes are not explained by suspects of the same rank.
   absl::flat_hash_set<UpstreamIncarnation> explained_by_rank;
   std::tuple<size_t, int64_t, int64_t> rank;
-  // The refusal for each set of crashes that is explained.
-  std::map<std::vector<UpstreamIncarnation>, Refusal> refusals;
-  for (const Suspect& suspect : Suspects()) {
-    if (suspect.Rank() != rank)
+  // The refusal of parts for each set of crashes that is explained.
+  std::map<std::vector<UpstreamIncarnation>, Refusal> refusals_of_parts;
+  // Sets of crashes that are explained by a request.
+  std::set<std::vector<UpstreamIncarnation>> of_requests;
+  for (const Candidate& candidate : Candidates()) {
+    const bool is_request =
+        candidate.suspect.kind == CrashSuspect::Kind::kRequest;
+    if (candidate.Rank() != rank)
       explained.insert(explained_by_rank.begin(), explained_by_rank.end());
-    rank = suspect.Rank();
-    if (CountCrashes(suspect.crashes, explained) < suspect.limit ||
-        now - suspect.crashes.front().at < kDecisionDelay)
+    rank = candidate.Rank();
+    if (CountCrashes(candidate.crashes, explained) < candidate.limit)
+      continue;
+    if (!is_request && now - candidate.crashes.front().at < kDecisionDelay)
       continue;
     std::vector<UpstreamIncarnation> crashed;
-    for (const Crash& crash : suspect.crashes)
+    for (const Crash& crash : candidate.crashes)
       crashed.push_back(crash.upstream);
     explained_by_rank.insert(crashed.begin(), crashed.end());
     std::sort(crashed.begin(), crashed.end());
-    Refusal& refusal = refusals[crashed];
-    refusal.parts.push_back(suspect.part);
-    refusal.until = suspect.crashes.back().at + kRefusalTime;
+    const absl::Time last_crash = candidate.crashes.back().at;
+    if (is_request) {
+      of_requests.insert(std::move(crashed));
+      refusals_.push_back(
+          {.request = candidate.suspect.id,
+           .until = last_crash + RequestRefusalTime(candidate)});
+      continue;
+    }
+    Refusal& refusal = refusals_of_parts[std::move(crashed)];
+    refusal.parts.push_back(candidate.suspect.id);
+    refusal.until = last_crash + kRefusalTime;
   }
-  for (auto& [crashed, refusal] : refusals) {
-    if (now >= refusal.until)
+  for (auto& [crashed, refusal] : refusals_of_parts) {
+    // The request holds all these parts, and others may hold some of them.
+    if (of_requests.contains(crashed))
       continue;
     std::sort(refusal.parts.begin(), refusal.parts.end());
     refusals_.push_back(std::move(refusal));
   }
-  std::sort(
-      refusals_.begin(), refusals_.end(),
-      [](const Refusal& a, const Refusal& b) { return a.parts < b.parts; });
+  std::erase_if(refusals_,
+                [now](const Refusal& refusal) { return now >= refusal.until; });
+  std::sort(refusals_.begin(), refusals_.end(),
+            [](const Refusal& a, const Refusal& b) {
+              return std::tie(a.request, a.parts) <
+                     std::tie(b.request, b.parts);
+            });
+}
+
+absl::Duration CrashingParts::RequestRefusalTime(const Candidate& candidate) {
+  absl::Duration time = kRequestRefusalTime;
+  for (size_t i = candidate.limit; i < candidate.count && time < kRefusalTime;
+       ++i)
+    time *= 2;
+  return std::min(time, kRefusalTime);
 }
 
 void CrashingParts::RemoveExpired(absl::Time now) {
   bool has_changed = false;
-  for (auto& [part, row] : rows_) {
+  for (auto& [suspect, row] : rows_) {
     has_changed |= std::erase_if(row.crashes, [&](const Crash& crash) {
                      return now - crash.at >= kRetention;
                    }) > 0;
   }
   absl::erase_if(rows_, [&](const auto& entry) {
     const Row& row = entry.second;
-    // A part that is cleared is kept until the others know.
+    // What is cleared is kept until the others know.
     return row.crashes.empty() ||
            (OpenCrashes(row).empty() && now - row.last_start >= kRecentStart);
   });
@@ -216,16 +289,18 @@
     UpdateDigest();
 }
 
-absl::Duration CrashingParts::RefusalTimeLeft(
-    const std::vector<PromptPart>& parts,
-    absl::Time now) {
+absl::Duration CrashingParts::RefusalTimeLeft(const CrashSuspects& suspects,
+                                              absl::Time now) {
+  const std::vector<PromptPart>& parts = suspects.parts;
   absl::Duration left = absl::ZeroDuration();
   for (const Refusal& refusal : Refusals(now)) {
+    const bool is_other_request =
+        refusal.request != 0 && refusal.request != suspects.request;
     const bool holds_all = std::all_of(
         refusal.parts.begin(), refusal.parts.end(), [&](PromptPart part) {
           return std::find(parts.begin(), parts.end(), part) != parts.end();
         });
-    if (holds_all)
+    if (!is_other_request && holds_all)
       left = std::max(left, refusal.until - now);
   }
   return left;
@@ -238,30 +313,45 @@
   return refusals_;
 }
 
-CrashEvidence CrashingParts::Evidence(absl::Time now) const {
+bool CrashingParts::IsShared(const CrashSuspect& suspect, size_t open) {
+  return suspect.kind == CrashSuspect::Kind::kPromptPart ||
+         open >= kMinSharedCrashes;
+}
+
+CrashEvidence CrashingParts::Evidence(absl::Time now,
+                                      const CrashSuspects& first) const {
   struct Entry {
-    PromptPart part = 0;
+    CrashSuspect suspect;
     std::vector<Crash> open;
     absl::Time last_start;
+    bool is_first = false;
   };
+  const std::vector<CrashSuspect> before_all = ListOf(first);
   std::vector<Entry> entries;
-  for (const auto& [part, row] : rows_) {
-    entries.push_back(
-        {.part = part, .open = OpenCrashes(row), .last_start = row.last_start});
+  for (const auto& [suspect, row] : rows_) {
+    const bool is_first = std::find(before_all.begin(), before_all.end(),
+                                    suspect) != before_all.end();
+    std::vector<Crash> open = OpenCrashes(row);
+    if (!is_first && !open.empty() && !IsShared(suspect, open.size()))
+      continue;
+    entries.push_back({.suspect = suspect,
+                       .open = std::move(open),
+                       .last_start = row.last_start,
+                       .is_first = is_first});
   }
   const auto latest = [](const Entry& entry) {
     return entry.open.empty() ? entry.last_start : entry.open.back().at;
   };
-  std::sort(entries.begin(), entries.end(),
-            [&](const Entry& a, const Entry& b) {
-              return std::tuple(a.open.size(), latest(a), a.part) >
-                     std::tuple(b.open.size(), latest(b), b.part);
-            });
+  std::sort(
+      entries.begin(), entries.end(), [&](const Entry& a, const Entry& b) {
+        return std::tuple(b.is_first, b.open.size(), latest(b), b.suspect) <
+               std::tuple(a.is_first, a.open.size(), latest(a), a.suspect);
+      });
   CrashEvidence evidence;
   for (const Entry& entry : entries) {
     for (const Crash& crash : entry.open) {
       if (evidence.crashes.size() < kMaxCrashesSent)
-        evidence.crashes.push_back({.part = entry.part,
+        evidence.crashes.push_back({.suspect = entry.suspect,
                                     .upstream = crash.upstream,
                                     .age = now - crash.at,
                                     .wait = crash.wait});
@@ -269,14 +359,16 @@
   }
   // The most recent responses first: the others do not know those yet.
   std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
-    return a.last_start > b.last_start;
+    return std::pair(a.is_first, a.last_start) >
+           std::pair(b.is_first, b.last_start);
   });
   for (const Entry& entry : entries) {
-    if (now - entry.last_start >= kRecentStart ||
-        evidence.starts.size() >= kMaxStartsSent)
+    if (evidence.starts.size() >= kMaxStartsSent)
       break;
+    if (now - entry.last_start >= kRecentStart)
+      continue;
     evidence.starts.push_back(
-        {.part = entry.part, .age = now - entry.last_start});
+        {.suspect = entry.suspect, .age = now - entry.last_start});
   }
   return evidence;
 }
@@ -284,12 +376,12 @@
 void CrashingParts::Merge(const CrashEvidence& evidence, absl::Time now) {
   for (const CrashEvidence::Crash& crash : evidence.crashes) {
     if (crash.age < kRetention)
-      AddCrash(crash.part, {.upstream = crash.upstream,
-                            .at = now - crash.age,
-                            .wait = crash.wait});
+      AddCrash(crash.suspect, {.upstream = crash.upstream,
+                               .at = now - crash.age,
+                               .wait = crash.wait});
   }
   for (const CrashEvidence::Start& start : evidence.starts) {
-    auto row = rows_.find(start.part);
+    auto row = rows_.find(start.suspect);
     if (row != rows_.end())
       row->second.last_start =
           std::max(row->second.last_start, now - start.age);
@@ -300,11 +392,12 @@
 
 void CrashingParts::UpdateDigest() {
   digest_ = 0;
-  for (const auto& [part, row] : rows_) {
-    for (const Crash& crash : row.crashes) {
-      if (crash.at > row.last_start)
-        digest_ ^= CrashHash(part, crash.upstream);
-    }
+  for (const auto& [suspect, row] : rows_) {
+    const std::vector<Crash> open = OpenCrashes(row);
+    if (!IsShared(suspect, open.size()))
+      continue;
+    for (const Crash& crash : open)
+      digest_ ^= CrashHash(suspect, crash.upstream);
   }
 }
 
--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -11,7 +11,7 @@
     CrashingRequestTracker, UpstreamTable, AccountLimits, ResponseAssembler,
     GossipNode, AtMostOnceCall, LeaseManager, OrphanCollector,
     PendingCancellations; for gateways SchedulerGroups, FleetScheduler,
-    ScheduledUpstreamTable, InstanceRoster, CrashHistory,
+    ScheduledUpstreamTable, InstanceRoster,
     CrashingParts, RequestLimits, RetryWindow, DrainPlan. */
 
 #include "modules/decisions/dispatcher.h"
--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -120,12 +120,6 @@
   upstreams_.Remove(key, placement.upstreams, now);
   const UpstreamKey attributed =
       faulty_upstream != 0 ? faulty_upstream : placement.upstreams.front();
-  if (const uint64_t fingerprint = placement.request.fingerprint) {
-    if (result == AttemptResult::kCrash)
-      crashes_.OnCrash(fingerprint, attributed, now);
-    else if (result == AttemptResult::kDone)
-      crashes_.OnCompleted(fingerprint);
-  }
   upstreams_.OnAttemptEnded(attributed, result, now);
 }
 
@@ -371,8 +365,6 @@
   const WorkRequest request = waiting_.at(key).request;
   if (request.deadline <= now)
     return Refuse(key, RefusalCause::kDeadlineOver, now);
-  if (crashes_.ExceedsCrashLimit(request.fingerprint, now))
-    return Refuse(key, RefusalCause::kCrashesUpstreams, now);
   const EngineProfile* engine =
       request.prompt_tokens > 0 ? EngineOf(request.service) : nullptr;
   const absl::Duration prefill =
--- a/modules/decisions/fleet_scheduler.h
+++ b/modules/decisions/fleet_scheduler.h
@@ -10,7 +10,6 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
-#include "modules/decisions/crash_history.h"
 #include "modules/decisions/engine_timing.h"
 #include "modules/decisions/prompt_placement.h"
 #include "modules/decisions/request_limits.h"
@@ -28,7 +27,8 @@
   kNoSlots,
   /** Every placement costs other requests more than this one gains. */
   kCostsOthers,
-  /** Several upstreams crashed while they ran it. @see CrashHistory */
+  /** It crashes upstreams. Decided by the request's instance, not by its
+      scheduler. @see CrashingParts */
   kCrashesUpstreams,
   /** All upstreams of its service have limited their requests, and it would not
       get its turn in time. @see RequestLimits */
@@ -199,7 +199,6 @@
   };
   absl::flat_hash_map<WorkKey, Waiting> waiting_;
   absl::flat_hash_map<WorkKey, Placement> running_;
-  CrashHistory crashes_;
   /** Expected time to the first event less the prefill, by service, as an
       exponentially weighted average. */
   absl::flat_hash_map<std::string, absl::Duration> overhead_;
--- a/modules/decisions/scheduled_upstream.h
+++ b/modules/decisions/scheduled_upstream.h
@@ -38,6 +38,9 @@
 /** Identifies a part of a prompt, such as a document, by its content. */
 using PromptPart = uint64_t;
 
+/** Identifies repeats of the same request by its caller and content. */
+using RequestFingerprint = uint64_t;
+
 /** The outcome of one attempt, as the scheduler counts it for the upstream. */
 enum class AttemptResult {
   kDone,
@@ -72,8 +75,6 @@
   std::vector<UpstreamKey> avoid;
   /** The group of upstreams that may serve it. @see SchedulerGroups */
   uint32_t group = 0;
-  /** Equal for repeats of the same request; 0 if it cannot be computed. */
-  uint64_t fingerprint = 0;
 };
 
 /** The properties of an upstream that scheduling depends on. */
--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -347,7 +347,7 @@
     state_.pool.Expire(now);
     LogMembershipChange(now);
   }
-  LogRefusedParts(now);
+  LogRefusals(now);
 }
 
 void Gateway::LogMembershipChange(absl::Time now) {
@@ -363,21 +363,30 @@
   live_instances_ = live;
 }
 
-void Gateway::LogRefusedParts(absl::Time now) {
+void Gateway::LogRefusals(absl::Time now) {
   using Refusals = std::vector<CrashingParts::Refusal>;
   const Refusals& current = placement_.crashing_parts().Refusals(now);
-  if (current == refused_parts_)
+  if (current == refusals_)
     return;
   const auto log_added = [this](const Refusals& refusals,
-                                const Refusals& former, const char* event) {
+                                const Refusals& former, const char* of_request,
+                                const char* of_parts) {
     for (const CrashingParts::Refusal& refusal : refusals) {
-      if (std::find(former.begin(), former.end(), refusal) == former.end())
-        log_.Write(event, {{"parts", JoinParts(refusal.parts)}});
+      if (std::find(former.begin(), former.end(), refusal) != former.end())
+        continue;
+      if (refusal.request != 0) {
+        log_.Write(of_request,
+                   {{"fingerprint", absl::StrCat(absl::Hex(refusal.request))}});
+        continue;
+      }
+      log_.Write(of_parts, {{"parts", JoinParts(refusal.parts)}});
     }
   };
-  log_added(current, refused_parts_, "prompt_parts_refused");
-  log_added(refused_parts_, current, "prompt_parts_allowed");
-  refused_parts_ = current;
+  log_added(current, refusals_, "request_repeats_refused",
+            "prompt_parts_refused");
+  log_added(refusals_, current, "request_repeats_allowed",
+            "prompt_parts_allowed");
+  refusals_ = current;
 }
 
 void Gateway::OnCallbackFailed(const std::exception& error) {
@@ -393,7 +402,7 @@
        .scheduler_running = placement_.scheduler().running(),
        .configuration_version = state_.table ? state_.table->version() : 0,
        .upstreams = state_.upstreams.size(),
-       .refused_parts = refused_parts_.size(),
+       .refused_parts = refusals_.size(),
        .limited_upstreams =
            placement_.scheduler().limits().limited(SteadyNow()),
        .log_lines_dropped = log_.dropped()});
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -127,7 +127,7 @@
       instances. */
   void LogMembershipChange(absl::Time now);
   /** Logs which parts of prompts are refused from now on, or no longer. */
-  void LogRefusedParts(absl::Time now);
+  void LogRefusals(absl::Time now);
   /** Performs the periodic work and schedules the next tick. */
   void Tick();
   void ScheduleTick();
@@ -167,7 +167,7 @@
   InstanceIp scheduling_instance_ = 0;
   size_t live_instances_ = 0;
   /** The refusals in force at the last tick. */
-  std::vector<CrashingParts::Refusal> refused_parts_;
+  std::vector<CrashingParts::Refusal> refusals_;
   std::function<void()> on_stopped_;
   /** Until when a stop waits for the last responses to be written. */
   absl::Time stop_flush_until_ = absl::InfiniteFuture();
--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -96,6 +96,8 @@
                           std::string body) override {
     const auto self = handler_->shared_from_this();
     if (head.status >= kInternalError) {
+      handler_->state_->placement->ReportStarted(handler_->suspects_,
+                                                 SteadyNow());
       handler_->saved_response_ =
           SavedResponse{.head = head, .body = std::move(body)};
       handler_->OnReplacementFailed({.reason = "upstream_error"});
@@ -134,16 +136,17 @@
   // Without a body, different requests are often identical in target and
   // account and cannot be distinguished from repeats of one request.
   if (!request_.body.empty()) {
-    fingerprint_ = StableHash(
+    suspects_.request = StableHash(
         request_.body, StableHash(request_.target, StableHash(account_)));
   }
+  suspects_.parts = caller_.shared_parts;
   telemetry_.OnAdmitted({.route = *route_,
                          .service = service_,
                          .account = account_,
                          .configuration = table_->version(),
                          .prompt_tokens = caller_.prompt_tokens,
                          .shared_parts = caller_.shared_parts,
-                         .fingerprint = fingerprint_,
+                         .fingerprint = suspects_.request,
                          .body_bytes = request_.body.size(),
                          .time_limit = deadline_ - arrived_});
   if (!state_->drain.Admits(arrived_) ||
@@ -233,11 +236,10 @@
       });
 }
 
-bool RequestHandler::RefuseCrashingParts() {
+bool RequestHandler::RefuseIfCrashing() {
   const absl::Time now = SteadyNow();
   const absl::Duration refused_for =
-      state_->placement->crashing_parts().RefusalTimeLeft(caller_.shared_parts,
-                                                          now);
+      state_->placement->crashing_parts().RefusalTimeLeft(suspects_, now);
   if (refused_for == absl::ZeroDuration())
     return false;
   EndAttempt(AttemptResult::kCancelled, 0);
@@ -272,7 +274,7 @@
 }
 
 void RequestHandler::RequestPlacement() {
-  if (!RefuseCrashingParts() && !RefuseWithoutOpenUpstream())
+  if (!RefuseIfCrashing() && !RefuseWithoutOpenUpstream())
     SubmitToScheduler(&current_);
 }
 
@@ -285,8 +287,7 @@
                    .deadline = deadline_,
                    .event_gap = route_->event_gap,
                    .priority = priority_,
-                   .avoid = UpstreamsToAvoid(),
-                   .fingerprint = fingerprint_};
+                   .avoid = UpstreamsToAvoid()};
   // Submit may call OnDecision before it returns, so the handler is registered
   // under the next key beforehand.
   const auto self = shared_from_this();
@@ -318,16 +319,11 @@
     state_->handlers.erase(decision.key);
     current_.work.reset();
     telemetry_.OnRefused(decision, scheduler, SteadyNow());
-    if (decision.cause == RefusalCause::kCrashesUpstreams) {
-      may_have_run_ = true;
-      RespondUnavailable("crashes_upstreams");
-      return;
-    }
     RespondUnavailable("no_upstream_in_time", decision.retry_after);
     return;
   }
   // Other instances may have reported crashes while the request waited.
-  if (RefuseCrashingParts())
+  if (RefuseIfCrashing())
     return;
   const UpstreamRecord* upstream =
       state_->FindOpen(decision.upstream, SteadyNow());
@@ -649,7 +645,7 @@
     // Empty once the attempt was reported as silent.
     if (current_.work)
       state_->placement->OnResponseStarted(*current_.work, now);
-    state_->placement->ReportPartsStarted(caller_.shared_parts, now);
+    state_->placement->ReportStarted(suspects_, now);
   }
   writer_->SendChunk(events);
 }
@@ -665,6 +661,7 @@
 void RequestHandler::OnCompleteResponse(const HttpResponseHead& head,
                                         std::string body) {
   const auto self = shared_from_this();
+  state_->placement->ReportStarted(suspects_, SteadyNow());
   if (head.status >= kInternalError) {
     saved_response_ = SavedResponse{.head = head, .body = std::move(body)};
     OnExchangeFailed({.reason = "upstream_error"});
@@ -768,7 +765,7 @@
     state_->retries.Refund(service_, *attempt.charged_at);
   if (failure.result == AttemptResult::kCrash &&
       !attempt.response_start_reported) {
-    state_->placement->ReportCrash(caller_.shared_parts, attempt.incarnation,
+    state_->placement->ReportCrash(suspects_, attempt.incarnation,
                                    attempt.sent.sent_at, SteadyNow());
   }
 }
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -77,8 +77,7 @@
   /** Sets the route, client account and priority. Responds to the caller and
       returns false if the request cannot be served. */
   bool FindRoute();
-  /** Submits the request to the scheduler, unless a part of its prompt crashes
-      upstreams. */
+  /** Submits the request to the scheduler, unless it crashes upstreams. */
   void RequestPlacement();
   /** Ends the request and returns true if all upstreams of its service have
       announced that they accept no requests. */
@@ -91,9 +90,9 @@
                           const ResponseClassification& response);
   /** Submits the request to the scheduler under a new key, as `attempt`. */
   void SubmitToScheduler(Attempt* attempt);
-  /** Ends the request and returns true if a part of its prompt crashes
-      upstreams. */
-  bool RefuseCrashingParts();
+  /** Ends the request and returns true if it crashes upstreams, as a whole or
+      with a part of its prompt. */
+  bool RefuseIfCrashing();
   /** Sends the request to `upstream`, or ends it if it was sent before and the
       retry budget is used up. */
   void SendCurrent(const UpstreamRecord& upstream,
@@ -206,9 +205,9 @@
   std::string account_;
   std::string service_;
   int priority_ = 0;
-  /** Hash of account, target and body, which identifies repeats of the same
-      request; 0 for a request without a body. */
-  uint64_t fingerprint_ = 0;
+  /** What may be the cause if an upstream ends that runs the request. The whole
+      is identified by account, target and body. */
+  CrashSuspects suspects_;
   absl::Time arrived_;
   absl::Time deadline_;
   boost::asio::steady_timer timeout_;
--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -15,7 +15,7 @@
   eventGapMicroseconds @6 :Int64;
   priority @7 :Int32;
   avoid @8 :List(UInt64);
-  # 0: repeats of the same request cannot be recognised.
+  # Of earlier builds; not read.
   fingerprint @9 :UInt64;
   group @10 :UInt32;
 }
@@ -56,6 +56,8 @@
 # @see chicory::CrashEvidenceMessage. Parallel lists, because a list of structs
 # would take more bytes.
 struct CrashEvidence {
+  # The ids of suspects: parts of prompts, or whole requests where the flag at
+  # the same place is set.
   crashParts @0 :List(UInt64);
   crashUpstreams @1 :List(UInt64);
   crashAgesMicroseconds @2 :List(UInt32);
@@ -63,6 +65,8 @@
   startParts @4 :List(UInt64);
   startAgesMicroseconds @5 :List(UInt32);
   wantsReply @6 :Bool;
+  crashIsRequest @7 :List(Bool);
+  startIsRequest @8 :List(Bool);
 }
 
 # Limits that upstreams have named. @see chicory::RequestLimit. Parallel lists,
--- a/modules/peers/placement.capnp.h
+++ b/modules/peers/placement.capnp.h
@@ -102,7 +102,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9c275ff0ac9c799e, 1, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(9c275ff0ac9c799e, 1, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -727,6 +727,12 @@
 
   inline bool getWantsReply() const;
 
+  inline bool hasCrashIsRequest() const;
+  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader getCrashIsRequest() const;
+
+  inline bool hasStartIsRequest() const;
+  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader getStartIsRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -806,6 +812,22 @@
   inline bool getWantsReply();
   inline void setWantsReply(bool value);
 
+  inline bool hasCrashIsRequest();
+  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder getCrashIsRequest();
+  inline void setCrashIsRequest( ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCrashIsRequest(::kj::ArrayPtr<const bool> value);
+  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder initCrashIsRequest(unsigned int size);
+  inline void adoptCrashIsRequest(::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>> disownCrashIsRequest();
+
+  inline bool hasStartIsRequest();
+  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder getStartIsRequest();
+  inline void setStartIsRequest( ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setStartIsRequest(::kj::ArrayPtr<const bool> value);
+  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder initStartIsRequest(unsigned int size);
+  inline void adoptStartIsRequest(::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>> disownStartIsRequest();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2413,6 +2435,82 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CrashEvidence::Reader::hasCrashIsRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashEvidence::Builder::hasCrashIsRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader CrashEvidence::Reader::getCrashIsRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder CrashEvidence::Builder::getCrashIsRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void CrashEvidence::Builder::setCrashIsRequest( ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void CrashEvidence::Builder::setCrashIsRequest(::kj::ArrayPtr<const bool> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder CrashEvidence::Builder::initCrashIsRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void CrashEvidence::Builder::adoptCrashIsRequest(
+    ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>> CrashEvidence::Builder::disownCrashIsRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool CrashEvidence::Reader::hasStartIsRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashEvidence::Builder::hasStartIsRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader CrashEvidence::Reader::getStartIsRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder CrashEvidence::Builder::getStartIsRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void CrashEvidence::Builder::setStartIsRequest( ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void CrashEvidence::Builder::setStartIsRequest(::kj::ArrayPtr<const bool> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder CrashEvidence::Builder::initStartIsRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void CrashEvidence::Builder::adoptStartIsRequest(
+    ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>> CrashEvidence::Builder::disownStartIsRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool RequestLimits::Reader::hasUpstreams() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -38,7 +38,6 @@
           : absl::ToInt64Microseconds(work.event_gap));
   builder.setPriority(work.priority);
   builder.setGroup(work.group);
-  builder.setFingerprint(work.fingerprint);
   const size_t count = std::min(work.avoid.size(), kMaxAvoidPerRequest);
   auto avoid = builder.initAvoid(static_cast<uint32_t>(count));
   for (size_t i = 0; i < count; ++i)
@@ -57,8 +56,7 @@
                        ? absl::InfiniteDuration()
                        : absl::Microseconds(reader.getEventGapMicroseconds()),
       .priority = reader.getPriority(),
-      .group = reader.getGroup(),
-      .fingerprint = reader.getFingerprint()};
+      .group = reader.getGroup()};
   for (uint64_t key : reader.getAvoid())
     work.avoid.push_back(key);
   return work;
@@ -224,16 +222,22 @@
     auto crash_upstreams = written.initCrashUpstreams(crashes);
     auto crash_ages = written.initCrashAgesMicroseconds(crashes);
     auto crash_waits = written.initCrashWaitsMicroseconds(crashes);
+    auto crash_is_request = written.initCrashIsRequest(crashes);
     for (uint32_t i = 0; i < crashes; ++i) {
-      crash_parts.set(i, evidence.crashes[i].part);
+      const CrashSuspect& suspect = evidence.crashes[i].suspect;
+      crash_parts.set(i, suspect.id);
+      crash_is_request.set(i, suspect.kind == CrashSuspect::Kind::kRequest);
       crash_upstreams.set(i, evidence.crashes[i].upstream);
       crash_ages.set(i, WireMicroseconds(evidence.crashes[i].age));
       crash_waits.set(i, WireMicroseconds(evidence.crashes[i].wait));
     }
     auto start_parts = written.initStartParts(starts);
     auto start_ages = written.initStartAgesMicroseconds(starts);
+    auto start_is_request = written.initStartIsRequest(starts);
     for (uint32_t i = 0; i < starts; ++i) {
-      start_parts.set(i, evidence.starts[i].part);
+      const CrashSuspect& suspect = evidence.starts[i].suspect;
+      start_parts.set(i, suspect.id);
+      start_is_request.set(i, suspect.kind == CrashSuspect::Kind::kRequest);
       start_ages.set(i, WireMicroseconds(evidence.starts[i].age));
     }
   }
@@ -332,6 +336,17 @@
           .faulty_upstream = ended.getFaultAt()};
 }
 
+/** `is_request` may be shorter than the list of ids: earlier builds know only
+    parts of prompts. */
+CrashSuspect ReadSuspect(uint64_t id,
+                         capnp::List<bool>::Reader is_request,
+                         uint32_t index) {
+  const bool is_whole = index < is_request.size() && is_request[index];
+  return {.kind = is_whole ? CrashSuspect::Kind::kRequest
+                           : CrashSuspect::Kind::kPromptPart,
+          .id = id};
+}
+
 CrashEvidenceMessage ReadCrashEvidence(wire::CrashEvidence::Reader reader) {
   CrashEvidenceMessage message{.wants_reply = reader.getWantsReply()};
   const auto crash_parts = reader.getCrashParts();
@@ -342,7 +357,7 @@
                                      crash_ages.size(), crash_waits.size()});
   for (uint32_t i = 0; i < crashes; ++i) {
     message.evidence.crashes.push_back(
-        {.part = crash_parts[i],
+        {.suspect = ReadSuspect(crash_parts[i], reader.getCrashIsRequest(), i),
          .upstream = crash_upstreams[i],
          .age = absl::Microseconds(crash_ages[i]),
          .wait = absl::Microseconds(crash_waits[i])});
@@ -352,7 +367,8 @@
   const uint32_t starts = std::min(start_parts.size(), start_ages.size());
   for (uint32_t i = 0; i < starts; ++i) {
     message.evidence.starts.push_back(
-        {.part = start_parts[i], .age = absl::Microseconds(start_ages[i])});
+        {.suspect = ReadSuspect(start_parts[i], reader.getStartIsRequest(), i),
+         .age = absl::Microseconds(start_ages[i])});
   }
   return message;
 }
@@ -453,8 +469,7 @@
           .event_gap = request.event_gap,
           .priority = request.priority,
           .avoid = request.avoid,
-          .group = request.group,
-          .fingerprint = request.fingerprint};
+          .group = request.group};
 }
 
 WorkRequest RelativeWorkRequest::ToRequest(InstanceIp owner,
@@ -468,8 +483,7 @@
           .event_gap = event_gap,
           .priority = priority,
           .avoid = avoid,
-          .group = group,
-          .fingerprint = fingerprint};
+          .group = group};
 }
 
 std::string EncodePeerMessage(const PeerMessage& message) {
--- a/modules/peers/placement_message.h
+++ b/modules/peers/placement_message.h
@@ -34,7 +34,6 @@
   int priority = 0;
   std::vector<UpstreamKey> avoid;
   uint32_t group = 0;
-  uint64_t fingerprint = 0;
 
   /** Converts `request`, measuring its times from `now`. */
   static RelativeWorkRequest From(const WorkRequest& request, absl::Time now);
@@ -112,7 +111,7 @@
 /** Announces that the sender is shutting down. */
 struct LeaveMessage {};
 
-/** Evidence on the parts of prompts that crash upstreams. */
+/** Evidence on the requests that crash upstreams. */
 struct CrashEvidenceMessage {
   CrashEvidence evidence;
   /** Whether the receiver is to reply with its own evidence if that still
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -17,6 +17,8 @@
 /** Interval at which a queued request is resubmitted, in case the decision was
     lost. */
 constexpr absl::Duration kQueuedPollInterval = absl::Milliseconds(200);
+/** Interval at which unchanged evidence is sent again with decisions. */
+constexpr absl::Duration kEvidenceInterval = absl::Milliseconds(500);
 /** Schedulers of groups that are sent a hello per round, in rotation. */
 constexpr size_t kSchedulersPerHelloRound = 3;
 
@@ -160,31 +162,51 @@
   RunScheduler(now);
 }
 
-void PlacementNode::ReportCrash(const std::vector<PromptPart>& parts,
+void PlacementNode::ReportCrash(const CrashSuspects& suspects,
                                 UpstreamIncarnation upstream,
                                 absl::Time sent_at,
                                 absl::Time now) {
-  if (parts.empty())
+  crashing_parts_.OnCrash(suspects, upstream, sent_at, now);
+  ReportEvidence(suspects, now);
+}
+
+void PlacementNode::ReportStarted(const CrashSuspects& suspects,
+                                  absl::Time now) {
+  if (!crashing_parts_.OnStarted(suspects, now))
     return;
-  crashing_parts_.OnCrash(parts, upstream, sent_at, now);
+  ReportEvidence(suspects, now);
+  membership_.ScheduleEarlyHello(now);
+}
+
+void PlacementNode::ReportEvidence(const CrashSuspects& suspects,
+                                   absl::Time now) {
   for (InstanceIp receiver : membership_.HelloReceivers(now)) {
     if (receiver != self_)
-      SendCrashEvidence(receiver, /*wants_reply=*/true, now);
+      SendCrashEvidence(receiver, /*wants_reply=*/true, now, suspects);
   }
 }
 
-void PlacementNode::ReportPartsStarted(const std::vector<PromptPart>& parts,
-                                       absl::Time now) {
-  if (crashing_parts_.OnStarted(parts, now))
-    membership_.ScheduleEarlyHello(now);
+void PlacementNode::SendEvidenceBeforeDecision(InstanceIp to,
+                                               uint32_t digest,
+                                               absl::Time now) {
+  const uint32_t own_digest = crashing_parts_.digest();
+  if (own_digest == 0 || own_digest == digest)
+    return;
+  EvidenceSent& last = evidence_sent_[to];
+  const bool is_known = last.theirs == digest && last.ours == own_digest;
+  if (is_known && now - last.at < kEvidenceInterval)
+    return;
+  last = {.theirs = digest, .ours = own_digest, .at = now};
+  SendCrashEvidence(to, /*wants_reply=*/false, now);
 }
 
 void PlacementNode::SendCrashEvidence(InstanceIp to,
                                       bool wants_reply,
-                                      absl::Time now) {
-  Send(to, {.content =
-                CrashEvidenceMessage{.evidence = crashing_parts_.Evidence(now),
-                                     .wants_reply = wants_reply}});
+                                      absl::Time now,
+                                      const CrashSuspects& first) {
+  Send(to, {.content = CrashEvidenceMessage{
+                .evidence = crashing_parts_.Evidence(now, first),
+                .wants_reply = wants_reply}});
 }
 
 void PlacementNode::OnCrashEvidence(const PeerMessage& message,
@@ -250,6 +272,7 @@
     OnHello(message, now);
   } else if (const auto* submit =
                  std::get_if<SubmitMessage>(&message.content)) {
+    SendEvidenceBeforeDecision(message.sender, message.crash_digest, now);
     OnSubmit(message.sender, *submit, now);
   } else if (const auto* queued =
                  std::get_if<QueuedMessage>(&message.content)) {
--- a/modules/peers/placement_node.h
+++ b/modules/peers/placement_node.h
@@ -25,9 +25,10 @@
     respond, and schedules by itself when no other is left. The upstreams of a
     large service are split into groups, which different instances schedule.
 
-    Also spreads the evidence on parts of prompts that crash upstreams. A crash
-    is reported at once to the instances that all others send hellos to. They
-    reply to a hello with their evidence if the sender's differs.
+    Also spreads the evidence on requests that crash upstreams. A crash is
+    reported at once to the instances that all others send hellos to, and so is
+   a response that clears a request of a crash. They reply to a hello with their
+    evidence if the sender's differs.
 
     Performs no I/O and reads no clock: callers pass the time, and datagrams are
     sent through Transport. Not thread-safe.
@@ -94,14 +95,14 @@
                absl::Time now);
 
   /** Reports that `upstream` crashed before it began to respond to a request
-      of this instance with the prompt parts `parts`, sent at `sent_at`. */
-  void ReportCrash(const std::vector<PromptPart>& parts,
+      of this instance with `suspects`, sent at `sent_at`. */
+  void ReportCrash(const CrashSuspects& suspects,
                    UpstreamIncarnation upstream,
                    absl::Time sent_at,
                    absl::Time now);
   /** Reports that an upstream began to respond to a request of this instance
-      with the prompt parts `parts`. */
-  void ReportPartsStarted(const std::vector<PromptPart>& parts, absl::Time now);
+      with `suspects`. */
+  void ReportStarted(const CrashSuspects& suspects, absl::Time now);
   /** Reports the limit that a response of `upstream` to a request sent at
       `sent_at` names, if any. Returns whether it differs from the limit known
       before. @see RequestLimits::OnResponse */
@@ -185,7 +186,19 @@
   void OnQueued(InstanceIp sender, const QueuedMessage& queued);
   void OnRemoteDecision(InstanceIp sender, const DecisionMessage& message);
   void OnCrashEvidence(const PeerMessage& message, absl::Time now);
-  void SendCrashEvidence(InstanceIp to, bool wants_reply, absl::Time now);
+  void SendCrashEvidence(InstanceIp to,
+                         bool wants_reply,
+                         absl::Time now,
+                         const CrashSuspects& first = {});
+  /** Sends the evidence to an instance that requests a placement and has other
+      evidence, as its `digest` shows, so that it knows of it when it receives
+      the decision. */
+  void SendEvidenceBeforeDecision(InstanceIp to,
+                                  uint32_t digest,
+                                  absl::Time now);
+  /** Sends the evidence, that of `suspects` first, to the instances that all
+      others send hellos to. */
+  void ReportEvidence(const CrashSuspects& suspects, absl::Time now);
   void SendHellos(absl::Time now);
 
   const InstanceIp self_;
@@ -195,6 +208,14 @@
   BatchAssembler missed_changes_;
   SchedulerGroups scheduler_;
   CrashingParts crashing_parts_;
+  /** The digests of an instance and of this one when it was last sent evidence
+      with a decision. */
+  struct EvidenceSent {
+    uint32_t theirs = 0;
+    uint32_t ours = 0;
+    absl::Time at = absl::InfinitePast();
+  };
+  absl::flat_hash_map<InstanceIp, EvidenceSent> evidence_sent_;
   uint64_t next_sequence_;
   bool has_upstreams_ = false;
   size_t next_hello_scheduler_ = 0;
--- a/tests/logic/fleet_scheduler_test.cc
+++ b/tests/logic/fleet_scheduler_test.cc
@@ -451,27 +451,6 @@
   CHECK(harness.scheduler.RunningAt(1) == 0);
 }
 
-TEST_CASE(
-    "crashes are counted by upstream, for a limited time and number of "
-    "requests") {
-  const absl::Time begin = absl::UnixEpoch();
-  CrashHistory record;
-  for (UpstreamKey upstream : {1, 2, 2})
-    record.OnCrash(7, upstream, begin);
-  CHECK_FALSE(record.ExceedsCrashLimit(7, begin));
-  record.OnCrash(7, 3, begin);
-  CHECK(record.ExceedsCrashLimit(7, begin));
-  CHECK_FALSE(record.ExceedsCrashLimit(8, begin));
-  CHECK_FALSE(record.ExceedsCrashLimit(7, begin + CrashHistory::kRetention));
-  record.OnCompleted(7);
-  CHECK_FALSE(record.ExceedsCrashLimit(7, begin));
-  for (uint64_t i = 0; i < 2 * CrashHistory::kMaxRequests; ++i)
-    record.OnCrash(100 + i, 1, begin + absl::Milliseconds(int64_t(i)));
-  CHECK(record.size() == CrashHistory::kMaxRequests);
-  record.OnCrash(1, 1, begin + 2 * CrashHistory::kRetention);
-  CHECK(record.size() == 1);
-}
-
 // Load: upstreams come and go in numbers, as in a release, while the size of
 // the service is near the limit of one group.
 TEST_CASE("the number of groups does not follow every change of size") {
--- a/tests/logic/placement_node_test.cc
+++ b/tests/logic/placement_node_test.cc
@@ -483,50 +483,6 @@
   CHECK(static_cast<double>(fleet.bytes_sent) / 5 / kInstances < 4096);
 }
 
-// Guards against a request that crashes one upstream after another because its
-// caller repeats it at any instance.
-TEST_CASE("a request that crashes upstreams is refused at every instance") {
-  struct Case {
-    const char* name;
-    AttemptResult result;
-    bool same_upstream;
-    bool refused;
-  };
-  for (const Case& c : std::vector<Case>{
-           {"three upstreams crashed", AttemptResult::kCrash, false, true},
-           {"one upstream crashed three times", AttemptResult::kCrash, true,
-            false},
-           {"three upstreams failed", AttemptResult::kFault, false, false}}) {
-    INFO(c.name);
-    Fleet fleet(20, c.same_upstream ? 1 : 6, 0);
-    fleet.Run(absl::Seconds(4));
-    const auto submit = [&](InstanceIp ip) {
-      return fleet.members.at(ip)->node.Submit(
-          {.service = "desk",
-           .due = fleet.now + absl::Milliseconds(300),
-           .deadline = fleet.now + absl::Seconds(4),
-           .fingerprint = 77},
-          fleet.now);
-    };
-    std::set<UpstreamKey> used_upstreams;
-    for (InstanceIp ip = 2; ip < 5; ++ip) {
-      const WorkKey key = submit(ip);
-      fleet.Run(absl::Milliseconds(50));
-      REQUIRE(fleet.IsDecided(key));
-      used_upstreams.insert(fleet.members.at(ip)->decisions.at(key).upstream);
-      fleet.members.at(ip)->node.OnEnded(key, c.result, 0, fleet.now);
-    }
-    REQUIRE(used_upstreams.size() == (c.same_upstream ? 1 : 3));
-    const WorkKey key = submit(9);
-    fleet.Run(absl::Milliseconds(200));
-    REQUIRE(fleet.IsDecided(key));
-    const ScheduleDecision& decision = fleet.members.at(9)->decisions.at(key);
-    CHECK((decision.kind == ScheduleDecision::Kind::kRefuse) == c.refused);
-    if (c.refused)
-      CHECK(decision.cause == RefusalCause::kCrashesUpstreams);
-  }
-}
-
 TEST_CASE("malformed datagrams are ignored") {
   CHECK_FALSE(DecodePeerMessage("").has_value());
   CHECK_FALSE(DecodePeerMessage("12345678").has_value());
@@ -597,9 +553,9 @@
   const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
   for (uint64_t i = 1; i <= 200; ++i) {
     const absl::Time at = now - absl::Milliseconds(i);
-    crashing_parts.OnCrash({i, i + 1000}, i << 40, at - absl::Milliseconds(70),
-                           at);
-    crashing_parts.OnStarted({i + 1000}, at);
+    crashing_parts.OnCrash({.parts = {i, i + 1000}, .request = i % 9}, i << 40,
+                           at - absl::Milliseconds(70), at);
+    crashing_parts.OnStarted({.parts = {i + 1000}}, at);
   }
   const CrashEvidence evidence = crashing_parts.Evidence(now);
   REQUIRE_FALSE(evidence.crashes.empty());
@@ -617,14 +573,14 @@
   CHECK(decoded.wants_reply);
   REQUIRE(decoded.evidence.crashes.size() == evidence.crashes.size());
   for (size_t i = 0; i < evidence.crashes.size(); ++i) {
-    CHECK(decoded.evidence.crashes[i].part == evidence.crashes[i].part);
+    CHECK(decoded.evidence.crashes[i].suspect == evidence.crashes[i].suspect);
     CHECK(decoded.evidence.crashes[i].upstream == evidence.crashes[i].upstream);
     CHECK(decoded.evidence.crashes[i].age == evidence.crashes[i].age);
     CHECK(decoded.evidence.crashes[i].wait == evidence.crashes[i].wait);
   }
   REQUIRE(decoded.evidence.starts.size() == evidence.starts.size());
   for (size_t i = 0; i < evidence.starts.size(); ++i) {
-    CHECK(decoded.evidence.starts[i].part == evidence.starts[i].part);
+    CHECK(decoded.evidence.starts[i].suspect == evidence.starts[i].suspect);
     CHECK(decoded.evidence.starts[i].age == evidence.starts[i].age);
   }
 }
@@ -652,12 +608,12 @@
 constexpr PromptPart kCrashingPart = 7;
 constexpr PromptPart kCommonPart = 1;
 
-/** Returns the number of instances that refuse requests with `part`. */
-int Refusing(Fleet& fleet, PromptPart part) {
+/** Returns the number of instances that refuse requests with `suspects`. */
+int Refusing(Fleet& fleet, const CrashSuspects& suspects) {
   int count = 0;
   for (auto& [ip, member] : fleet.members) {
     const absl::Duration left =
-        member->node.crashing_parts().RefusalTimeLeft({part}, fleet.now);
+        member->node.crashing_parts().RefusalTimeLeft(suspects, fleet.now);
     count += left > absl::ZeroDuration() ? 1 : 0;
   }
   return count;
@@ -667,7 +623,7 @@
 void ReportCrash(Fleet& fleet, InstanceIp ip) {
   static UpstreamIncarnation upstream = 0;
   fleet.members.at(ip)->node.ReportCrash(
-      {kCommonPart, kCrashingPart}, ++upstream,
+      {.parts = {kCommonPart, kCrashingPart}}, ++upstream,
       fleet.now - absl::Milliseconds(100), fleet.now);
 }
 
@@ -700,7 +656,7 @@
     const auto run_with_responses = [&fleet](absl::Duration length) {
       for (absl::Time end = fleet.now + length; fleet.now < end;) {
         for (auto& [ip, member] : fleet.members)
-          member->node.ReportPartsStarted({kCommonPart}, fleet.now);
+          member->node.ReportStarted({.parts = {kCommonPart}}, fleet.now);
         fleet.Run(absl::Milliseconds(250));
       }
     };
@@ -715,13 +671,13 @@
     }
     // The bound is three seconds from the fifth crash.
     run_with_responses(absl::Milliseconds(2500));
-    CHECK(Refusing(fleet, kCrashingPart) ==
+    CHECK(Refusing(fleet, {.parts = {kCrashingPart}}) ==
           static_cast<int>(fleet.members.size()));
-    CHECK(Refusing(fleet, kCommonPart) == 0);
+    CHECK(Refusing(fleet, {.parts = {kCommonPart}}) == 0);
 
     fleet.Start(static_cast<InstanceIp>(c.instances + 1));
     run_with_responses(absl::Seconds(2));
-    CHECK(Refusing(fleet, kCrashingPart) ==
+    CHECK(Refusing(fleet, {.parts = {kCrashingPart}}) ==
           static_cast<int>(fleet.members.size()));
 
     fleet.bytes_sent = 0;
@@ -741,17 +697,170 @@
   const absl::Time sent_at = fleet.now - absl::Milliseconds(50);
   for (InstanceIp ip = 1; ip <= 20; ++ip) {
     fleet.members.at(ip)->node.ReportCrash(
-        {kCommonPart, 100 + ip % 4}, UpstreamIncarnation(1000 + ip % 8),
-        sent_at, fleet.now + absl::Milliseconds(ip));
+        {.parts = {kCommonPart, 100 + ip % 4}},
+        UpstreamIncarnation(1000 + ip % 8), sent_at,
+        fleet.now + absl::Milliseconds(ip));
   }
   for (int i = 0; i < 20; ++i) {
     fleet.Run(absl::Milliseconds(250));
     for (PromptPart part : {PromptPart(kCommonPart), PromptPart(100),
                             PromptPart(101), PromptPart(102), PromptPart(103)})
-      CHECK(Refusing(fleet, part) == 0);
+      CHECK(Refusing(fleet, {.parts = {part}}) == 0);
+  }
+}
+
+constexpr RequestFingerprint kRepeatedRequest = 77;
+constexpr RequestFingerprint kSoundRequest = 78;
+
+/** Reports that `upstream` crashed under requests of one instance. */
+void ReportCrashUnder(Fleet& fleet,
+                      InstanceIp ip,
+                      UpstreamIncarnation upstream,
+                      const std::vector<RequestFingerprint>& requests) {
+  for (RequestFingerprint request : requests) {
+    fleet.members.at(ip)->node.ReportCrash({.request = request}, upstream,
+                                           fleet.now - absl::Milliseconds(40),
+                                           fleet.now);
+  }
+}
+
+// Guards against a request that crashes one upstream after another because its
+// caller repeats it at any instance. An instance that requests a placement for
+// it after the third crash learns of it with the decision.
+TEST_CASE("a request that crashes upstreams is refused at every instance") {
+  struct Case {
+    const char* name;
+    std::vector<UpstreamIncarnation> crashed;
+    bool refused;
+  };
+  for (const Case& c : std::vector<Case>{
+           {"three upstreams crashed", {101, 102, 103}, true},
+           {"one incarnation, reported three times", {101, 101, 101}, false},
+           {"two upstreams crashed", {101, 102}, false}}) {
+    INFO(c.name);
+    Fleet fleet(20, 6, 0);
+    fleet.Run(absl::Seconds(4));
+    InstanceIp reporter = 2;
+    for (UpstreamIncarnation upstream : c.crashed) {
+      ReportCrashUnder(fleet, reporter++, upstream, {kRepeatedRequest});
+      fleet.Run(absl::Milliseconds(50));
+    }
+    const WorkKey key = fleet.members.at(9)->node.Submit(
+        {.service = "desk",
+         .due = fleet.now + absl::Seconds(1),
+         .deadline = fleet.now + absl::Seconds(4)},
+        fleet.now);
+    fleet.Run(absl::Milliseconds(200));
+    REQUIRE(fleet.IsDecided(key));
+    const CrashSuspects repeated{.request = kRepeatedRequest};
+    CHECK((fleet.members.at(9)->node.crashing_parts().RefusalTimeLeft(
+               repeated, fleet.now) > absl::ZeroDuration()) == c.refused);
+    fleet.Run(absl::Seconds(2));
+    CHECK(Refusing(fleet, repeated) ==
+          (c.refused ? static_cast<int>(fleet.members.size()) : 0));
+    CHECK(Refusing(fleet, {.request = kSoundRequest}) == 0);
   }
 }
 
+// Guards against a limit on crashes that is forgotten: with the scheduler that
+// learned of it, with a change of the upstreams, or instance by instance.
+TEST_CASE("a request that crashes upstreams stays refused") {
+  enum class Disturbance {
+    kUpstreamsChange,
+    kSchedulerDies,
+    kReceiversDie,
+    kAllRestartInTurn,
+  };
+  struct Case {
+    const char* name;
+    Disturbance disturbance;
+    int instances;
+    double loss;
+  };
+  for (const Case& c : std::vector<Case>{
+           {"upstreams change", Disturbance::kUpstreamsChange, 20, 0},
+           {"the scheduler dies", Disturbance::kSchedulerDies, 20, 0},
+           {"those that hear of it first die", Disturbance::kReceiversDie, 20,
+            0.1},
+           {"all restart in turn", Disturbance::kAllRestartInTurn, 20, 0},
+           {"all restart in turn, one in ten datagrams lost",
+            Disturbance::kAllRestartInTurn, 20, 0.1},
+           {"three instances restart in turn", Disturbance::kAllRestartInTurn,
+            3, 0},
+           {"300 instances, the scheduler dies", Disturbance::kSchedulerDies,
+            300, 0}}) {
+    INFO(c.name);
+    Fleet fleet(c.instances, 6, c.loss);
+    fleet.Run(absl::Seconds(5));
+    for (UpstreamIncarnation crash = 1; crash <= 3; ++crash) {
+      ReportCrashUnder(fleet, 1 + crash % 3, crash, {kRepeatedRequest});
+      fleet.Run(absl::Milliseconds(100));
+    }
+    fleet.Run(absl::Seconds(2));
+    const std::vector<InstanceIp> receivers =
+        fleet.members.begin()->second->node.membership().HelloReceivers(
+            fleet.now);
+    switch (c.disturbance) {
+      case Disturbance::kUpstreamsChange:
+        for (int upstreams : {5, 4, 6, 5, 6}) {
+          for (auto& [ip, member] : fleet.members)
+            fleet.SetUpstreams(ip, upstreams);
+          fleet.Run(absl::Milliseconds(300));
+        }
+        break;
+      case Disturbance::kSchedulerDies:
+        fleet.members.erase(receivers.front());
+        break;
+      case Disturbance::kReceiversDie:
+        for (InstanceIp receiver : receivers)
+          fleet.members.erase(receiver);
+        break;
+      case Disturbance::kAllRestartInTurn:
+        for (int ip = 1; ip <= c.instances; ++ip) {
+          fleet.members.erase(static_cast<InstanceIp>(ip));
+          fleet.Run(absl::Milliseconds(500));
+          fleet.Start(static_cast<InstanceIp>(ip));
+          fleet.Run(absl::Milliseconds(1500));
+        }
+        break;
+    }
+    fleet.Run(absl::Seconds(2));
+    CHECK(Refusing(fleet, {.request = kRepeatedRequest}) ==
+          static_cast<int>(fleet.members.size()));
+  }
+}
+
+// Guards against sound requests that are refused because they died beside the
+// cause: with the same crashes at several instances, and one seen at one only.
+TEST_CASE("a request that died beside the cause is served") {
+  Fleet fleet(20, 6, 0);
+  fleet.Run(absl::Seconds(4));
+  for (UpstreamIncarnation crash = 1; crash <= 3; ++crash) {
+    ReportCrashUnder(fleet, 5, crash, {kRepeatedRequest});
+    ReportCrashUnder(fleet, 6, crash, {kSoundRequest});
+    fleet.Run(absl::Milliseconds(100));
+  }
+  fleet.Run(absl::Seconds(1));
+  CHECK(Refusing(fleet, {.request = kSoundRequest}) == 0);
+  ReportCrashUnder(fleet, 7, 4, {kRepeatedRequest});
+  fleet.Run(absl::Seconds(1));
+  CHECK(Refusing(fleet, {.request = kRepeatedRequest}) == 20);
+  CHECK(Refusing(fleet, {.request = kSoundRequest}) == 0);
+
+  // Blamed wrongly, it is cleared by its next response anywhere.
+  for (UpstreamIncarnation crash = 11; crash <= 14; ++crash) {
+    ReportCrashUnder(fleet, 5, crash, {kSoundRequest});
+    fleet.Run(absl::Milliseconds(100));
+  }
+  fleet.Run(absl::Seconds(1));
+  CHECK(Refusing(fleet, {.request = kSoundRequest}) == 20);
+  fleet.members.at(12)->node.ReportStarted({.request = kSoundRequest},
+                                           fleet.now);
+  fleet.Run(absl::Seconds(1));
+  CHECK(Refusing(fleet, {.request = kSoundRequest}) == 0);
+  CHECK(Refusing(fleet, {.request = kRepeatedRequest}) == 20);
+}
+
 // Guards against an upstream that gets more requests than the limit that it has
 // named to all instances together, also when the scheduler is lost.
 TEST_CASE("all instances together keep the limit that an upstream names") {
