Requests without a body are recognised when they crash upstreams again

Where they are equal, a response to any clears them all, and a request with a recent response needs six crashes. Change: the fingerprint is of method, target, account and body, whatever the body.

--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -56,6 +56,16 @@
                        });
 }
 
+/** Requests that are equal in this cannot be told apart: a response to one
+    clears all. */
+RequestFingerprint RequestFingerprintOf(const std::string& method,
+                                        const std::string& target,
+                                        const std::string& account,
+                                        const std::string& body) {
+  const uint64_t caller = StableHash(account, StableHash(method));
+  return StableHash(body, StableHash(target, caller));
+}
+
 HttpHeaders ForwardedHeaders(const HttpResponseHead& head) {
   HttpHeaders headers;
   const absl::string_view connection = head.headers.Find("Connection");
@@ -133,12 +143,8 @@
   deadline_ = arrived_ + std::min(caller_.time_limit, route_->timeout);
   service_ = PickTarget(
       *route_, std::uniform_real_distribution<double>(0, 1)(state_->random));
-  // Without a body, different requests are often identical in target and
-  // account and cannot be distinguished from repeats of one request.
-  if (!request_.body.empty()) {
-    suspects_.request = StableHash(
-        request_.body, StableHash(request_.target, StableHash(account_)));
-  }
+  suspects_.request = RequestFingerprintOf(request_.method, request_.target,
+                                           account_, request_.body);
   suspects_.parts = caller_.shared_parts;
   telemetry_.OnAdmitted({.route = *route_,
                          .service = service_,
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -205,8 +205,7 @@
   std::string account_;
   std::string service_;
   int priority_ = 0;
-  /** What may be the cause if an upstream ends that runs the request. The whole
-      is identified by account, target and body. */
+  /** What may be the cause if an upstream ends that runs the request. */
   CrashSuspects suspects_;
   absl::Time arrived_;
   absl::Time deadline_;
