A break of a kept connection counts against its request

Cause: a break within 50 ms on a connection that had carried requests was taken for one that the upstream had closed while idle, and nothing was remembered of the request. An upstream that ends at once under a request looks the same. Ruled out: telling them apart by what follows (the next connect refused, other connections that end): it comes after the retry has been sent, and an idle pool has no other connection. Time alone does not tell either: a crash can come within one round trip. Change: it is evidence on the request, which any response clears, and still none on the upstream, whose share it does not lower. Conclusion: a stale connection costs a request one crash of three until it responds.

--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -769,8 +769,12 @@
   unsent_attempts_ += failure.not_sent ? 1 : 0;
   if (failure.not_sent && attempt.charged_at)
     state_->retries.Refund(service_, *attempt.charged_at);
-  if (failure.result == AttemptResult::kCrash &&
-      !attempt.response_start_reported) {
+  // A kept connection that breaks at once may have been closed while idle, or
+  // the upstream has ended under the request. It is evidence on the request,
+  // which a response clears, but none on the upstream.
+  const bool may_be_crash =
+      failure.result == AttemptResult::kCrash || failure.kept_connection;
+  if (may_be_crash && !attempt.response_start_reported) {
     state_->placement->ReportCrash(suspects_, attempt.incarnation,
                                    attempt.sent.sent_at, SteadyNow());
   }
--- a/tests/process/gateway_crashing_request.sh
+++ b/tests/process/gateway_crashing_request.sh
@@ -6,7 +6,8 @@
 ALLOWED=3
 SECONDS_EACH=${SECONDS_EACH:-10}
 
-# begin ROW TARGET: starts a platform whose upstreams crash on TARGET, and three gateways.
+# begin ROW TARGET [MS]: starts a platform whose upstreams crash on TARGET, after MS, and
+# three gateways.
 begin() {
   local i
   ROW=$1 TARGET=$2
@@ -16,8 +17,8 @@
   platform --set "engines=$UPSTREAMS" --set "desks=$UPSTREAMS"
   for i in 1 2 3; do IP=127.0.0.1$i gateway g$i; done
   for i in $(seq "$UPSTREAMS"); do
-    upstream "desk-$i" '"crashing_target":"'"$TARGET"'"'
-    upstream "engine-$i" '"crashing_target":"'"$TARGET"'"'
+    upstream "desk-$i" '"pace_ms":'"${3:-20}"',"crashing_target":"'"$TARGET"'"'
+    upstream "engine-$i" '"pace_ms":'"${3:-20}"',"crashing_target":"'"$TARGET"'"'
   done
   write_addresses
 }
@@ -25,6 +26,14 @@
   for i in 1 2 3; do address g$i callers; done >"$FLEET/callers.new"
   mv "$FLEET/callers.new" "$FLEET/callers"
 }
+# all_desks_serve: true once each desk has served a request of g1, on a connection that it
+# keeps.
+all_desks_serve() {
+  local served
+  served=$(for n in $(seq 6); do call g1 "/again/warm$n" -i -H "Request-Id: warm-$RANDOM$n"; done |
+    sed -n 's/^Response-Stamp: //p' | sort -u | wc -l)
+  [ "$served" -eq "$UPSTREAMS" ]
+}
 # crash_load BODY SECONDS: sends the load; the result is in LOAD.
 crash_load() {
   LOAD=$(node tests/node/crash_load.mjs "$CONTROL" "$FLEET/callers" "$TARGET" "$1" "$2")
@@ -41,19 +50,37 @@
   at_least "$ROW: sound requests served" "$served" $((sent - ALLOWED))
 }
 
-# Each row: name, target, body.
-while IFS='|' read -r name target body; do
-  begin "$name" "$target"
+# Each row: name, target, body, time in ms from a request's arrival to the crash.
+while IFS='|' read -r name target body ms; do
+  begin "$name" "$target" "$ms"
   crash_load "$body" "$SECONDS_EACH"
   holds_bound
   fleet_end
 done <<'ROWS'
-lookup without a body|/again/crash|none
-lookup with a body|/again/crash|look
-booking|/once/crash|book
-stream|/s/crash|prompt
+lookup without a body|/again/crash|none|20
+lookup with a body|/again/crash|look|20
+lookup that crashes at once|/again/crash|none|2
+lookup that crashes late|/again/crash|none|200
+booking|/once/crash|book|20
+stream|/s/crash|prompt|20
 ROWS
 
+# Guards against breaks that are taken for connections which had been closed while idle.
+crashes() { upstream_stats | grep -o '"crashes":[0-9]*' | cut -d: -f2; }
+UPSTREAMS=3
+begin "each end on a kept connection, at once" /again/crash 2
+for round in 1 2 3; do
+  wait_for 5 all_desks_serve
+  for n in $(seq 12); do
+    expect "$ROW: sound" "$(call g1 "/again/sound$n" -H "Request-Id: sound-$round-$n")" 'status=200'
+  done
+  call g1 /again/crash -H "Request-Id: crashing-$round" >/dev/null
+done
+expect "$ROW: on kept connections" "$(log_of g1 send_failed)" 'reason=kept_connection_stale .*kept_connection=1'
+at_most "$ROW: crashes" "$(crashes)" 3
+fleet_end
+UPSTREAMS=6
+
 begin "gateways restart in turn" /again/crash
 crash_load none 13 >"$FLEET/load" &
 load_pid=$!
