A request that crashes upstreams replaces no silent attempt

Ruled out: retries and waiting requests, which ask in RequestPlacement and OnDecision. Change: the replacement and the grant of memory ask too. The silent attempt goes on. The grant of memory to a first attempt has no test of its own. Conclusion: nothing is sent from an instance that knows.

--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -242,17 +242,20 @@
       });
 }
 
+absl::Duration RequestHandler::RefusedFor() const {
+  return state_->placement->crashing_parts().RefusalTimeLeft(suspects_,
+                                                             SteadyNow());
+}
+
 bool RequestHandler::RefuseIfCrashing() {
-  const absl::Time now = SteadyNow();
-  const absl::Duration refused_for =
-      state_->placement->crashing_parts().RefusalTimeLeft(suspects_, now);
+  const absl::Duration refused_for = RefusedFor();
   if (refused_for == absl::ZeroDuration())
     return false;
   EndAttempt(AttemptResult::kCancelled, 0);
   telemetry_.OnRefused({.kind = ScheduleDecision::Kind::kRefuse,
                         .cause = RefusalCause::kCrashesUpstreams,
                         .retry_after = refused_for},
-                       state_->placement->membership().self(), now);
+                       state_->placement->membership().self(), SteadyNow());
   RespondUnavailable("crashes_upstreams", refused_for);
   return true;
 }
@@ -370,6 +373,7 @@
 
 bool RequestHandler::CanReplace(const ScheduleDecision& decision) const {
   return decision.kind == ScheduleDecision::Kind::kAssign &&
+         RefusedFor() == absl::ZeroDuration() &&
          state_->FindOpen(decision.upstream, SteadyNow()) &&
          TimeLeft() >= kMinTimeLeft &&
          (stream_started_ ||
@@ -493,7 +497,8 @@
       return;
     self->telemetry_.OnMemoryReservation(decision.memory.size(), granted);
     if (granted) {
-      self->SendCurrent(upstream, decision);
+      if (!self->RefuseIfCrashing())
+        self->SendCurrent(upstream, decision);
       return;
     }
     self->EndAttempt(AttemptResult::kCancelled, 0);
--- a/modules/gateway/request_handler.h
+++ b/modules/gateway/request_handler.h
@@ -90,6 +90,9 @@
                           const ResponseClassification& response);
   /** Submits the request to the scheduler under a new key, as `attempt`. */
   void SubmitToScheduler(Attempt* attempt);
+  /** Returns for how long the request is refused because it crashes upstreams;
+      zero if it is not. */
+  absl::Duration RefusedFor() const;
   /** Ends the request and returns true if it crashes upstreams, as a whole or
       with a part of its prompt. */
   bool RefuseIfCrashing();
@@ -168,8 +171,8 @@
       where it has to be. The first of the two to send an event, or a complete
       response, is used, and the other cancelled. */
   void OnReplacement(const ScheduleDecision& decision, InstanceIp scheduler);
-  /** Returns whether `decision` names an upstream that can replace the one that
-      is silent. */
+  /** Returns whether the request may be sent to the upstream that `decision`
+      names, in place of the one that is silent. */
   bool CanReplace(const ScheduleDecision& decision) const;
   void SendReplacement(const ScheduleDecision& decision);
   /** Called when the replacement responds: ends the silent attempt. */
--- a/tests/logic/request_handler_test.cc
+++ b/tests/logic/request_handler_test.cc
@@ -229,6 +229,7 @@
     request.headers.Add("Host", "h");
     request.headers.Add("Request-Id", "r1");
     request.headers.Add("Token-Count", "100,10");
+    request.headers.Add("Prefix-Hash", "7:90,8:10");
     const auto handler = std::make_shared<RequestHandler>(&state_);
     handler->Start(std::move(request), &writer);
     if (stopping_for_)
@@ -237,6 +238,8 @@
     while (writer.outcome.empty() && SteadyNow() - begin < absl::Seconds(9)) {
       loop.run_one_for(std::chrono::milliseconds(20));
       placement_.Tick(SteadyNow());
+      if (SteadyNow() - begin >= crashes_known_after_)
+        LearnOfCrashes();
       if (SteadyNow() - begin < stop_after)
         continue;
       const std::vector<RequestHandler*> requests(state_.requests.begin(),
@@ -251,6 +254,12 @@
       then. */
   void StopDuringNextRequest(absl::Duration before) { stopping_for_ = before; }
 
+  /** Makes this instance learn, `after` the next request has arrived, that a
+      part of its prompt has crashed three upstreams elsewhere. */
+  void LearnOfCrashesDuringNextRequest(absl::Duration after) {
+    crashes_known_after_ = after;
+  }
+
   /** Returns the retries to the engines that are charged or reserved. */
   RetryWindow::Budget RetryBudget() {
     return state_.retries.BudgetOf("engines", /*instances=*/1, SteadyNow());
@@ -274,6 +283,16 @@
   asio::io_context loop;
 
  private:
+  void LearnOfCrashes() {
+    crashes_known_after_ = absl::InfiniteDuration();
+    const absl::Time now = SteadyNow();
+    for (const int seconds : {4, 3, 2}) {
+      const absl::Time at = now - absl::Seconds(seconds);
+      placement_.ReportCrash({.parts = {7}}, UpstreamIncarnation(seconds),
+                             at - absl::Milliseconds(100), at);
+    }
+  }
+
   const HeaderCodec codec_;
   PlacementNode placement_;
   EventLog log_;
@@ -282,6 +301,7 @@
   int decisions_ = 0;
   bool needs_memory_ = false;
   std::optional<absl::Duration> stopping_for_;
+  absl::Duration crashes_known_after_ = absl::InfiniteDuration();
 };
 
 std::string Events(int first, int last) {
@@ -401,6 +421,29 @@
   }
 }
 
+// Guards against a request that crashes upstreams and is sent to one more, in
+// place of a silent one, after this instance has learned of it.
+TEST_CASE("a request that crashes upstreams replaces no silent attempt") {
+  for (const bool needs_memory : {false, true}) {
+    INFO("needs memory " << needs_memory);
+    OneInstance instance;
+    ScriptedEngines engines(instance.loop,
+                            {{{kPause, Head("a") + Event(0) + kEnd}}});
+    ScriptedUpstream holder(
+        instance.loop,
+        std::vector<std::string>(
+            9, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+        Ending::kOpen);
+    instance.SetUpstreams(engines.addresses());
+    if (needs_memory)
+      instance.SetMemoryHolder(EndpointText(holder.address()));
+    instance.LearnOfCrashesDuringNextRequest(absl::Milliseconds(300));
+    const RecordingWriter writer = instance.Handle();
+    CHECK(writer.outcome == "whole");
+    CHECK(engines.requests() == 1);
+  }
+}
+
 // Guards against a request that a stop did not know of: the scheduler no longer
 // knew its attempt, which had gone on after its replacement had failed.
 TEST_CASE("a stop ends a silent attempt whose replacement has failed") {
