A scheduler without requests keeps what it knows of its upstreams

Cause: SchedulerGroups dropped each scheduler that had no requests whenever the list of upstreams changed, and with it which upstreams fail, rest at capacity or were used last. An upstream that ends or returns changes the list each time. Ruled out: that upstreams which are gone stay for good: the table drops those without load itself. Change: only the scheduler of a group that no longer exists is dropped.

--- a/modules/decisions/scheduler_groups.cc
+++ b/modules/decisions/scheduler_groups.cc
@@ -41,8 +41,10 @@
   group_counts_.clear();
   for (const auto& [service, size] : sizes)
     group_counts_[service] = GroupCountFor(size, preferred);
-  std::erase_if(schedulers_, [](const auto& entry) {
-    return entry.second.waiting() == 0 && entry.second.running() == 0;
+  const uint32_t groups = group_count();
+  std::erase_if(schedulers_, [groups](const auto& entry) {
+    return entry.first >= groups && entry.second.waiting() == 0 &&
+           entry.second.running() == 0;
   });
   for (auto& [group, scheduler] : schedulers_)
     scheduler.SetUpstreams(UpstreamsOf(group));
--- a/modules/decisions/scheduler_groups.h
+++ b/modules/decisions/scheduler_groups.h
@@ -32,8 +32,8 @@
   /** Groups that have become smaller than this on average are merged. */
   static constexpr size_t kMinGroupSize = 32;
 
-  /** Replaces the upstreams and partitions them into groups. Groups that have
-      no waiting or running requests drop their scheduler. */
+  /** Replaces the upstreams and partitions them into groups. The scheduler of a
+      group that no longer exists is dropped once it has no requests. */
   void SetUpstreams(const std::vector<UpstreamSpec>& upstreams);
   /** Sets the number of groups that the fleet uses, as another instance has
       announced it. Services that are too small or too large for it have the
--- a/tests/logic/fleet_scheduler_test.cc
+++ b/tests/logic/fleet_scheduler_test.cc
@@ -485,6 +485,42 @@
   }
 }
 
+// Guards against a scheduler that forgets which upstreams fail as soon as the
+// list of upstreams changes while it has no requests.
+TEST_CASE("failing upstreams are still avoided after the upstreams change") {
+  for (const UpstreamKey failing : {1, 2, 3}) {
+    INFO("upstream " << failing << " fails");
+    SchedulerGroups groups;
+    const auto spec = [](UpstreamKey key) {
+      return UpstreamSpec{.key = key, .service = "desk", .slots = 1};
+    };
+    groups.SetUpstreams({spec(1), spec(2), spec(3)});
+    const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+    uint64_t sequence = 0;
+    const auto place = [&] {
+      const WorkKey key{1, ++sequence};
+      groups.Submit({.key = key,
+                     .service = "desk",
+                     .due = now + absl::Seconds(1),
+                     .deadline = now + absl::Seconds(4)});
+      const auto decisions = groups.Run(now);
+      REQUIRE(decisions.size() == 1);
+      return std::pair(key, decisions[0].upstream);
+    };
+    for (int i = 0; i < 12; ++i) {
+      const auto [key, upstream] = place();
+      groups.OnEnded(
+          key,
+          upstream == failing ? AttemptResult::kFault : AttemptResult::kDone, 0,
+          now);
+    }
+    REQUIRE(groups.running() == 0);
+    groups.SetUpstreams({spec(1), spec(2), spec(3), spec(4)});
+    for (int i = 0; i < 3; ++i)
+      CHECK(place().second != failing);
+  }
+}
+
 TEST_CASE("upstreams of a large service are partitioned into groups") {
   struct Case {
     size_t upstreams;
