--- a/modules/decisions/crashing_request_tracker.cc
+++ b/modules/decisions/crashing_request_tracker.cc
@@ -12,24 +12,39 @@
   return ++count.deaths;
 }
 
-bool CrashingRequestTracker::OnCompleted(uint64_t fingerprint, absl::Time now) {
+uint32_t CrashingRequestTracker::Clear(uint64_t fingerprint, absl::Time now) {
   auto found = counts_.find(fingerprint);
   if (found == counts_.end())
-    return false;
-  auto own_count = found->second.find(instance_);
-  if (own_count == found->second.end() || own_count->second.deaths == 0)
-    return false;
-  own_count->second = {.deaths = 0, .updated_at = now};
-  return true;
+    return 0;
+  uint32_t deaths = 0;
+  for (auto& [instance, count] : found->second) {
+    deaths += count.deaths;
+    count = {.deaths = 0, .updated_at = now};
+  }
+  return deaths;
 }
 
-void CrashingRequestTracker::OnCountReceived(uint64_t fingerprint,
+bool CrashingRequestTracker::OnCompleted(uint64_t fingerprint, absl::Time now) {
+  return Clear(fingerprint, now) > 0;
+}
+
+bool CrashingRequestTracker::OnCountReceived(uint64_t fingerprint,
                                              const std::string& instance,
                                              uint32_t deaths,
                                              absl::Time now) {
   if (instance == instance_)
-    return;
-  counts_[fingerprint][instance] = {.deaths = deaths, .updated_at = now};
+    return false;
+  if (deaths > 0) {
+    counts_[fingerprint][instance] = {.deaths = deaths, .updated_at = now};
+    return false;
+  }
+  auto found = counts_.find(fingerprint);
+  if (found == counts_.end())
+    return false;
+  auto own = found->second.find(instance_);
+  const bool had_own = own != found->second.end() && own->second.deaths > 0;
+  Clear(fingerprint, now);
+  return had_own;
 }
 
 uint32_t CrashingRequestTracker::Deaths(uint64_t fingerprint,
--- a/modules/decisions/crashing_request_tracker.h
+++ b/modules/decisions/crashing_request_tracker.h
@@ -13,8 +13,8 @@
     requests that crash the upstreams they run on.
 
     Each instance counts the deaths that it observes and receives the counts of
-    the others by gossip; the sum is what matters. A completed run clears the
-    count of this instance, so that requests which merely ran on the same
+    the others by gossip; the sum is what matters. A completed run at any
+    instance clears all counts, so that requests which merely ran on the same
     upstream as a crashing one are not refused. Not thread-safe.
     @see GossipNode */
 class CrashingRequestTracker {
@@ -30,12 +30,15 @@
       @returns the new count of this instance, to be announced to the others */
   uint32_t OnDeath(uint64_t fingerprint, absl::Time now);
 
-  /** Clears the count of this instance after a completed run.
-      @returns true when the count was not zero */
+  /** Clears the counts of all instances after a completed run.
+      @returns true when one was not zero: a count of 0 is to be announced */
   bool OnCompleted(uint64_t fingerprint, absl::Time now);
 
-  /** Applies the count of another instance; one of this instance is ignored. */
-  void OnCountReceived(uint64_t fingerprint,
+  /** Applies the count of another instance; one of this instance is ignored. A
+      count of 0 means that the request completed there and clears all counts.
+      @returns true when this cleared the count of this instance, which is then
+      to be announced */
+  bool OnCountReceived(uint64_t fingerprint,
                        const std::string& instance,
                        uint32_t deaths,
                        absl::Time now);
@@ -55,6 +58,9 @@
     absl::Time updated_at;
   };
 
+  /** Clears all counts of `fingerprint`; returns the sum that they had. */
+  uint32_t Clear(uint64_t fingerprint, absl::Time now);
+
   std::string instance_;
   absl::flat_hash_map<uint64_t, absl::flat_hash_map<std::string, Count>>
       counts_;
--- a/modules/decisions/dispatcher.cc
+++ b/modules/decisions/dispatcher.cc
@@ -131,7 +131,10 @@
                                       const std::string& instance,
                                       uint32_t deaths,
                                       absl::Time now) {
-  crash_tracker_.OnCountReceived(fingerprint, instance, deaths, now);
+  const bool was_cleared =
+      crash_tracker_.OnCountReceived(fingerprint, instance, deaths, now);
+  if (was_cleared && listener_ != nullptr)
+    listener_->OnDeathCountChanged(fingerprint, 0);
 }
 
 RequestQueue& Dispatcher::QueueOf(const RequestSpec& spec) {
