--- a/tests/logic/placement_node_test.cc
+++ b/tests/logic/placement_node_test.cc
@@ -861,6 +861,41 @@
   CHECK(Refusing(fleet, {.request = kRepeatedRequest}) == 20);
 }
 
+// Load pattern: racks fail one after the other, under hundreds of requests of
+// all instances; most respond at their next attempt, some are not repeated, and
+// one is repeated and crashes more upstreams.
+TEST_CASE("evidence on many crashes stays within the control traffic") {
+  constexpr int kInstances = 340;
+  Fleet fleet(kInstances, 6, 0.01);
+  fleet.Run(absl::Seconds(5));
+  fleet.bytes_sent = 0;
+  RequestFingerprint request = 1000;
+  UpstreamIncarnation upstream = 500;
+  std::vector<std::pair<InstanceIp, RequestFingerprint>> retried;
+  for (int second = 0; second < 10; ++second) {
+    for (const auto& [ip, fingerprint] : retried)
+      fleet.members.at(ip)->node.ReportStarted({.request = fingerprint},
+                                               fleet.now);
+    retried.clear();
+    for (int i = 0; i < 60; ++i) {
+      const InstanceIp ip = 1 + (second * 60 + i * 7) % kInstances;
+      ReportCrashUnder(fleet, ip, upstream + i / 4, {++request});
+      if (i % 3 != 0)
+        retried.emplace_back(ip, request);
+    }
+    ReportCrashUnder(fleet, 9, upstream, {kRepeatedRequest});
+    upstream += 15;
+    fleet.Run(absl::Seconds(1));
+  }
+  CHECK(Refusing(fleet, {.request = kRepeatedRequest}) == kInstances);
+  CHECK(Refusing(fleet, {.request = kSoundRequest}) == 0);
+  const double per_instance =
+      static_cast<double>(fleet.bytes_sent) / 10 / kInstances;
+  INFO("bytes a second and instance: " << per_instance);
+  CHECK(per_instance < 4096);
+  CHECK(fleet.largest <= kMaxDatagramBytes);
+}
+
 // Guards against an upstream that gets more requests than the limit that it has
 // named to all instances together, also when the scheduler is lost.
 TEST_CASE("all instances together keep the limit that an upstream names") {
