CrashingParts: who is to blame and what is refused are two functions; a metric

Ruled out: none. Change: Causes() and Update(); chicory_refused_requests; comments set in line. Figures: 43 logic tests of crashes, parts, evidence and requests pass, as before.

--- a/modules/decisions/crashing_parts.cc
+++ b/modules/decisions/crashing_parts.cc
@@ -207,48 +207,53 @@
   return candidates;
 }
 
-void CrashingParts::Update(absl::Time now) {
-  if (now < next_update_)
-    return;
-  next_update_ = now + kUpdateInterval;
-  RemoveExpired(now);
-  refusals_.clear();
+std::vector<CrashingParts::Candidate> CrashingParts::Causes() const {
+  std::vector<Candidate> causes;
   absl::flat_hash_set<UpstreamIncarnation> explained;
   // Crashes are not explained by suspects of the same rank.
   absl::flat_hash_set<UpstreamIncarnation> explained_by_rank;
   std::tuple<size_t, int64_t, int64_t> rank;
-  // The refusal of parts for each set of crashes that is explained.
-  std::map<std::vector<UpstreamIncarnation>, Refusal> refusals_of_parts;
-  // Sets of crashes that are explained by a request.
-  std::set<std::vector<UpstreamIncarnation>> of_requests;
-  for (const Candidate& candidate : Candidates()) {
-    const bool is_request =
-        candidate.suspect.kind == CrashSuspect::Kind::kRequest;
+  for (Candidate& candidate : Candidates()) {
     if (candidate.Rank() != rank)
       explained.insert(explained_by_rank.begin(), explained_by_rank.end());
     rank = candidate.Rank();
     if (CountCrashes(candidate.crashes, explained) < candidate.limit)
       continue;
-    if (!is_request && now - candidate.crashes.front().at < kDecisionDelay)
-      continue;
-    std::vector<UpstreamIncarnation> crashed;
     for (const Crash& crash : candidate.crashes)
+      explained_by_rank.insert(crash.upstream);
+    causes.push_back(std::move(candidate));
+  }
+  return causes;
+}
+
+void CrashingParts::Update(absl::Time now) {
+  if (now < next_update_)
+    return;
+  next_update_ = now + kUpdateInterval;
+  RemoveExpired(now);
+  refusals_.clear();
+  // The refusal of parts for each set of crashes, and those of requests.
+  std::map<std::vector<UpstreamIncarnation>, Refusal> of_parts;
+  std::set<std::vector<UpstreamIncarnation>> of_requests;
+  for (const Candidate& cause : Causes()) {
+    std::vector<UpstreamIncarnation> crashed;
+    for (const Crash& crash : cause.crashes)
       crashed.push_back(crash.upstream);
-    explained_by_rank.insert(crashed.begin(), crashed.end());
     std::sort(crashed.begin(), crashed.end());
-    const absl::Time last_crash = candidate.crashes.back().at;
-    if (is_request) {
+    const absl::Time last_crash = cause.crashes.back().at;
+    if (cause.suspect.kind == CrashSuspect::Kind::kRequest) {
       of_requests.insert(std::move(crashed));
-      refusals_.push_back(
-          {.request = candidate.suspect.id,
-           .until = last_crash + RequestRefusalTime(candidate)});
+      refusals_.push_back({.request = cause.suspect.id,
+                           .until = last_crash + RequestRefusalTime(cause)});
       continue;
     }
-    Refusal& refusal = refusals_of_parts[std::move(crashed)];
-    refusal.parts.push_back(candidate.suspect.id);
+    if (now - cause.crashes.front().at < kDecisionDelay)
+      continue;
+    Refusal& refusal = of_parts[std::move(crashed)];
+    refusal.parts.push_back(cause.suspect.id);
     refusal.until = last_crash + kRefusalTime;
   }
-  for (auto& [crashed, refusal] : refusals_of_parts) {
+  for (auto& [crashed, refusal] : of_parts) {
     // The request holds all these parts, and others may hold some of them.
     if (of_requests.contains(crashed))
       continue;
--- a/modules/decisions/crashing_parts.h
+++ b/modules/decisions/crashing_parts.h
@@ -82,9 +82,9 @@
       it: upstreams that fail together, such as those of a rack, have one cause.
 
     Instances exchange their evidence; the order in which it arrives does not
-    matter. Of a request that was at a single crash only the instance that saw
-   it and those it reported to know: most such requests are never repeated.
-   Times are passed in. Not thread-safe.
+    matter. A request that was at a single crash is known only to the instance
+    that saw it and to those it reported to: most are never repeated. Times are
+    passed in. Not thread-safe.
 
     @see PlacementNode */
 class CrashingParts {
@@ -145,9 +145,9 @@
   CrashEvidence Evidence(absl::Time now, const CrashSuspects& first = {}) const;
   /** Adds the evidence of another instance. */
   void Merge(const CrashEvidence& evidence, absl::Time now);
-  /** Returns a hash of the crashes that no response has followed, but for those
-      of requests with a single one; 0 if there are none. Instances with the
-     same evidence have the same. */
+  /** Returns a hash of the crashes that no response has followed, without those
+      of requests that were at a single one; 0 if there are none. Instances with
+      the same evidence have the same. */
   uint32_t digest() const { return digest_; }
   /** Returns the number of suspects. */
   size_t size() const { return rows_.size(); }
@@ -195,9 +195,12 @@
   static bool IsShared(const CrashSuspect& suspect, size_t open);
   /** Returns all suspects with enough crashes, the most likely first. */
   std::vector<Candidate> Candidates() const;
-  /** Adds to the limits of requests that shared each crash with another request
-      of as many crashes. */
+  /** Sets the limits of requests that shared each crash with another request of
+      as many crashes to kMaxCrashesIfDoubtful. */
   static void RaiseLimits(std::vector<Candidate>* candidates);
+  /** Returns those candidates whose crashes no other candidate explains. */
+  std::vector<Candidate> Causes() const;
+  /** Returns how long after its last crash a request is refused. */
   static absl::Duration RequestRefusalTime(const Candidate& candidate);
   /** Decides anew what is refused, if that may have changed. */
   void Update(absl::Time now);
--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -395,6 +395,11 @@
 }
 
 std::string Gateway::Metrics() {
+  const auto refused_requests = static_cast<size_t>(
+      std::count_if(refusals_.begin(), refusals_.end(),
+                    [](const CrashingParts::Refusal& refusal) {
+                      return refusal.request != 0;
+                    }));
   return metrics_.Exposition(
       {.in_flight = state_.requests.size(),
        .live_instances = placement_.membership().LiveInstances(SteadyNow()),
@@ -402,7 +407,8 @@
        .scheduler_running = placement_.scheduler().running(),
        .configuration_version = state_.table ? state_.table->version() : 0,
        .upstreams = state_.upstreams.size(),
-       .refused_parts = refusals_.size(),
+       .refused_parts = refusals_.size() - refused_requests,
+       .refused_requests = refused_requests,
        .limited_upstreams =
            placement_.scheduler().limits().limited(SteadyNow()),
        .log_lines_dropped = log_.dropped()});
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -126,7 +126,8 @@
   /** Logs a change of the scheduling instance or of the number of live
       instances. */
   void LogMembershipChange(absl::Time now);
-  /** Logs which parts of prompts are refused from now on, or no longer. */
+  /** Logs which requests and parts of prompts are refused from now on, or no
+      longer. */
   void LogRefusals(absl::Time now);
   /** Performs the periodic work and schedules the next tick. */
   void Tick();
--- a/modules/gateway/gateway_metrics.h
+++ b/modules/gateway/gateway_metrics.h
@@ -59,6 +59,7 @@
     uint64_t configuration_version = 0;
     size_t upstreams = 0;
     size_t refused_parts = 0;
+    size_t refused_requests = 0;
     size_t limited_upstreams = 0;
     int64_t log_lines_dropped = 0;
   };
