A comment on fingerprints in plainer words

Cause: its turn of phrase made a newcomer stop. Ruled out: none. Change: one comment. Conclusion: no behaviour changes.

--- a/modules/gateway/request_handler.cc
+++ b/modules/gateway/request_handler.cc
@@ -56,8 +56,8 @@
                        });
 }
 
-/** Requests that are equal in this cannot be told apart: a response to one
-    clears all. */
+/** Requests that are equal in these count as repeats of one request, and a
+    response to one of them clears all. */
 RequestFingerprint RequestFingerprintOf(const std::string& method,
                                         const std::string& target,
                                         const std::string& account,
