--- a/review/stand_ins_2/harness.cc
+++ b/review/stand_ins_2/harness.cc
@@ -246,18 +246,26 @@
     std::cerr << "cannot listen on " << ip << "\n";
     std::exit(static_cast<int>(Outcome::kNotRun));
   }
+  fd_ = fd;
   port_ = PortOf(fd, /*is_peer=*/false);
   std::thread([fd, handler = std::move(handler)] {
     while (true) {
       const int accepted = ::accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
       if (accepted < 0)
-        continue;
+        return;
       SetNoDelay(accepted);
       std::thread(handler, std::make_shared<Connection>(accepted)).detach();
     }
   }).detach();
 }
 
+void Listener::Close() {
+  const int fd = fd_.exchange(-1);
+  // Ends the accept() of the thread.
+  ::shutdown(fd, SHUT_RDWR);
+  ::close(fd);
+}
+
 Store::Store()
     : listener_(std::make_unique<Listener>(
           kStoreIp,
@@ -424,11 +432,25 @@
   listener_ = std::make_unique<Listener>(
       kStoreIp,
       [this](const std::shared_ptr<Connection>& connection) {
+        {
+          const std::lock_guard<std::mutex> lock(mutex_);
+          connections_.push_back(connection);
+        }
         Serve(connection.get());
+        ::shutdown(connection->fd(), SHUT_RDWR);
       },
       options_.slow_read_s > 0 ? kSmallBuffer : 0);
 }
 
+void Worker::Crash() {
+  if (has_crashed_.exchange(true))
+    return;
+  listener_->Close();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const std::shared_ptr<Connection>& connection : connections_)
+    ::shutdown(connection->fd(), SHUT_RDWR);
+}
+
 std::string Worker::Entry(const std::string& service, int slots) const {
   return R"({"service":")" + service + R"(","address":")" + kStoreIp + ":" +
          std::to_string(port()) +
@@ -456,6 +478,8 @@
     }
     arrived_(options_.id, *request);
     SleepFor(options_.work_s);
+    if (has_crashed_)
+      return;
     const std::string fields = echo + "Response-Stamp: " + options_.id + "." +
                                id + "\r\nKeep-Alive: timeout=20\r\n";
     if (!connection->Send(Answer(200, "OK", fields, options_.id)))
--- a/review/stand_ins_2/harness.h
+++ b/review/stand_ins_2/harness.h
@@ -99,8 +99,11 @@
            Handler handler,
            int receive_buffer_bytes = 0);
   int port() const { return port_; }
+  /** Closes the port, so that further connections are refused. */
+  void Close();
 
  private:
+  std::atomic<int> fd_{-1};
   int port_ = 0;
 };
 
@@ -177,6 +180,9 @@
       std::function<void(const std::string& worker, const Message& request)>;
   Worker(Options options, Arrived arrived);
   int port() const { return listener_->port(); }
+  /** Ends the worker as a crash does: its port and all its connections close.
+   */
+  void Crash();
   /** Returns the entry with which the worker registers. */
   std::string Entry(const std::string& service, int slots) const;
 
@@ -185,6 +191,9 @@
 
   const Options options_;
   const Arrived arrived_;
+  std::atomic<bool> has_crashed_{false};
+  std::mutex mutex_;
+  std::vector<std::shared_ptr<Connection>> connections_;
   std::unique_ptr<Listener> listener_;
 };
 
