--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -2,5 +2,5 @@
 # Runs the case; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if
 # the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review-2/smuggled_request ] && [ -x target/chicory_gateway ] || exit 2
-RECORD=review/8/record.txt exec timeout -s KILL 115 target/review-2/smuggled_request
+[ -x target/review-2/crashing_copies ] && [ -x target/chicory_gateway ] || exit 2
+RECORD=review/8/record.txt exec timeout -s KILL 115 target/review-2/crashing_copies
--- a/review/stand_ins_2/harness.cc
+++ b/review/stand_ins_2/harness.cc
@@ -481,7 +481,8 @@
     if (has_crashed_)
       return;
     const std::string fields = echo + "Response-Stamp: " + options_.id + "." +
-                               id + "\r\nKeep-Alive: timeout=20\r\n";
+                               id + "\r\nKeep-Alive: timeout=20\r\n" +
+                               (options_.fields ? options_.fields() : "");
     if (!connection->Send(Answer(200, "OK", fields, options_.id)))
       return;
   }
--- a/review/stand_ins_2/harness.h
+++ b/review/stand_ins_2/harness.h
@@ -174,6 +174,8 @@
     double slow_read_s = 0;
     /** Called when the head of a request has been read; may be empty. */
     std::function<void(const Message&)> on_head;
+    /** Returns header fields that all answers carry; may be empty. */
+    std::function<std::string()> fields = nullptr;
   };
   /** Called when a request has arrived in full, which then runs. */
   using Arrived =
