--- a/review/7/cut_watchers.cc
+++ b/review/7/cut_watchers.cc
@@ -29,7 +29,7 @@
          "header-timeout-ms":5000,"idle-timeout-ms":30000}})";
 }
 
-/** What one request met. */
+/** A request that a caller sent. */
 struct Sent {
   double at = 0;
   int machine = 0;
--- a/review/stand_ins_2/harness.cc
+++ b/review/stand_ins_2/harness.cc
@@ -28,7 +28,6 @@
 constexpr int kBacklog = 256;
 constexpr size_t kReadBytes = 32 << 10;
 constexpr int kPollMs = 5;
-/** Fixed, so that the thread of a listener may outlive the case. */
 constexpr char kStoreIp[] = "127.0.0.1";
 
 std::vector<Gateway*> all_gateways;
