A reset during the upload does not complete a response

The upstream had answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was being written.

Cause: Linux reports a reset to one operation only. If the write meets it first, reads return an end of file like that of an orderly close, which completes a body without a length. The write's error was dropped.

Ruled out: bodies with a length or in chunks (an end of file is malformed there), a reset that the read meets first (ECONNRESET, seen in strace), short uploads (written before the reset), and the entry, whose library gives up at a failed write. An error of TCP_USER_TIMEOUT is lost in the same way.

Change: after a failed write an end of file fails the exchange.

Why it works: the kernel hands the error either to the read, which fails, or to a write, whose handler runs before that of a later read on the same loop.

--- a/modules/net/http_client_connection.cc
+++ b/modules/net/http_client_connection.cc
@@ -34,6 +34,7 @@
   parser_.emplace(head_only);
   unparsed_.clear();
   request_written_ = false;
+  write_failed_ = false;
   is_paused_ = false;
   ++exchange_count_;
   if (closed_) {
@@ -83,8 +84,8 @@
                         return;
                       // After a failed write the response may still arrive, so
                       // the read decides how the exchange ends.
-                      if (!error)
-                        self->request_written_ = true;
+                      self->request_written_ = !error;
+                      self->write_failed_ = !!error;
                       // Kept connections would otherwise keep their last
                       // request.
                       std::string().swap(self->request_);
@@ -123,12 +124,16 @@
     Close();
     return;
   }
-  if (error == asio::error::eof) {
-    parser_->FeedEof();
-    closed_ = true;
-  } else if (error) {
+  // A reset is reported only once. If the write meets it first, reads end as if
+  // the peer had closed the connection in good order.
+  const bool is_orderly_end = error == asio::error::eof && !write_failed_;
+  if (error && !is_orderly_end) {
     Fail(Failure::kBroken);
     return;
+  }
+  if (is_orderly_end) {
+    parser_->FeedEof();
+    closed_ = true;
   } else {
     Feed(absl::string_view(read_buffer_.data(), count));
   }
--- a/modules/net/http_client_connection.h
+++ b/modules/net/http_client_connection.h
@@ -110,6 +110,7 @@
   bool connected_ = false;
   bool closed_ = false;
   bool request_written_ = false;
+  bool write_failed_ = false;
   bool reading_ = false;
   bool is_paused_ = false;
   bool has_surplus_bytes_ = false;
--- a/tests/logic/scripted_upstream.h
+++ b/tests/logic/scripted_upstream.h
@@ -5,7 +5,9 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <optional>
 #include <string>
 #include <utility>
@@ -16,9 +18,26 @@
 
 namespace chicory {
 
-/** How an upstream ends its connection after its response. With kRepeat it
-    repeats the end of the response without end instead. */
-enum class Ending { kOpen, kClose, kReset, kRepeat };
+/** How an upstream ends its connection after its response. */
+enum class Ending {
+  kOpen,
+  kClose,
+  kReset,
+  /** Ends its own direction only and reads on. */
+  kHalfClose,
+  /** Repeats the end of the response without end. */
+  kRepeat
+};
+
+/** When an upstream responds to its last request. */
+enum class ResponseTime {
+  kAfterRequest,
+  /** Once the head has arrived; the body is not read. */
+  kAfterHead,
+  /** The same, but once the sockets' buffers are full of the body. Ends the
+      connection once the response has been read. */
+  kOnceBlocked
+};
 
 /** Bytes at the end of a response that kRepeat repeats. */
 constexpr size_t kRepeatedBytes = 8192;
@@ -30,18 +49,23 @@
  public:
   ScriptedUpstream(boost::asio::io_context& loop,
                    std::string response,
-                   Ending ending)
+                   Ending ending,
+                   ResponseTime response_time = ResponseTime::kAfterRequest)
       : ScriptedUpstream(loop,
                          std::vector<std::string>{std::move(response)},
-                         ending) {}
+                         ending,
+                         response_time) {}
 
   ScriptedUpstream(boost::asio::io_context& loop,
                    std::vector<std::string> responses,
-                   Ending ending)
+                   Ending ending,
+                   ResponseTime response_time = ResponseTime::kAfterRequest)
       : acceptor_(loop, {boost::asio::ip::address_v4::loopback(), 0}),
         socket_(loop),
+        timer_(loop),
         responses_(std::move(responses)),
-        ending_(ending) {
+        ending_(ending),
+        response_time_(response_time) {
     acceptor_.async_accept(socket_,
                            [this](const boost::system::error_code& error) {
                              if (!error)
@@ -56,10 +80,30 @@
 
  private:
   void AwaitRequest() {
-    parser_.emplace(HttpRequestParser::Options{});
+    parser_.emplace(HttpRequestParser::Options{.max_body_bytes = 64 << 20});
     Read();
   }
 
+  bool HasRequest() const {
+    const bool is_early = response_time_ != ResponseTime::kAfterRequest &&
+                          next_ + 1 == responses_.size();
+    return parser_->state() != ParseState::kNeedMore ||
+           (is_early && parser_->awaits_body());
+  }
+
+  /** Calls `step`, after a while if the caller is to be blocked first. */
+  void RunInTime(void (ScriptedUpstream::*step)()) {
+    if (response_time_ != ResponseTime::kOnceBlocked) {
+      (this->*step)();
+      return;
+    }
+    timer_.expires_after(std::chrono::milliseconds(50));
+    timer_.async_wait([this, step](const boost::system::error_code& error) {
+      if (!error)
+        (this->*step)();
+    });
+  }
+
   void Read() {
     socket_.async_read_some(
         boost::asio::buffer(buffer_),
@@ -68,10 +112,10 @@
             return;
           unparsed_.append(buffer_.data(), count);
           unparsed_.erase(0, parser_->Feed(unparsed_));
-          if (parser_->state() == ParseState::kNeedMore)
-            Read();
+          if (HasRequest())
+            RunInTime(&ScriptedUpstream::Respond);
           else
-            Respond();
+            Read();
         });
   }
 
@@ -81,7 +125,7 @@
                                if (++next_ < responses_.size())
                                  AwaitRequest();
                                else
-                                 End();
+                                 RunInTime(&ScriptedUpstream::End);
                              });
   }
 
@@ -92,11 +136,25 @@
       Repeat();
       return;
     }
+    if (ending_ == Ending::kHalfClose) {
+      socket_.shutdown(boost::asio::socket_base::shutdown_send);
+      Drain();
+      return;
+    }
     if (ending_ == Ending::kReset)
       socket_.set_option(boost::asio::socket_base::linger(true, 0));
     socket_.close();
   }
 
+  void Drain() {
+    socket_.async_read_some(
+        boost::asio::buffer(buffer_),
+        [this](const boost::system::error_code& error, size_t) {
+          if (!error)
+            Drain();
+        });
+  }
+
   void Repeat() {
     const boost::asio::const_buffer end =
         boost::asio::buffer(responses_.back()) +
@@ -110,9 +168,11 @@
 
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
   const std::vector<std::string> responses_;
   size_t next_ = 0;
   const Ending ending_;
+  const ResponseTime response_time_;
   std::optional<HttpRequestParser> parser_;
   std::string unparsed_;
   std::array<char, 4096> buffer_;
--- a/tests/logic/upstream_exchange_test.cc
+++ b/tests/logic/upstream_exchange_test.cc
@@ -62,13 +62,16 @@
   return size + "\r\n" + bytes + "\r\n";
 }
 
+constexpr char kPlainRequest[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
 /** Sends one request as `options` say and runs `loop` until the exchange has
     ended. */
 Recorder RunExchange(boost::asio::io_context& loop,
                      UpstreamExchange::Options options,
                      UpstreamPool* pool,
                      EventStreamSplitter* events,
-                     MemoryBudget* memory = nullptr) {
+                     MemoryBudget* memory = nullptr,
+                     const std::string& request = kPlainRequest) {
   const HeaderCodec codec;
   const UpstreamDirectory directory;
   Recorder recorder;
@@ -79,7 +82,7 @@
                                .directory = directory,
                                .memory = memory},
       events, &recorder);
-  exchange->Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  exchange->Send(request);
   const absl::Time begin = absl::Now();
   while (recorder.outcome.empty() && absl::Now() - begin < absl::Seconds(5))
     loop.run_one_for(std::chrono::milliseconds(100));
@@ -372,6 +375,83 @@
   }
 }
 
+/** Returns a request with a body of `body_bytes`. */
+std::string UploadRequest(size_t body_bytes) {
+  return "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+         std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'u');
+}
+
+// Guards against a part of a response that reached its caller as a whole one:
+// the write of the request had met the reset, after which the read met an
+// orderly end.
+TEST_CASE("a response is not complete if a reset ends it during the upload") {
+  struct UploadCase {
+    const char* name;
+    std::string framing_and_body;
+    Ending ending;
+    std::string outcome;
+  };
+  const std::string event = "id: 0\ndata: a\n\n";
+  const std::vector<UploadCase> cases = {
+      {"no length", "\r\n" + event, Ending::kReset, "connection_broken"},
+      {"no length, no body", "\r\n", Ending::kReset, "connection_broken"},
+      {"a length", "Content-Length: 30\r\n\r\n" + event, Ending::kReset,
+       "connection_broken"},
+      {"chunked", "Transfer-Encoding: chunked\r\n\r\n" + Chunk(event),
+       Ending::kReset, "connection_broken"},
+      {"a length, whole", "Content-Length: 15\r\n\r\n" + event, Ending::kReset,
+       "complete"},
+      {"no length, ended in good order", "\r\n" + event, Ending::kHalfClose,
+       "complete"},
+  };
+  struct Upload {
+    const char* name;
+    size_t body_bytes;
+    ResponseTime response_time;
+  };
+  const std::vector<Upload> uploads = {
+      {"short upload", 1000, ResponseTime::kAfterHead},
+      {"long upload", 24 << 20, ResponseTime::kAfterHead},
+      {"blocked upload", 24 << 20, ResponseTime::kOnceBlocked},
+  };
+  for (const Upload& upload : uploads) {
+    for (const bool is_reused : {false, true}) {
+      for (const bool expects_stream : {false, true}) {
+        for (const UploadCase& c : cases) {
+          INFO(c.name << ", " << upload.name
+                      << (is_reused ? ", kept connection" : "")
+                      << (expects_stream ? ", stream" : ""));
+          const std::string own =
+              "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s1\r\n";
+          std::vector<std::string> responses = {own + c.framing_and_body};
+          if (is_reused)
+            responses.insert(responses.begin(),
+                             own + "Content-Length: 0\r\n\r\n");
+          boost::asio::io_context loop;
+          ScriptedUpstream upstream(loop, responses, c.ending,
+                                    upload.response_time);
+          UpstreamPool pool(loop);
+          EventStreamSplitter events;
+          UpstreamExchange::Options options{.upstream = 1,
+                                            .address = upstream.address(),
+                                            .request_id = "r1",
+                                            .is_retryable = true};
+          if (is_reused)
+            RunExchange(loop, options, &pool, &events);
+          options.expects_stream = expects_stream;
+          const Recorder recorder =
+              RunExchange(loop, options, &pool, &events, nullptr,
+                          UploadRequest(upload.body_bytes));
+          CHECK(recorder.outcome == c.outcome);
+          CHECK_FALSE(recorder.not_run);
+          if (!expects_stream && c.outcome != "complete")
+            CHECK(recorder.body.empty());
+        }
+      }
+    }
+  }
+}
+
 // Guards against a false "not run": a faulty upstream repeats an earlier
 // refusal on a kept connection while it runs the next request.
 TEST_CASE("a late copy of a refusal does not refuse the next request") {
