A status that is none is a malformed response

Cause: the library takes any three digits, and all below 200 were skipped as interim responses, after which another head was awaited.

Ruled out: fewer or more digits, signs, blanks and other bytes were malformed already. 000 was never forwarded.

Change: statuses are 100 to 599 (RFC 9110, section 15); others end the response.

--- a/modules/net/http_message.cc
+++ b/modules/net/http_message.cc
@@ -24,6 +24,11 @@
     chunk and the trailer. */
 constexpr uint32_t kMaxResponseHeadBytes = 64 << 10;
 constexpr int kMaxInterimResponses = 16;
+/** Statuses are from 100 to 599 (RFC 9110, section 15); the library takes any
+    three digits. */
+constexpr int kMinStatus = 100;
+constexpr int kMinFinalStatus = 200;
+constexpr int kMaxStatus = 599;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
 /** HTTP/1.1 as a version number of the parser. */
@@ -283,11 +288,13 @@
     if (!has_head_ && impl_->parser->is_header_done()) {
       const auto& message = impl_->parser->get();
       const int status = static_cast<int>(message.result_int());
-      if (status < 200) {
-        if (++interim_responses_ > kMaxInterimResponses) {
-          state_ = ParseState::kMalformed;
-          return used;
-        }
+      const bool is_interim = status < kMinFinalStatus;
+      if (status < kMinStatus || status > kMaxStatus ||
+          (is_interim && ++interim_responses_ > kMaxInterimResponses)) {
+        state_ = ParseState::kMalformed;
+        return used;
+      }
+      if (is_interim) {
         ResetParser();
         continue;
       }
--- a/tests/logic/http_message_test.cc
+++ b/tests/logic/http_message_test.cc
@@ -1,13 +1,16 @@
 #include "modules/net/http_message.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <limits>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 #include "modules/net/event_stream.h"
+#include "tests/logic/broken_responses.h"
 #include "tests/logic/cut_responses.h"
 
 namespace chicory {
@@ -261,6 +264,32 @@
   }
 }
 
+// Guards against answers that are none: a status of 000 was taken for that of
+// an interim response, after which the response was awaited until its deadline.
+TEST_CASE("a response whose status is none is malformed") {
+  std::vector<std::string> statuses = InvalidStatuses();
+  const std::vector<std::string> valid = {"200", "599"};
+  statuses.insert(statuses.end(), valid.begin(), valid.end());
+  for (const std::string& status : statuses) {
+    const bool is_valid =
+        std::find(valid.begin(), valid.end(), status) != valid.end();
+    for (const std::string interim : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+      const std::string bytes =
+          absl::StrCat(interim, "HTTP/1.1 ", status,
+                       " Status\r\nContent-Length: 2\r\n\r\nhi");
+      for (const size_t step : {size_t{1}, bytes.size()}) {
+        INFO("'" << status << "'" << (interim.empty() ? "" : ", interim")
+                 << ", in steps of " << step);
+        HttpResponseParser parser(/*head_only=*/false);
+        FeedInSteps(bytes, step, &parser);
+        CHECK((parser.state() == ParseState::kComplete) == is_valid);
+        CHECK((parser.state() == ParseState::kMalformed) == !is_valid);
+        CHECK(parser.has_head() == is_valid);
+      }
+    }
+  }
+}
+
 TEST_CASE("a connection that ends after an interim response is malformed") {
   HttpResponseParser parser(/*head_only=*/false);
   parser.Feed("HTTP/1.1 100 Continue\r\n\r\n");
