Tests: names of fields that are none

No caller saw a fault at the gateway: a response with a blank, a control byte or any other byte that no name may hold is malformed already, in the first and later fields, behind an interim response and in trailers, as are blanks before the colon, empty names and lines without a colon. The test stays; nothing was changed for it.

--- a/tests/logic/http_message_test.cc
+++ b/tests/logic/http_message_test.cc
@@ -290,6 +290,50 @@
   }
 }
 
+// Guards against a field that means one thing to this process and another to
+// the caller, such as a length whose name ends with a blank.
+TEST_CASE("a response with a field that has no proper name is malformed") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& line : InvalidFieldLines()) {
+    // A line that begins with a blank continues the value before it.
+    const bool is_continuation = line[0] == ' ' || line[0] == '\t';
+    const std::vector<std::string> responses = {
+        ok + line + "\r\nContent-Length: 2\r\n\r\nhi",
+        ok + "Content-Length: 2\r\n" + (is_continuation ? "X" : "") + line +
+            "\r\n\r\nhi",
+        "HTTP/1.1 100 Continue\r\n" + line + "\r\n\r\n" + ok +
+            "Content-Length: 2\r\n\r\nhi",
+        chunked + "2\r\nhi\r\n0\r\n" + line + "\r\n\r\n"};
+    for (size_t i = 0; i < responses.size(); ++i) {
+      for (const size_t step : {size_t{1}, responses[i].size()}) {
+        INFO("'" << absl::CEscape(line) << "', place " << i << ", in steps of "
+                 << step);
+        HttpResponseParser parser(/*head_only=*/false);
+        FeedInSteps(responses[i], step, &parser);
+        CHECK(parser.state() == ParseState::kMalformed);
+        // The last one is found out in the trailer.
+        CHECK((i == 3 || !parser.has_head()));
+      }
+    }
+  }
+}
+
+TEST_CASE("a response with any proper name of a field is complete") {
+  for (int value = 0; value < 256; ++value) {
+    const unsigned char byte = static_cast<unsigned char>(value);
+    if (!IsNameByte(byte))
+      continue;
+    const std::string name = std::string("X") + static_cast<char>(byte) + "y";
+    INFO(name);
+    HttpResponseParser parser(/*head_only=*/false);
+    parser.Feed("HTTP/1.1 200 OK\r\n" + name +
+                ": a\r\nContent-Length: 2\r\n\r\nhi");
+    CHECK(parser.state() == ParseState::kComplete);
+    CHECK(parser.head().headers.Find(name) == "a");
+  }
+}
+
 TEST_CASE("a connection that ends after an interim response is malformed") {
   HttpResponseParser parser(/*head_only=*/false);
   parser.Feed("HTTP/1.1 100 Continue\r\n\r\n");
