The entry's calls to upstreams go by the parser's view of a response

An upstream that sent a status line without an end ended the entry (SIGSEGV), other lines without an end took it to 5,834 MB.

Cause: the HTTP library decided what a response is. CheckedHttpClient fed the same bytes to HttpResponseParser, but looked at its verdict only at the end: after the library had kept lines of any length and events had been forwarded. The library's pattern for status lines needs stack for each byte of the reason. ReservePromptPart had no limit for bodies.

Ruled out: plain services' responses with broken names or a reset during the upload failed already (tests kept); bytes after a response were not taken for the next one.

Change: CheckedHttpClient moves to modules/calls and passes on only what the parser has accepted, as a plain head and a body in chunks. It has a limit for bodies, for all calls but streams, whose lines are bounded. A connection with bytes after a response is not used again. examples.sh knows the new module.

Why it works: one parser with one set of limits stands before anything that keeps or forwards bytes.

--- a/modules/serving/http_upstream_client.cc
+++ b/modules/serving/http_upstream_client.cc
@@ -4,12 +4,13 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
-#include "modules/serving/checked_http_client.h"
+#include "modules/calls/checked_http_client.h"
 #include "nlohmann/json.hpp"
 
 namespace chicory {
@@ -29,21 +30,6 @@
 
 using Json = nlohmann::json;
 
-/** Sends `request` and stores the response's body. A body of more than
-    kMaxBodyBytes fails with Error::Canceled. */
-httplib::Result SendLimited(CheckedHttpClient* client,
-                            httplib::Request request,
-                            std::string* body) {
-  request.content_receiver = [body](const char* data, size_t size, uint64_t,
-                                    uint64_t) {
-    if (body->size() + size > kMaxBodyBytes)
-      return false;
-    body->append(data, size);
-    return true;
-  };
-  return client->send(request);
-}
-
 /** Returns the outcome of a call that failed before its response was complete.
     Silence for at least 90 % of `stall` counts as a stall, a shorter one as a
     broken connection. */
@@ -162,29 +148,21 @@
   std::unique_ptr<CheckedHttpClient> Take(const std::string& address,
                                           bool fresh = false,
                                           bool* is_reused = nullptr) {
-    if (!fresh) {
-      absl::MutexLock lock(&mutex_);
-      std::vector<IdleConnection>& idle = idle_by_address_[address];
-      const absl::Time oldest_reusable = absl::Now() - kMaxIdleTime;
-      std::erase_if(idle, [&](const IdleConnection& entry) {
-        return entry.idle_since < oldest_reusable;
-      });
-      if (!idle.empty()) {
-        auto client = std::move(idle.back().client);
-        idle.pop_back();
-        if (is_reused != nullptr)
-          *is_reused = true;
-        return client;
-      }
+    std::unique_ptr<CheckedHttpClient> client =
+        fresh ? nullptr : TakeIdle(address);
+    if (is_reused != nullptr)
+      *is_reused = client != nullptr;
+    if (client == nullptr) {
+      client = std::make_unique<CheckedHttpClient>(address);
+      client->set_keep_alive(true);
+      client->set_tcp_nodelay(true);
+      client->set_url_encode(false);
+      client->set_connection_timeout(
+          absl::ToChronoMilliseconds(kConnectTimeout));
     }
-    auto client = std::make_unique<CheckedHttpClient>(address);
-    client->set_keep_alive(true);
-    client->set_tcp_nodelay(true);
-    client->set_url_encode(false);
-    client->set_connection_timeout(absl::ToChronoMilliseconds(kConnectTimeout));
+    client->set_max_body_bytes(kMaxBodyBytes);
     return client;
   }
-
   /** Makes a connection available for reuse. */
   void Return(const std::string& address,
               std::unique_ptr<CheckedHttpClient> client) {
@@ -200,6 +178,21 @@
     absl::Time idle_since;
   };
 
+  /** Returns an idle connection to `address`, or null if there is none. */
+  std::unique_ptr<CheckedHttpClient> TakeIdle(const std::string& address) {
+    absl::MutexLock lock(&mutex_);
+    std::vector<IdleConnection>& idle = idle_by_address_[address];
+    const absl::Time oldest_reusable = absl::Now() - kMaxIdleTime;
+    std::erase_if(idle, [&](const IdleConnection& entry) {
+      return entry.idle_since < oldest_reusable;
+    });
+    if (idle.empty())
+      return nullptr;
+    auto client = std::move(idle.back().client);
+    idle.pop_back();
+    return client;
+  }
+
   absl::Mutex mutex_;
   absl::flat_hash_map<std::string, std::vector<IdleConnection>> idle_by_address_
       ABSL_GUARDED_BY(mutex_);
@@ -218,6 +211,8 @@
       connection_pool_->Take(call.address, /*fresh=*/false, &is_reused);
   client->set_write_timeout(absl::ToChronoMilliseconds(call.later_stall));
   client->set_read_timeout(absl::ToChronoMilliseconds(call.first_stall));
+  // Lines and refusals are bounded below.
+  client->set_max_body_bytes(std::numeric_limits<size_t>::max());
   const Json body = {{"attempt", call.attempt},
                      {"prompt", call.prompt},
                      {"max_tokens", call.max_tokens},
@@ -338,11 +333,11 @@
 
 /** Sends `request` and returns its JSON response. Fails with kNotFound for
     status 404 and with kUnavailable for any other failure. */
-Result<Json> ControlCall(CheckedHttpClient* client, httplib::Request request) {
+Result<Json> ControlCall(CheckedHttpClient* client,
+                         const httplib::Request& request) {
   client->set_read_timeout(absl::ToChronoMilliseconds(kControlCallTimeout));
   client->set_write_timeout(absl::ToChronoMilliseconds(kControlCallTimeout));
-  std::string body;
-  const httplib::Result result = SendLimited(client, std::move(request), &body);
+  const httplib::Result result = client->send(request);
   if (!result)
     return Fail(ErrorCode::kUnavailable, httplib::to_string(result.error()));
   if (result->status == 404)
@@ -350,7 +345,7 @@
   if (result->status != 200)
     return Fail(ErrorCode::kUnavailable,
                 absl::StrCat("status ", result->status));
-  Json json = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+  Json json = Json::parse(result->body, nullptr, /*allow_exceptions=*/false);
   if (json.is_discarded())
     return Fail(ErrorCode::kUnavailable, "upstream response is not valid JSON");
   return json;
@@ -385,12 +380,10 @@
     request.set_header(name, value);
   if (!call.content_type.empty())
     request.set_header("Content-Type", call.content_type);
-  std::string body;
   const absl::Time begin = absl::Now();
   httplib::Result result(nullptr, httplib::Error::Unknown);
   const bool has_run = interrupt->Guard(
-      [&client] { client->stop(); },
-      [&] { result = SendLimited(client.get(), request, &body); });
+      [&client] { client->stop(); }, [&] { result = client->send(request); });
   if (!has_run)
     return {.outcome = AttemptOutcome::kUnreachable, .detail = "interrupted"};
   if (!result) {
@@ -399,7 +392,7 @@
             .detail = httplib::to_string(result.error())};
   }
   service_response->status = result->status;
-  service_response->body = std::move(body);
+  service_response->body = std::move(result->body);
   service_response->content_type = result->get_header_value("Content-Type");
   if (!call.fresh_connection)
     connection_pool_->Return(call.address, std::move(client));
--- a/modules/serving/serving.h
+++ b/modules/serving/serving.h
@@ -6,14 +6,12 @@
     decision logic. This module may depend on all other modules.
 
     Classes: HttpApiServer, CallerApi, OperatorApi, RequestBroker,
-    UpstreamClient, HttpUpstreamClient, CheckedHttpClient, UpstreamWatcher,
-    ConfigurationWatcher, AtMostOnceRunner, AccountRateLimiter,
-    TokenEstimator. */
+    UpstreamClient, HttpUpstreamClient, UpstreamWatcher, ConfigurationWatcher,
+    AtMostOnceRunner, AccountRateLimiter, TokenEstimator. */
 
 #include "modules/serving/account_rate_limiter.h"
 #include "modules/serving/at_most_once_runner.h"
 #include "modules/serving/caller_api.h"
-#include "modules/serving/checked_http_client.h"
 #include "modules/serving/configuration_watcher.h"
 #include "modules/serving/http_api_server.h"
 #include "modules/serving/http_upstream_client.h"
--- a/tests/logic/entry_clients_test.cc
+++ b/tests/logic/entry_clients_test.cc
@@ -1,5 +1,6 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "modules/serving/http_upstream_client.h"
 #include "modules/serving/interrupt.h"
 #include "modules/store/http_object_store.h"
+#include "tests/logic/broken_responses.h"
 #include "tests/logic/cut_responses.h"
 #include "tests/logic/scripted_upstream.h"
 
@@ -20,10 +22,16 @@
  */
 class ScriptedServer {
  public:
-  explicit ScriptedServer(std::string response, Ending ending = Ending::kClose)
-      : ScriptedServer(std::vector<std::string>{std::move(response)}, ending) {}
-  ScriptedServer(std::vector<std::string> responses, Ending ending)
-      : upstream_(loop_, std::move(responses), ending),
+  explicit ScriptedServer(std::string response,
+                          Ending ending = Ending::kClose,
+                          ResponseTime time = ResponseTime::kAfterRequest)
+      : ScriptedServer(std::vector<std::string>{std::move(response)},
+                       ending,
+                       time) {}
+  ScriptedServer(std::vector<std::string> responses,
+                 Ending ending,
+                 ResponseTime time = ResponseTime::kAfterRequest)
+      : upstream_(loop_, std::move(responses), ending, time),
         thread_([this] { loop_.run(); }) {}
   ~ScriptedServer() {
     loop_.stop();
@@ -31,6 +39,7 @@
   }
 
   std::string address() const { return EndpointText(upstream_.address()); }
+  size_t repeated_bytes() const { return upstream_.repeated_bytes(); }
 
  private:
   boost::asio::io_context loop_;
@@ -312,5 +321,229 @@
   }
 }
 
+constexpr char kLastEvent[] = R"({"a":"r","i":0,"end":true,"total":0})"
+                              "\n";
+
+UpstreamCallResult CallService(const std::string& address,
+                               ServiceResponse* response,
+                               const std::string& body = "") {
+  HttpUpstreamClient client;
+  Interrupt interrupt;
+  return client.Call({.address = address,
+                      .method = body.empty() ? "GET" : "POST",
+                      .target = "/a",
+                      .body = body,
+                      .timeout = absl::Seconds(5)},
+                     response, &interrupt);
+}
+
+/** Calls an engine for a stream and counts its events in `events`. */
+UpstreamCallResult CallEngine(const std::string& address,
+                              int* events,
+                              const std::string& prompt = "") {
+  HttpUpstreamClient client;
+  Interrupt interrupt;
+  return client.Stream(
+      {.address = address, .attempt = "r", .prompt = prompt},
+      [events](StreamEvent) {
+        ++*events;
+        return true;
+      },
+      &interrupt);
+}
+
+bool IsFailureAfterSending(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kDied ||
+         outcome == AttemptOutcome::kFailed ||
+         outcome == AttemptOutcome::kStalled;
+}
+
+// The entry's side of "a response whose status is none is malformed" and "a
+// response with a field that has no proper name is malformed".
+TEST_CASE("a service's response with a broken head is a failure") {
+  for (const BrokenResponse& broken : BrokenHeads("wrong")) {
+    INFO(broken.name);
+    const ScriptedServer server(broken.bytes);
+    ServiceResponse response;
+    const auto result = CallService(server.address(), &response);
+    CHECK(result.outcome == AttemptOutcome::kDied);
+    CHECK(response.status == ServiceResponse().status);
+    CHECK(response.body.empty());
+  }
+}
+
+// Guards against events that were forwarded before the head was checked.
+TEST_CASE("an engine's response with a broken head is a failure") {
+  for (const BrokenResponse& broken : BrokenHeads(kLastEvent)) {
+    INFO(broken.name);
+    const ScriptedServer server(broken.bytes);
+    int events = 0;
+    CHECK(IsFailureAfterSending(CallEngine(server.address(), &events).outcome));
+    CHECK(events == 0);
+  }
+  for (const BrokenResponse& broken :
+       BrokenHeads(R"({"incarnation":1,"ready":true})")) {
+    INFO(broken.name);
+    HttpUpstreamClient client;
+    const ScriptedServer loads(broken.bytes);
+    CHECK_FALSE(Capture([&] { return client.Load(loads.address()); }).ok);
+  }
+}
+
+// Guards against an interim response that was taken for the final one, with the
+// final one's bytes as its body.
+TEST_CASE("a service's response follows interim ones") {
+  for (const int status : {100, 102, 103, 199}) {
+    INFO(status);
+    const ScriptedServer server(absl::StrCat("HTTP/1.1 ", status,
+                                             " Wait\r\nX: a\r\n\r\n",
+                                             ResponseOf(200, "sound")));
+    ServiceResponse response;
+    const auto result = CallService(server.address(), &response);
+    CHECK(result.outcome == AttemptOutcome::kCompleted);
+    CHECK(response.status == 200);
+    CHECK(response.body == "sound");
+  }
+}
+
+// Guards against bodies whose framing the library reads otherwise than the
+// parser, and against the library's need of stack for each byte of a reason.
+TEST_CASE("a service's response is read as its framing says") {
+  struct Case {
+    const char* name;
+    std::string head;
+    std::string framed_body;
+  };
+  const std::string chunks = "5\r\nsound\r\n0\r\n";
+  const std::vector<Case> cases = {
+      {"a trailer", "200 OK\r\nTransfer-Encoding: chunked\r\n",
+       chunks + "Expires: 0\r\n\r\n"},
+      {"a continued value", "200 OK\r\nTransfer-Encoding:\r\n chunked\r\n",
+       chunks + "\r\n"},
+      {"a length twice", "200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n",
+       "sound"},
+      {"a long reason",
+       "200 " + std::string(50000, 'a') + "\r\nContent-Length: 5\r\n", "sound"},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    const ScriptedServer server("HTTP/1.1 " + c.head + "\r\n" + c.framed_body);
+    ServiceResponse response;
+    const auto result = CallService(server.address(), &response);
+    CHECK(result.outcome == AttemptOutcome::kCompleted);
+    CHECK(response.body == "sound");
+  }
+}
+
+// Guards against bytes after a response that were taken for the next one.
+TEST_CASE("a connection with bytes after a response is not used again") {
+  const std::string load = ResponseOf(200, R"({"incarnation":1})");
+  const ScriptedServer server({load + ResponseOf(200, R"({"incarnation":2})"),
+                               ResponseOf(200, R"({"incarnation":3})")},
+                              Ending::kOpen);
+  HttpUpstreamClient client;
+  const auto first = Capture([&] { return client.Load(server.address()); });
+  REQUIRE(first.ok);
+  CHECK(first.value.incarnation == 1);
+  const auto next = Capture([&] { return client.Load(server.address()); });
+  CHECK_FALSE((next.ok && next.value.incarnation == 2));
+}
+
+// The entry's side of "a response is not complete if a reset ends it during the
+// upload".
+TEST_CASE("a service's response is a failure if a reset ends it early") {
+  const std::string upload(24 << 20, 'u');
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& framing :
+       {std::string("\r\n"), std::string("Content-Length: 900\r\n\r\n"),
+        std::string("Transfer-Encoding: chunked\r\n\r\n25\r\n")}) {
+    for (const ResponseTime time :
+         {ResponseTime::kAfterHead, ResponseTime::kOnceBlocked}) {
+      INFO(framing << (time == ResponseTime::kOnceBlocked ? "blocked" : ""));
+      const ScriptedServer services(ok + framing + "part", Ending::kReset,
+                                    time);
+      ServiceResponse response;
+      CHECK(IsFailureAfterSending(
+          CallService(services.address(), &response, upload).outcome));
+      CHECK(response.body.empty());
+      const ScriptedServer engines(ok + framing + R"({"a":"r","i":0,"t":"x"})",
+                                   Ending::kReset, time);
+      int events = 0;
+      CHECK(IsFailureAfterSending(
+          CallEngine(engines.address(), &events, upload).outcome));
+    }
+  }
+}
+
+/** Responses whose last bytes are repeated without end. */
+std::vector<BrokenResponse> EndlessResponses() {
+  const auto filler = [](const std::string& unit) {
+    std::string bytes;
+    while (bytes.size() < kRepeatedBytes)
+      bytes += unit;
+    return bytes;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  return {
+      {"status line", "HTTP/1.1 200 " + filler("a")},
+      {"field", ok + "A: " + filler("a")},
+      {"fields", ok + filler("A: aaa\r\n")},
+      {"interim responses", filler("HTTP/1.1 100 Continue Now...\r\n\r\n")},
+      {"size of a chunk", chunked + filler("0")},
+      {"extension of a chunk", chunked + "1;" + filler("a")},
+      {"trailer", chunked + "0\r\n" + filler("A: aaa\r\n")},
+      {"body", ok + "\r\n" + filler("a")},
+      {"chunks", chunked + filler("b\r\naaaaaaaaaaa\r\n")},
+      {"body with a length",
+       ok + "Content-Length: 99999999999\r\n\r\n" + filler("a")},
+  };
+}
+
+// The entry's side of "a response without end is given up". Guards against the
+// end of the process for lack of memory: the library kept all that it read.
+TEST_CASE("no client of the entry reads a response without end") {
+  struct Reader {
+    const char* name;
+    /** Returns whether the call failed. */
+    std::function<bool(const std::string& address)> call;
+  };
+  const std::vector<Reader> readers = {
+      {"service",
+       [](const std::string& address) {
+         ServiceResponse response;
+         return IsFailureAfterSending(CallService(address, &response).outcome);
+       }},
+      {"engine",
+       [](const std::string& address) {
+         int events = 0;
+         return IsFailureAfterSending(CallEngine(address, &events).outcome);
+       }},
+      {"memory of an engine",
+       [](const std::string& address) {
+         HttpUpstreamClient client;
+         Interrupt interrupt;
+         return IsFailureAfterSending(
+             client
+                 .ReservePromptPart({.address = address, .attempt = "r"}, 1,
+                                    &interrupt)
+                 .outcome);
+       }},
+      {"load of an engine",
+       [](const std::string& address) {
+         HttpUpstreamClient client;
+         return !Capture([&] { return client.Load(address); }).ok;
+       }},
+  };
+  for (const Reader& reader : readers) {
+    for (const BrokenResponse& endless : EndlessResponses()) {
+      INFO(reader.name << ", " << endless.name);
+      const ScriptedServer server(endless.bytes, Ending::kRepeat);
+      CHECK(reader.call(server.address()));
+      CHECK(server.repeated_bytes() < kMaxRepeatedBytes / 4);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace chicory
--- a/tests/logic/scripted_upstream.h
+++ b/tests/logic/scripted_upstream.h
@@ -2,6 +2,7 @@
 #define TESTS_LOGIC_SCRIPTED_UPSTREAM_H_
 
 #include <array>
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -41,6 +42,9 @@
 
 /** Bytes at the end of a response that kRepeat repeats. */
 constexpr size_t kRepeatedBytes = 8192;
+/** Bytes after which kRepeat closes the connection, many times what any reader
+    of responses may keep. */
+constexpr size_t kMaxRepeatedBytes = 256 << 20;
 
 /** An upstream that accepts one connection, reads whole requests and writes the
     bytes that are fixed for each, in turn. After the last ones it ends the
@@ -73,6 +77,9 @@
                            });
   }
 
+  /** Returns how many bytes kRepeat has sent. May be called from any thread. */
+  size_t repeated_bytes() const { return repeated_bytes_; }
+
   Endpoint address() const {
     return {.ip = boost::asio::ip::address_v4::loopback().to_uint(),
             .port = acceptor_.local_endpoint().port()};
@@ -156,6 +163,11 @@
   }
 
   void Repeat() {
+    repeated_bytes_ += kRepeatedBytes;
+    if (repeated_bytes_ > kMaxRepeatedBytes) {
+      socket_.close();
+      return;
+    }
     const boost::asio::const_buffer end =
         boost::asio::buffer(responses_.back()) +
         (responses_.back().size() - kRepeatedBytes);
@@ -173,6 +185,7 @@
   size_t next_ = 0;
   const Ending ending_;
   const ResponseTime response_time_;
+  std::atomic<size_t> repeated_bytes_{0};
   std::optional<HttpRequestParser> parser_;
   std::string unparsed_;
   std::array<char, 4096> buffer_;
--- a/tests/process/examples.sh
+++ b/tests/process/examples.sh
@@ -17,15 +17,16 @@
     core) echo core ;;
     config) echo core config ;;
     decisions) echo core config decisions ;;
+    calls) echo core net calls ;;
     store) echo core config store ;;
     routing) echo core decisions routing ;;
     net) echo core net ;;
     peers) echo core config decisions routing peers ;;
     gateway) echo core decisions routing net peers gateway ;;
-    serving) echo core config decisions store net peers serving ;;
+    serving) echo core config decisions calls store net peers serving ;;
   esac
 }
-for module in core config decisions store routing net peers gateway serving; do
+for module in core config decisions calls store routing net peers gateway serving; do
   for other in $(grep -rhoE '#include "modules/[a-z]+' modules/$module | sed 's/.*modules.//' | sort -u); do
     grep -qw "$other" <<<"$(allowed $module)" || problem "module $module must not include module $other"
   done
