The store's and the tools' clients go by the parser too

Seen, on: an entry or chicory_publish used lists and versions of responses whose heads were no HTTP, and kept responses of the object API without a bound. chicory_timeline and chicory_load read in the same way.

Cause: these used the HTTP library's client as it is.

Change: they use CheckedHttpClient, with its limit of 32 MiB, as does the stand-in balancer. A write whose response is broken has an unknown outcome.

--- a/modules/store/http_object_store.cc
+++ b/modules/store/http_object_store.cc
@@ -1,7 +1,5 @@
 #include "modules/store/http_object_store.h"
 
-#include <httplib.h>
-
 #include <optional>
 #include <utility>
 
@@ -9,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/synchronization/mutex.h"
+#include "modules/calls/checked_http_client.h"
 #include "modules/core/json_split.h"
 #include "modules/core/log.h"
 #include "nlohmann/json.hpp"
@@ -62,8 +61,8 @@
 
   /** Returns an idle client, or a new one if there is none, with its time-outs
       set to Options::timeout plus `extra_wait`. */
-  std::unique_ptr<httplib::Client> Acquire(absl::Duration extra_wait) {
-    std::unique_ptr<httplib::Client> client;
+  std::unique_ptr<CheckedHttpClient> Acquire(absl::Duration extra_wait) {
+    std::unique_ptr<CheckedHttpClient> client;
     {
       absl::MutexLock lock(&mutex_);
       if (!idle_.empty()) {
@@ -72,7 +71,7 @@
       }
     }
     if (client == nullptr) {
-      client = std::make_unique<httplib::Client>("http://" + options_.address);
+      client = std::make_unique<CheckedHttpClient>(options_.address);
       client->set_keep_alive(true);
       client->set_tcp_nodelay(true);
       client->set_url_encode(false);
@@ -85,7 +84,7 @@
   }
 
   /** Returns a client to the pool; closes it if the pool is full. */
-  void Release(std::unique_ptr<httplib::Client> client) {
+  void Release(std::unique_ptr<CheckedHttpClient> client) {
     absl::MutexLock lock(&mutex_);
     if (idle_.size() < kMaxIdleConnections)
       idle_.push_back(std::move(client));
@@ -94,7 +93,7 @@
  private:
   const Options options_;
   absl::Mutex mutex_;
-  std::vector<std::unique_ptr<httplib::Client>> idle_ ABSL_GUARDED_BY(mutex_);
+  std::vector<std::unique_ptr<CheckedHttpClient>> idle_ ABSL_GUARDED_BY(mutex_);
 };
 
 HttpObjectStore::HttpObjectStore(Options options)
--- a/modules/store/store.h
+++ b/modules/store/store.h
@@ -2,8 +2,8 @@
 #define MODULES_STORE_STORE_H_
 
 /** Public header of the store module: access to the platform's object API and
-    instance list, and the publishing of configuration. Depends on core and
-    config.
+    instance list, and the publishing of configuration. Depends on core, config
+    and calls.
 
     Classes: ObjectStore, HttpObjectStore, ConfigurationPublisher. */
 
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -1,5 +1,3 @@
-#include <httplib.h>
-
 #include <algorithm>
 #include <atomic>
 #include <cxxopts.hpp>
@@ -14,6 +12,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
 #include "bench/report.h"
+#include "modules/calls/calls.h"
 #include "nlohmann/json.hpp"
 #include "programs/program.h"
 #include "stand_ins/synthetic_response.h"
@@ -131,7 +130,7 @@
   /** Sends requests until the duration or the number of requests is reached.
       `number` tells the prompts of this client from those of others. */
   void Run(int number) {
-    httplib::Client client("http://" + arguments_.target);
+    CheckedHttpClient client(arguments_.target);
     client.set_keep_alive(true);
     client.set_tcp_nodelay(true);
     client.set_read_timeout(std::chrono::seconds(120));
@@ -151,7 +150,7 @@
 
   /** Sends one request, retries it after a refusal or an incomplete response,
       and records the result. */
-  void SendRequest(httplib::Client* client, const std::string& name) {
+  void SendRequest(CheckedHttpClient* client, const std::string& name) {
     const std::string content = MakePrompt(name);
     // The entry forwards the messages to the engine as one prompt text.
     const std::string prompt =
@@ -191,7 +190,7 @@
         absl::ToDoubleMilliseconds(absl::Now() - begin));
   }
 
-  ReceivedResponse SendDirect(httplib::Client* client,
+  ReceivedResponse SendDirect(CheckedHttpClient* client,
                               const std::string& prompt,
                               const std::string& name) {
     const Json body = {{"attempt", absl::StrCat("load~1~", name)},
@@ -200,7 +199,7 @@
     return PostJson(client, "/v1/streams", body, /*is_json_lines=*/true);
   }
 
-  ReceivedResponse SendChat(httplib::Client* client,
+  ReceivedResponse SendChat(CheckedHttpClient* client,
                             const std::string& content) {
     const Json body = {
         {"model", arguments_.model},
@@ -211,7 +210,7 @@
                     /*is_json_lines=*/false);
   }
 
-  ReceivedResponse PostJson(httplib::Client* client,
+  ReceivedResponse PostJson(CheckedHttpClient* client,
                             const char* path,
                             const Json& body,
                             bool is_json_lines) {
--- a/programs/publish/main.cc
+++ b/programs/publish/main.cc
@@ -1,5 +1,3 @@
-#include <httplib.h>
-
 #include <algorithm>
 #include <cstdlib>
 #include <cxxopts.hpp>
@@ -12,6 +10,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "modules/calls/calls.h"
 #include "modules/core/hashing.h"
 #include "modules/store/store.h"
 #include "nlohmann/json.hpp"
@@ -163,7 +162,7 @@
 /** Returns the configuration revision that an instance reports in the metrics
     of its operators' port, "none" if it reports none, or "unreachable". */
 std::string FetchRevision(const std::string& address) {
-  httplib::Client client("http://" + address);
+  CheckedHttpClient client(address);
   client.set_connection_timeout(std::chrono::seconds(1));
   client.set_read_timeout(std::chrono::seconds(1));
   const auto result = client.Get("/metrics");
--- a/programs/timeline/main.cc
+++ b/programs/timeline/main.cc
@@ -1,5 +1,3 @@
-#include <httplib.h>
-
 #include <algorithm>
 #include <cxxopts.hpp>
 #include <fstream>
@@ -12,6 +10,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
+#include "modules/calls/calls.h"
 #include "nlohmann/json.hpp"
 #include "programs/program.h"
 #include "programs/timeline/request_timeline.h"
@@ -63,7 +62,7 @@
 /** Appends the events that a process serves on its operators' port. Returns
     false if they cannot be read or contain malformed lines. */
 bool FetchTimeline(const std::string& address, std::vector<Event>* events) {
-  httplib::Client client("http://" + address);
+  CheckedHttpClient client(address);
   client.set_connection_timeout(std::chrono::seconds(2));
   client.set_read_timeout(std::chrono::seconds(5));
   const auto result = client.Get("/timeline");
--- a/stand_ins/balancer_main.cc
+++ b/stand_ins/balancer_main.cc
@@ -1,5 +1,4 @@
 #include <arpa/inet.h>
-#include <httplib.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -17,6 +16,7 @@
 #include "absl/strings/str_split.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
+#include "modules/calls/calls.h"
 #include "programs/program.h"
 
 namespace chicory {
@@ -124,7 +124,7 @@
 
   void CheckReadiness() {
     for (EntryInstance& entry : entries_) {
-      httplib::Client client("http://" + entry.operator_address);
+      CheckedHttpClient client(entry.operator_address);
       client.set_connection_timeout(std::chrono::milliseconds(200));
       client.set_read_timeout(std::chrono::milliseconds(200));
       const auto result = client.Get("/ready");
--- a/tests/logic/entry_clients_test.cc
+++ b/tests/logic/entry_clients_test.cc
@@ -390,6 +390,24 @@
   }
 }
 
+// Guards against a list or an object of which a broken response held a part.
+TEST_CASE("the store's response with a broken head is a failure") {
+  for (const BrokenResponse& broken : BrokenHeads("[]")) {
+    INFO(broken.name);
+    const ScriptedServer server(broken.bytes);
+    HttpObjectStore store({.address = server.address()});
+    CHECK_FALSE(Capture([&] { return store.Instances(); }).ok);
+  }
+  for (const BrokenResponse& broken : BrokenHeads(R"({"version":7})")) {
+    INFO(broken.name);
+    const ScriptedServer server(broken.bytes);
+    HttpObjectStore store({.address = server.address()});
+    const auto written = Capture([&] { return store.Write("a", "b", 0); });
+    CHECK_FALSE(written.ok);
+    CHECK(written.error.code == ErrorCode::kOutcomeUnknown);
+  }
+}
+
 // Guards against an interim response that was taken for the final one, with the
 // final one's bytes as its body.
 TEST_CASE("a service's response follows interim ones") {
@@ -471,6 +489,12 @@
       int events = 0;
       CHECK(IsFailureAfterSending(
           CallEngine(engines.address(), &events, upload).outcome));
+      const ScriptedServer stores(ok + framing + R"({"version":7})",
+                                  Ending::kReset, time);
+      HttpObjectStore store({.address = stores.address()});
+      const auto written = Capture([&] { return store.Write("a", upload, 0); });
+      CHECK_FALSE(written.ok);
+      CHECK(written.error.code == ErrorCode::kOutcomeUnknown);
     }
   }
 }
@@ -534,6 +558,11 @@
          HttpUpstreamClient client;
          return !Capture([&] { return client.Load(address); }).ok;
        }},
+      {"store",
+       [](const std::string& address) {
+         HttpObjectStore store({.address = address});
+         return !Capture([&] { return store.Instances(); }).ok;
+       }},
   };
   for (const Reader& reader : readers) {
     for (const BrokenResponse& endless : EndlessResponses()) {
--- a/tests/process/examples.sh
+++ b/tests/process/examples.sh
@@ -18,7 +18,7 @@
     config) echo core config ;;
     decisions) echo core config decisions ;;
     calls) echo core net calls ;;
-    store) echo core config store ;;
+    store) echo core config calls store ;;
     routing) echo core decisions routing ;;
     net) echo core net ;;
     peers) echo core config decisions routing peers ;;
