Incomplete responses count against the entry's memory

Each call may hold 8 MiB, and nothing bounded their sum.

Cause: memory_mb bounded the bodies of requests only.

Change: HttpUpstreamClient counts incomplete responses of plain services in the same budget. SharedMemoryBudget has a header of its own.

"incomplete responses share the memory of an entry" holds.

Why it works: the budget is one for all that peers can make a process keep.

--- a/modules/serving/http_api_server.h
+++ b/modules/serving/http_api_server.h
@@ -11,6 +11,7 @@
 #include "absl/time/time.h"
 #include "modules/core/error.h"
 #include "modules/core/memory_budget.h"
+#include "modules/serving/shared_memory_budget.h"
 
 namespace httplib {
 class ContentReader;
@@ -21,15 +22,6 @@
 
 namespace chicory {
 
-/** A MemoryBudget for the threads of several servers. */
-struct SharedMemoryBudget {
-  explicit SharedMemoryBudget(size_t max_bytes)
-      : budget({.max_bytes = max_bytes, .now = absl::Now}) {}
-
-  absl::Mutex mutex;
-  MemoryBudget budget ABSL_GUARDED_BY(mutex);
-};
-
 /** An HTTP/1.1 server whose handlers have access to their caller's connection.
 
     Each open connection occupies one thread of a pool that grows on demand. The
--- a/modules/serving/http_upstream_client.cc
+++ b/modules/serving/http_upstream_client.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <limits>
 #include <utility>
 
@@ -11,6 +12,8 @@
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
 #include "modules/calls/checked_http_client.h"
+#include "modules/core/log.h"
+#include "modules/net/socket_options.h"
 #include "nlohmann/json.hpp"
 
 namespace chicory {
@@ -30,6 +33,48 @@
 
 using Json = nlohmann::json;
 
+/** What the incomplete response of one call takes of a memory budget. */
+class ResponseReservation : public MemoryBudget::Holder {
+ public:
+  /** `memory` may be null; `address` is `ip:port`. */
+  ResponseReservation(SharedMemoryBudget* memory, const std::string& address)
+      : memory_(memory) {
+    if (!memory_)
+      return;
+    const auto endpoint = ParseEndpoint(address);
+    const absl::MutexLock lock(&memory_->mutex);
+    reservation_.emplace(&memory_->budget, endpoint ? endpoint->ip : 0, this);
+    reservation_->Begin();
+  }
+  ~ResponseReservation() override {
+    if (!memory_)
+      return;
+    const absl::MutexLock lock(&memory_->mutex);
+    reservation_.reset();
+  }
+  ResponseReservation(const ResponseReservation&) = delete;
+  ResponseReservation& operator=(const ResponseReservation&) = delete;
+
+  /** Counts the memory of `body`. Returns false if the call has to end. */
+  bool Hold(const std::string& body) {
+    if (!memory_)
+      return true;
+    const absl::MutexLock lock(&memory_->mutex);
+    reservation_->Update({.held_bytes = body.capacity(),
+                          .progress_bytes = body.size(),
+                          .can_end = true});
+    return !is_evicted_;
+  }
+
+  void OnEvicted(const MemoryBudget::Eviction&) override { is_evicted_ = true; }
+  bool is_evicted() const { return is_evicted_; }
+
+ private:
+  SharedMemoryBudget* const memory_;
+  std::optional<MemoryBudget::Reservation> reservation_;
+  std::atomic<bool> is_evicted_{false};
+};
+
 /** Returns the outcome of a call that failed before its response was complete.
     Silence for at least 90 % of `stall` counts as a stall, a shorter one as a
     broken connection. */
@@ -198,8 +243,8 @@
       ABSL_GUARDED_BY(mutex_);
 };
 
-HttpUpstreamClient::HttpUpstreamClient()
-    : connection_pool_(std::make_unique<ConnectionPool>()) {}
+HttpUpstreamClient::HttpUpstreamClient(SharedMemoryBudget* memory)
+    : memory_(memory), connection_pool_(std::make_unique<ConnectionPool>()) {}
 
 HttpUpstreamClient::~HttpUpstreamClient() = default;
 
@@ -380,19 +425,37 @@
     request.set_header(name, value);
   if (!call.content_type.empty())
     request.set_header("Content-Type", call.content_type);
+  std::string body;
+  ResponseReservation reservation(memory_, call.address);
+  request.content_receiver = [&](const char* data, size_t size, uint64_t,
+                                 uint64_t) {
+    body.append(data, size);
+    return reservation.Hold(body);
+  };
   const absl::Time begin = absl::Now();
   httplib::Result result(nullptr, httplib::Error::Unknown);
   const bool has_run = interrupt->Guard(
       [&client] { client->stop(); }, [&] { result = client->send(request); });
   if (!has_run)
     return {.outcome = AttemptOutcome::kUnreachable, .detail = "interrupted"};
+  // The upstream is not known to be at fault.
+  if (reservation.is_evicted()) {
+    LogEvent(Severity::kWarning, "response_ended",
+             {{"upstream", call.address},
+              {"attempt", request.get_header_value("Chicory-Attempt")},
+              {"reason", "memory_limit"},
+              {"received", absl::StrCat(body.size())},
+              {"age_ms",
+               absl::StrCat(absl::ToInt64Milliseconds(absl::Now() - begin))}});
+    return {.outcome = AttemptOutcome::kFailed, .detail = "memory_limit"};
+  }
   if (!result) {
     return {.outcome = OutcomeOfFailedCall(result.error(), absl::Now() - begin,
                                            call.timeout),
             .detail = httplib::to_string(result.error())};
   }
   service_response->status = result->status;
-  service_response->body = std::move(result->body);
+  service_response->body = std::move(body);
   service_response->content_type = result->get_header_value("Content-Type");
   if (!call.fresh_connection)
     connection_pool_->Return(call.address, std::move(client));
--- a/modules/serving/http_upstream_client.h
+++ b/modules/serving/http_upstream_client.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "modules/serving/shared_memory_budget.h"
 #include "modules/serving/upstream_client.h"
 
 namespace chicory {
@@ -12,10 +13,13 @@
 /** Implements the upstream protocol over HTTP, with streams as JSON lines.
 
     Idle connections are reused for a short time only, because the upstream may
-    close one just as a request is sent on it. Thread-safe. */
+    close one just as a request is sent on it. Incomplete responses to calls of
+    plain services count against a memory budget; the call that it ends fails
+    with AttemptOutcome::kFailed. Thread-safe. */
 class HttpUpstreamClient : public UpstreamClient {
  public:
-  HttpUpstreamClient();
+  /** `memory` must outlive this object; null if there is no bound. */
+  explicit HttpUpstreamClient(SharedMemoryBudget* memory = nullptr);
   ~HttpUpstreamClient() override;
 
   UpstreamCallResult Stream(const StreamCall& call,
@@ -39,6 +43,7 @@
 
  private:
   class ConnectionPool;
+  SharedMemoryBudget* const memory_;
   std::unique_ptr<ConnectionPool> connection_pool_;
 };
 
--- a/programs/entry/entry.cc
+++ b/programs/entry/entry.cc
@@ -91,7 +91,8 @@
        67108864, "", "Maximum size of a request body."},
       {"memory_mb", Type::kInteger, "MB", false, "0", 0, 16777216, "",
        "Memory that the process may use; three eighths of it are for bodies of "
-       "requests. 0 if it is unknown, which counts as 112."},
+       "requests and incomplete responses. 0 if it is unknown, which counts as "
+       "112."},
       {"gossip_period", Type::kDuration, "s", false, "1s", 0.05, 10, "",
        "Time between two gossip exchanges with peers."},
       {"configuration_poll", Type::kDuration, "s", false, "60s", 0.1, 3600, "",
@@ -109,8 +110,12 @@
       instance_(settings.text("instance")),
       incarnation_(static_cast<uint64_t>(absl::ToUnixMillis(absl::Now()))),
       timeline_(instance_),
+      memory_(MemoryBudget::MaxBytesFor(
+          static_cast<size_t>(settings.integer("memory_mb")) *
+          kBytesPerMegabyte)),
       store_({.address = settings.text("object_api"),
               .timeout = absl::Seconds(1)}),
+      client_(&memory_),
       broker_({.instance = instance_, .incarnation = incarnation_},
               &client_,
               &counters_,
@@ -168,9 +173,6 @@
                      .counters = &counters_,
                      .timeline = &timeline_,
                      .is_ready = [this] { return IsReady(); }}),
-      memory_(MemoryBudget::MaxBytesFor(
-          static_cast<size_t>(settings.integer("memory_mb")) *
-          kBytesPerMegabyte)),
       caller_server_(CallerServerOptions(settings, &memory_, &counters_)),
       operator_server_(OperatorServerOptions(settings, &memory_, &counters_)) {
   configuration_watcher_.set_listener(
--- a/programs/entry/entry.h
+++ b/programs/entry/entry.h
@@ -74,6 +74,7 @@
   const uint64_t incarnation_;
   Counters counters_;
   Timeline timeline_;
+  SharedMemoryBudget memory_;
   HttpObjectStore store_;
   HttpUpstreamClient client_;
   RequestBroker broker_;
@@ -85,7 +86,6 @@
   UpstreamWatcher upstream_watcher_;
   CallerApi caller_api_;
   OperatorApi operator_api_;
-  SharedMemoryBudget memory_;
   HttpApiServer caller_server_;
   HttpApiServer operator_server_;
   std::atomic<bool> is_stopping_{false};
--- a/tests/logic/entry_clients_test.cc
+++ b/tests/logic/entry_clients_test.cc
@@ -326,8 +326,9 @@
 
 UpstreamCallResult CallService(const std::string& address,
                                ServiceResponse* response,
-                               const std::string& body = "") {
-  HttpUpstreamClient client;
+                               const std::string& body = "",
+                               SharedMemoryBudget* memory = nullptr) {
+  HttpUpstreamClient client(memory);
   Interrupt interrupt;
   return client.Call({.address = address,
                       .method = body.empty() ? "GET" : "POST",
@@ -574,5 +575,25 @@
   }
 }
 
+// Guards against the end of the process for lack of memory: each of any number
+// of calls kept 8 MiB of a response without end.
+TEST_CASE("incomplete responses share the memory of an entry") {
+  SharedMemoryBudget memory(1 << 20);
+  const ScriptedServer endless(EndlessResponses()[7].bytes, Ending::kRepeat);
+  ServiceResponse response;
+  const auto failed =
+      CallService(endless.address(), &response, /*body=*/"", &memory);
+  CHECK(failed.outcome == AttemptOutcome::kFailed);
+  CHECK(failed.detail == "memory_limit");
+  CHECK(response.body.empty());
+  const ScriptedServer sound(ResponseOf(200, std::string(300000, 'x')));
+  const auto completed =
+      CallService(sound.address(), &response, /*body=*/"", &memory);
+  CHECK(completed.outcome == AttemptOutcome::kCompleted);
+  CHECK(response.body.size() == 300000);
+  const absl::MutexLock lock(&memory.mutex);
+  CHECK(memory.budget.used_bytes() == 0);
+}
+
 }  // namespace
 }  // namespace chicory
