Responses to memory orders and of the store have smaller limits

Seen in a test on: a call to an engine that reserves memory, or to the store, read 33,562,624 bytes of a response without an end and kept them. A prompt that is spread over engines makes such calls to each of them, and three watchers call the store, on instances with 112 MB.

Change: 64 KiB for orders, of whose responses only the status counts; 8 MiB for the rest. The users' page says of the store's pages that they have about 1 MB.

Before: "a call gives up a response without end" red in 2 of 4 checks. After: all hold. Kept for the gateway, green before: endless short fields, chunk sizes, extensions and trailers.

Why it works: the sum of what such calls keep stays below the part of the memory that the budget leaves.

--- a/modules/gateway/memory_reservation.cc
+++ b/modules/gateway/memory_reservation.cc
@@ -10,6 +10,8 @@
 constexpr absl::Duration kReservationLifetime = absl::Milliseconds(3000);
 constexpr std::chrono::milliseconds kRenewalInterval(1200);
 constexpr absl::Duration kCallTimeout = absl::Milliseconds(400);
+/** Only the status of a response counts; engines send a few bytes with it. */
+constexpr size_t kMaxResponseBytes = 64 << 10;
 constexpr int kOk = 200;
 
 }  // namespace
@@ -43,7 +45,8 @@
        .target = call.target,
        .extra_head = call.extra_head,
        .body = call.body,
-       .timeout = kCallTimeout},
+       .timeout = kCallTimeout,
+       .max_body_bytes = kMaxResponseBytes},
       [self = shared_from_this(), renewal](const HttpCallResult& outcome) {
         // A failed renewal is retried at the next interval.
         if (!renewal && !self->released_)
@@ -94,7 +97,8 @@
                        .target = call.target,
                        .extra_head = call.extra_head,
                        .body = call.body,
-                       .timeout = kCallTimeout},
+                       .timeout = kCallTimeout,
+                       .max_body_bytes = kMaxResponseBytes},
                       [self = shared_from_this()](const HttpCallResult&) {});
   }
 }
--- a/modules/net/http_client.h
+++ b/modules/net/http_client.h
@@ -44,8 +44,9 @@
     /** Limits the whole call, including the connection's setup. */
     absl::Duration timeout = absl::Seconds(1);
     /** Maximum size of the response's body; the default is far above a list or
-        configuration of the largest fleet. */
-    size_t max_body_bytes = 32 << 20;
+        configuration of the largest fleet, and three such bodies fit into the
+        smallest instance. */
+    size_t max_body_bytes = 8 << 20;
   };
 
   /** Sends `request`. `done` is called once from the event loop, unless
--- a/tests/logic/upstream_exchange_test.cc
+++ b/tests/logic/upstream_exchange_test.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "absl/time/clock.h"
+#include "modules/gateway/memory_reservation.h"
 #include "modules/net/http_client.h"
 #include "platform/header_codec.h"
 #include "tests/logic/cut_responses.h"
@@ -528,8 +529,14 @@
   const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
   const std::vector<EndlessCase> cases = {
       {"head", false, Filler("X-A: aaaaaaaaa\r\n"), "connection_broken"},
+      {"short fields", false, Filler("A: aaa\r\n"), "connection_broken"},
       {"one field", false, "X-A: " + Filler("a"), "connection_broken"},
-      {"size of a chunk", false, chunked + "1;" + Filler("a"),
+      {"size of a chunk", false, chunked + Filler("0"), "connection_broken"},
+      {"extension of a chunk", false, chunked + "1;" + Filler("a"),
+       "connection_broken"},
+      {"trailer", false, chunked + "0\r\n" + Filler("A: aaa\r\n"),
+       "connection_broken"},
+      {"trailer of a stream", true, chunked + "0\r\n" + Filler("A: aaa\r\n"),
        "connection_broken"},
       {"body", false, "\r\n" + Filler("a"), "response_too_large"},
       {"chunks", false, chunked + Filler("b\r\naaaaaaaaaaa\r\n"),
@@ -606,6 +613,41 @@
   }
 }
 
+// Guards against the end of the process for lack of memory: with a call to each
+// engine of a prompt, or three to the store, it kept 32 MiB of each response.
+TEST_CASE("a call gives up a response without end") {
+  const std::string response = "HTTP/1.1 200 OK\r\n\r\n" + Filler("a");
+  // What the sockets of both sides may hold.
+  constexpr size_t kSocketBytes = 8 << 20;
+  SECTION("to the store") {
+    boost::asio::io_context loop;
+    ScriptedUpstream server(loop, response, Ending::kRepeat);
+    HttpClient client(loop, server.address());
+    std::optional<HttpCallResult> result;
+    client.Call({.target = "/a", .timeout = absl::Seconds(20)},
+                [&](HttpCallResult outcome) { result = std::move(outcome); });
+    while (!result)
+      loop.run_one();
+    CHECK_FALSE(result->has_response);
+    CHECK(server.repeated_bytes() <= (8 << 20) + kSocketBytes);
+  }
+  SECTION("to an engine that is to reserve memory") {
+    boost::asio::io_context loop;
+    ScriptedUpstream engine(loop, response, Ending::kRepeat);
+    const HeaderCodec codec;
+    const auto reservation = std::make_shared<MemoryReservation>(
+        loop, codec, "m",
+        std::vector<MemoryReservation::Share>{
+            {.upstream_id = "e", .address = engine.address(), .tokens = 1}});
+    std::optional<bool> is_granted;
+    reservation->Acquire([&](bool granted) { is_granted = granted; });
+    while (!is_granted)
+      loop.run_one();
+    CHECK_FALSE(*is_granted);
+    CHECK(engine.repeated_bytes() <= kSocketBytes);
+  }
+}
+
 TEST_CASE("interim responses without end are given up") {
   HttpResponseParser parser(/*head_only=*/false);
   for (int i = 0; i < 1000 && parser.state() == ParseState::kNeedMore; ++i)
