Messages of the entry's peers have a limit of 8 MiB

Seen: one peer that announced a message of 64 MB and never ended it took an entry that served nothing else from 16 to 80 MB (trial with the library's limit), of which the budget for bodies leaves 70 of 112.

Cause: the library's default limit for a message, which it reads as a whole.

Change: 8 MiB for calls and for the server; the largest message holds one file of a configuration, of up to 1 MiB.

Why it works: the limit is checked before the memory is reserved.

--- a/modules/peers/peer_node.cc
+++ b/modules/peers/peer_node.cc
@@ -31,6 +31,12 @@
 /** Maximum number of demands accepted per call; further ones are ignored. */
 constexpr size_t kMaxDemandsPerCall = 2000;
 
+/** Maximum size of a message, which is read into memory as a whole. The largest
+    ones hold one file of a configuration, of up to 1 MiB. */
+constexpr uint64_t kMaxMessageBytes = 8 << 20;
+constexpr capnp::ReaderOptions kReaderOptions{
+    .traversalLimitInWords = kMaxMessageBytes / sizeof(capnp::word)};
+
 }  // namespace
 
 /** The node's event loop, thread and RPC connections. */
@@ -154,7 +160,8 @@
       throws on a connection that has broken. */
   struct Connection {
     explicit Connection(const std::string& address)
-        : client(address), peer(client.getMain<wire::Peer>()) {}
+        : client(address, /*defaultPort=*/0, kReaderOptions),
+          peer(client.getMain<wire::Peer>()) {}
     capnp::EzRpcClient client;
     wire::Peer::Client peer;
   };
@@ -283,7 +290,8 @@
 
 void PeerNode::Loop::Run() {
   try {
-    capnp::EzRpcServer server(kj::heap<Service>(this), options_.listen);
+    capnp::EzRpcServer server(kj::heap<Service>(this), options_.listen,
+                              /*defaultPort=*/0, kReaderOptions);
     auto& scope = server.getWaitScope();
     const uint32_t port = server.getPort().wait(scope);
     const std::vector<std::string> parts =
