Review: the end of a read in its former order; a comment's lines

Read as a newcomer: OnBytes keeps its three branches (end, error, bytes), the only new part being which end is orderly. No behaviour changes; "a response is not complete if a reset ends it during the upload" holds as before.

--- a/modules/net/http_client_connection.cc
+++ b/modules/net/http_client_connection.cc
@@ -127,13 +127,12 @@
   // A reset is reported only once. If the write meets it first, reads end as if
   // the peer had closed the connection in good order.
   const bool is_orderly_end = error == asio::error::eof && !write_failed_;
-  if (error && !is_orderly_end) {
-    Fail(Failure::kBroken);
-    return;
-  }
   if (is_orderly_end) {
     parser_->FeedEof();
     closed_ = true;
+  } else if (error) {
+    Fail(Failure::kBroken);
+    return;
   } else {
     Feed(absl::string_view(read_buffer_.data(), count));
   }
--- a/modules/net/http_message.h
+++ b/modules/net/http_message.h
@@ -147,10 +147,10 @@
 };
 
 /** Incremental parser for a single HTTP/1.1 response. The body is available as
-    it arrives. Interim (1xx) responses are skipped. A status outside 100 to
-   599, a head of more than 64 KiB or more than 16 interim responses are
-   malformed. The size of the body is not limited; memory is used only for the
-   bytes that have arrived, whatever length the head announces.
+    it arrives. Interim (1xx) responses are skipped. A head of more than 64 KiB,
+    a status outside 100 to 599 or more than 16 interim responses are malformed.
+    The size of the body is not limited; memory is used only for the bytes that
+    have arrived, whatever length the head announces.
 
     Not thread-safe. */
 class HttpResponseParser {
