A test of memory orders ends its calls before it ends the loop

Cause: a refused reservation orders its release, and that call's callback owns the reservation until the call ends, at the latest by its timeout of 400 ms. The test left its loop as soon as the reservation was refused, so the callback stayed in the client that the reservation owns.

Ruled out: a leak in processes. No other test of the file does so with a reservation.

Change: the test gives up its own reference and runs the loop until the reservation is gone, 5 s at most, and checks that it is. No former check changed. That a release that nobody answers ends was not checked before.

Why it works: what kept the reservation was the call in progress; now none is when the loop is destroyed.

--- a/tests/logic/upstream_exchange_test.cc
+++ b/tests/logic/upstream_exchange_test.cc
@@ -635,7 +635,7 @@
     boost::asio::io_context loop;
     ScriptedUpstream engine(loop, response, Ending::kRepeat);
     const HeaderCodec codec;
-    const auto reservation = std::make_shared<MemoryReservation>(
+    auto reservation = std::make_shared<MemoryReservation>(
         loop, codec, "m",
         std::vector<MemoryReservation::Share>{
             {.upstream_id = "e", .address = engine.address(), .tokens = 1}});
@@ -645,6 +645,14 @@
       loop.run_one();
     CHECK_FALSE(*is_granted);
     CHECK(engine.repeated_bytes() <= kSocketBytes);
+    // The order to release isn't answered, and keeps the reservation until its
+    // timeout.
+    const std::weak_ptr<MemoryReservation> unowned = reservation;
+    reservation.reset();
+    const absl::Time begin = absl::Now();
+    while (!unowned.expired() && absl::Now() - begin < absl::Seconds(5))
+      loop.run_one_for(std::chrono::milliseconds(100));
+    CHECK(unowned.expired());
   }
 }
 
