--- a/modules/decisions/instance_roster.cc
+++ b/modules/decisions/instance_roster.cc
@@ -37,10 +37,14 @@
   row.suspected_until = absl::InfinitePast();
 }
 
-void InstanceRoster::SetLostSource(InstanceIp ip, bool lost) {
+void InstanceRoster::SetLostSource(InstanceIp ip, bool lost, absl::Time now) {
   auto found = rows_.find(ip);
-  if (found != rows_.end())
-    found->second.lost_source = lost;
+  if (found == rows_.end())
+    return;
+  Row& row = found->second;
+  if (lost && !row.lost_source)
+    row.lost_source_at = now;
+  row.lost_source = lost;
 }
 
 void InstanceRoster::SetCanSchedule(InstanceIp ip, bool can_schedule) {
@@ -126,6 +130,15 @@
   return !self_lost && before_connected < count;
 }
 
+size_t InstanceRoster::CountLostSince(absl::Time since, absl::Time now) const {
+  return static_cast<size_t>(
+      std::count_if(rows_.begin(), rows_.end(), [&](const auto& entry) {
+        const Row& row = entry.second;
+        return row.lost_source && row.lost_source_at > since &&
+               now - row.last_seen < kLivenessTimeout;
+      }));
+}
+
 size_t InstanceRoster::LiveCount(absl::Time now) const {
   return Members(now).size() + 1;
 }
--- a/modules/decisions/instance_roster.h
+++ b/modules/decisions/instance_roster.h
@@ -36,7 +36,7 @@
       suspicion. */
   void OnMessageReceived(InstanceIp ip, absl::Time now);
   /** Sets whether `ip` has lost the connection to its source. */
-  void SetLostSource(InstanceIp ip, bool lost);
+  void SetLostSource(InstanceIp ip, bool lost, absl::Time now);
   /** Sets whether `ip` knows upstreams, and so can schedule for others. An
       instance that is known only from others is assumed to. */
   void SetCanSchedule(InstanceIp ip, bool can_schedule);
@@ -72,6 +72,10 @@
       instance is not. If no instance is connected, all of them count. */
   bool IsAmongFirst(size_t count, bool self_lost, absl::Time now) const;
 
+  /** Returns how many live instances have reported after `since` that they had
+      lost the connection to their source, and have not regained it. */
+  size_t CountLostSince(absl::Time since, absl::Time now) const;
+
   /** Returns the number of live instances, this one included. */
   size_t LiveCount(absl::Time now) const;
 
@@ -80,6 +84,8 @@
     absl::Time last_seen = absl::InfinitePast();
     absl::Time suspected_until = absl::InfinitePast();
     bool lost_source = false;
+    /** When `lost_source` was last set here. */
+    absl::Time lost_source_at = absl::InfinitePast();
     bool can_schedule = true;
   };
 
--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -153,7 +153,7 @@
       placement_(
           {.self = options_.peers.ip,
            .seeds = options_.seeds,
-           .watcher_timeout = options_.watcher_timeout,
+           .max_source_age = options_.max_source_age,
            .uses_evacuations = options_.evacuate_within > absl::ZeroDuration(),
            .first_sequence = options_.first_sequence,
            .admission_control = options_.admission_control},
@@ -163,6 +163,7 @@
                       &placement_.membership(),
                       log,
                       options_.refresh_interval,
+                      options_.max_source_silence,
                       options_.evacuate_within > absl::ZeroDuration()),
       snapshot_server_(loop, metrics_, this),
       snapshot_fetcher_(
@@ -418,6 +419,11 @@
     snapshot_fetcher_.plan().OnSourceFailed();
 }
 
+void Gateway::OnSourceConfirmed(SourcePart part, absl::Time as_of) {
+  source_watcher_.OnConfirmed(as_of);
+  placement_.membership().OnSourceConfirmed(part, as_of);
+}
+
 void Gateway::OnInvalidInput(const std::string& what,
                              const std::string& reason) {
   log_.Write("input_unreadable", {{"what", what}, {"reason", reason}});
@@ -542,6 +548,7 @@
        .scheduler_waiting = placement_.scheduler().waiting(),
        .scheduler_running = placement_.scheduler().running(),
        .configuration_version = state_.table ? state_.table->version() : 0,
+       .source_age = placement_.membership().SourceAge(SteadyNow()),
        .upstreams = state_.upstreams.size(),
        .refused_parts = refusals_.size() - refused_requests,
        .refused_requests = refused_requests,
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -53,9 +53,12 @@
         serves them snapshots over TCP. */
     Endpoint peers;
     std::vector<InstanceIp> seeds;
-    /** Minimum time without a message from an instance that watches the source
-        before this instance watches it itself. */
-    absl::Duration watcher_timeout = absl::Milliseconds(1000);
+    /** Age of the last confirmation by the source, from whichever instance,
+        at which this instance watches the source itself. */
+    absl::Duration max_source_age = absl::Milliseconds(1400);
+    /** Time without a confirmation to this instance, while it watches the
+        source, after which it counts the source as lost. */
+    absl::Duration max_source_silence = absl::Milliseconds(1600);
     /** Minimum time between two refreshes from the source that are caused by
         newer data at other instances. */
     absl::Duration refresh_interval = absl::Milliseconds(500);
@@ -123,6 +126,7 @@
                    bool after_outage) override;
   void OnUpstreamChanges(const UpstreamBatch& batch) override;
   void OnEvacuations(const Evacuations& evacuations) override;
+  void OnSourceConfirmed(SourcePart part, absl::Time as_of) override;
   void OnSourceReachable(const std::string& source,
                          bool reachable,
                          const std::string& reason) override;
@@ -165,10 +169,9 @@
   void AnnounceFirstContent();
   /** Records that the source has delivered a part. */
   void OnSourceAnswered(SnapshotPlan::Part part);
-  /** Records a list of the source in the change log. The first one after a
-      peer's content becomes a batch of changes, from which instances with
-      content as old as that get what they lack. Returns false if later
-      revisions are known. */
+  /** Records a list of the source in the change log. After earlier content it
+      becomes a batch of changes, from which instances with content as old as
+      that get what they lack. Returns false if later revisions are known. */
   bool RecordList(const std::vector<UpstreamRecord>& upstreams,
                   uint64_t revision,
                   bool after_outage);
--- a/modules/gateway/gateway_inputs.h
+++ b/modules/gateway/gateway_inputs.h
@@ -4,6 +4,8 @@
 #include <string>
 #include <vector>
 
+#include "absl/time/time.h"
+#include "modules/peers/source_part.h"
 #include "modules/routing/evacuations.h"
 #include "modules/routing/routing_table.h"
 #include "modules/routing/upstream_change_log.h"
@@ -28,6 +30,9 @@
   virtual void OnUpstreamChanges(const UpstreamBatch& batch) = 0;
   /** Called with all evacuated data centres as of the set's revision. */
   virtual void OnEvacuations(const Evacuations& evacuations) = 0;
+  /** Called when the source has confirmed that as of `as_of` it had nothing of
+      `part` beyond what has been passed to the other methods. */
+  virtual void OnSourceConfirmed(SourcePart part, absl::Time as_of) = 0;
   /** Called when the part of the source named `source` becomes unreachable or
       reachable again. `reason` is empty if it is reachable. */
   virtual void OnSourceReachable(const std::string& source,
--- a/modules/gateway/gateway_metrics.cc
+++ b/modules/gateway/gateway_metrics.cc
@@ -176,6 +176,10 @@
        static_cast<double>(levels.scheduler_running)},
       {"chicory_configuration_version", "Configuration in force",
        static_cast<double>(levels.configuration_version)},
+      {"chicory_source_age_seconds",
+       "Time since the source last confirmed, to any instance, that what is "
+       "known here is the newest",
+       absl::ToDoubleSeconds(levels.source_age)},
       {"chicory_upstreams", "Upstreams known",
        static_cast<double>(levels.upstreams)},
       {"chicory_refused_prompt_parts",
--- a/modules/gateway/gateway_metrics.h
+++ b/modules/gateway/gateway_metrics.h
@@ -63,6 +63,7 @@
     size_t scheduler_waiting = 0;
     size_t scheduler_running = 0;
     uint64_t configuration_version = 0;
+    absl::Duration source_age;
     size_t upstreams = 0;
     size_t refused_parts = 0;
     size_t refused_requests = 0;
--- a/modules/gateway/gateway_snapshot.cc
+++ b/modules/gateway/gateway_snapshot.cc
@@ -33,8 +33,10 @@
                          bool after_outage) {
   UpstreamChangeLog& changes = placement_.membership().upstream_changes();
   const uint64_t known = changes.complete_until();
-  if (!has_peer_upstreams_ || revision <= known)
+  if (known == 0 || revision < known)
     return changes.OnListed(revision);
+  if (revision == known)
+    return true;
   std::vector<UpstreamChange> changed = state_.upstreams.ChangesTo(upstreams);
   // More are never sent to others, which would wait for them in vain and then
   // list the source.
--- a/modules/gateway/source_watcher.cc
+++ b/modules/gateway/source_watcher.cc
@@ -1,5 +1,7 @@
 #include "modules/gateway/source_watcher.h"
 
+#include <algorithm>
+
 #include "modules/net/loop_time.h"
 
 namespace chicory {
@@ -8,6 +10,9 @@
 
 /** How long the source is still watched after the need has ended. */
 constexpr absl::Duration kWatchLinger = absl::Seconds(2);
+/** The same while it does not respond: time for a few calls, so that a single
+    failed one is no reason to rely on others. */
+constexpr absl::Duration kLostWatchLinger = absl::Milliseconds(500);
 /** Time after which a source that became unreachable no longer counts as lost
     if it is not being watched, so that this instance may contact it again. */
 constexpr absl::Duration kLostStateLifetime = absl::Seconds(5);
@@ -18,11 +23,13 @@
                              Membership* membership,
                              EventLog& log,
                              absl::Duration refresh_interval,
+                             absl::Duration max_silence,
                              bool reads_evacuations)
     : source_(source),
       membership_(membership),
       log_(log),
       refresh_interval_(refresh_interval),
+      max_silence_(max_silence),
       reads_evacuations_(reads_evacuations) {}
 
 void SourceWatcher::OnReachable(const std::string& part, bool reachable) {
@@ -35,6 +42,22 @@
   last_lost_at_ = SteadyNow();
 }
 
+void SourceWatcher::OnConfirmed(absl::Time as_of) {
+  confirmed_at_ = std::max(confirmed_at_, as_of);
+}
+
+void SourceWatcher::CheckSilence(absl::Time now) {
+  const absl::Time last = std::max(confirmed_at_, watching_since_);
+  if (!is_watching_ || !has_contact_ || now - last < max_silence_)
+    return;
+  if (silent_at_ <= last) {
+    log_.Write("source_silent",
+               {{"age_ms", absl::ToInt64Milliseconds(now - last)},
+                {"live_instances", membership_->LiveInstances(now)}});
+  }
+  silent_at_ = now;
+}
+
 std::optional<Freshness> SourceWatcher::TakeRefresh(Refresh* refresh,
                                                     uint64_t wanted,
                                                     uint64_t known) {
@@ -71,27 +94,41 @@
   const bool is_lost =
       !lost_parts_.empty() &&
       (is_watching_ || now - last_lost_at_ < kLostStateLifetime);
+  const bool is_silent =
+      silent_at_ > confirmed_at_ && now - silent_at_ < kLostStateLifetime;
   // A source that has not answered since the start is not there for others.
-  if (is_lost || (is_watching_ && !has_contact_))
+  if (is_lost || is_silent || (is_watching_ && !has_contact_))
     return SourceState::kLost;
   return is_watching_ ? SourceState::kWatching : SourceState::kPassive;
 }
 
+bool SourceWatcher::ShouldWatch(SourceState state, absl::Time now) {
+  if (membership_->ShouldWatchSource(now))
+    last_needed_at_ = now;
+  const absl::Duration linger =
+      state == SourceState::kLost ? kLostWatchLinger : kWatchLinger;
+  return now - last_needed_at_ < linger;
+}
+
 void SourceWatcher::Tick(absl::Time now) {
-  membership_->SetSourceState(StateOfSource(now), now);
+  CheckSilence(now);
+  const SourceState state = StateOfSource(now);
+  membership_->SetSourceState(state, now);
   if (reads_evacuations_ && membership_->ShouldReadEvacuations(now)) {
     reads_evacuations_ = false;
     source_->ReadEvacuations();
   }
-  if (membership_->ShouldWatchSource(now))
-    last_needed_at_ = now;
-  const bool watch = now - last_needed_at_ < kWatchLinger;
+  const bool watch = ShouldWatch(state, now);
   if (watch == is_watching_)
     return;
   is_watching_ = watch;
-  log_.Write(watch ? "source_watched" : "source_unwatched",
-             {{"live_instances", membership_->LiveInstances(now)},
-              {"lost_parts", lost_parts_.size()}});
+  watching_since_ = now;
+  log_.Write(
+      watch ? "source_watched" : "source_unwatched",
+      {{"live_instances", membership_->LiveInstances(now)},
+       {"lost_parts", lost_parts_.size()},
+       {"among_first", membership_->IsWatcher(now) ? 1 : 0},
+       {"age_ms", absl::ToInt64Milliseconds(membership_->SourceAge(now))}});
   source_->SetWatching(watch);
 }
 
--- a/modules/peers/membership.cc
+++ b/modules/peers/membership.cc
@@ -62,19 +62,26 @@
 constexpr uint64_t kRoundsPerEvacuations = 8;
 /** Below this number of live instances every hello goes to all seeds. */
 constexpr size_t kMinInstancesWithoutAllSeeds = 3;
-/** Largest addition to the watcher timeout, as a fraction of it. Differs
+/** Largest addition to Options::max_source_age, as a fraction of it. Differs
     between instances, so that they do not all contact the source at once. */
-constexpr double kMaxTimeoutOffset = 0.4;
-constexpr uint32_t kTimeoutOffsetSteps = 16;
+constexpr double kMaxAgeOffset = 0.05;
+constexpr uint32_t kAgeOffsetSteps = 16;
+/** Number of instances that must have lost the source, one after the other,
+    within kOutageEvidenceLifetime and since it last confirmed anything, for it
+    to count as away for all: more than watch it at a time. */
+constexpr size_t kOutageEvidence = Membership::kWatchers + 1;
+constexpr absl::Duration kOutageEvidenceLifetime = absl::Seconds(5);
+/** Shortest time between two hellos with which an instance passes on that the
+    source has confirmed what it knows. */
+constexpr absl::Duration kConfirmationInterval = absl::Milliseconds(250);
 
 }  // namespace
 
 Membership::Membership(Options options)
     : options_(std::move(options)),
       roster_(options_.self),
-      timeout_offset_(options_.watcher_timeout * kMaxTimeoutOffset *
-                      (options_.self % kTimeoutOffsetSteps) /
-                      kTimeoutOffsetSteps) {}
+      age_offset_(options_.max_source_age * kMaxAgeOffset *
+                  (options_.self % kAgeOffsetSteps) / kAgeOffsetSteps) {}
 
 void Membership::SetSeeds(std::vector<InstanceIp> seeds) {
   options_.seeds = std::move(seeds);
@@ -99,10 +106,52 @@
 bool Membership::ShouldWatchSource(absl::Time now) const {
   if (leaving_ || now - started_ < kInitialReadValidity)
     return false;
-  if (roster_.IsAmongFirst(kWatchers, source_ == SourceState::kLost, now))
+  if (IsWatcher(now))
     return true;
-  return now - std::max(last_watcher_message_, started_) >
-         options_.watcher_timeout + timeout_offset_;
+  // While the source does not respond here either, only the first in order try
+  // it again and again.
+  return source_ != SourceState::kLost &&
+         SourceAge(now) > options_.max_source_age + age_offset_ &&
+         !IsSourceAway(now);
+}
+
+bool Membership::IsSourceAway(absl::Time now) const {
+  const absl::Time since =
+      std::max(now - SourceAge(now), now - kOutageEvidenceLifetime);
+  return roster_.CountLostSince(since, now) >= kOutageEvidence;
+}
+
+bool Membership::IsWatcher(absl::Time now) const {
+  return roster_.IsAmongFirst(kWatchers, source_ == SourceState::kLost, now);
+}
+
+void Membership::OnSourceConfirmed(SourcePart part, absl::Time as_of) {
+  const auto index = static_cast<size_t>(part);
+  confirmed_here_at_[index] = std::max(confirmed_here_at_[index], as_of);
+  confirmed_at_[index] = std::max(confirmed_at_[index], as_of);
+}
+
+absl::Duration Membership::SourceAge(absl::Time now) const {
+  const absl::Time oldest =
+      *std::min_element(confirmed_at_.begin(), confirmed_at_.end());
+  return now - std::max(oldest, started_);
+}
+
+void Membership::AdoptSourceAges(const PeerMessage& message, absl::Time now) {
+  const auto adopt = [&](SourcePart part, absl::Duration age) {
+    absl::Time& known = confirmed_at_[static_cast<size_t>(part)];
+    known = std::max(known, now - age);
+  };
+  // A newer configuration that the sender knows of is known here as well.
+  adopt(SourcePart::kConfiguration, message.configuration_age);
+  const uint64_t known_until = upstream_changes_.complete_until();
+  const bool may_lack_changes = message.upstreams_log_begin > known_until ||
+                                message.upstreams_last_change > known_until;
+  if (may_lack_changes || message.upstreams_age == absl::InfiniteDuration())
+    return;
+  upstream_changes_.Add(
+      {.from = known_until, .to = message.upstreams_complete_until});
+  adopt(SourcePart::kUpstreams, message.upstreams_age);
 }
 
 bool Membership::AdoptEvacuations(const Evacuations& evacuations,
@@ -146,7 +195,7 @@
          roster_.IsAmongFirst(kWatchers, source_ == SourceState::kLost, now);
 }
 
-void Membership::FillHeader(PeerMessage* message) const {
+void Membership::FillHeader(PeerMessage* message, absl::Time now) const {
   message->sender = options_.self;
   message->configuration_version =
       std::max(configuration_version_, announced_configuration_version_);
@@ -155,7 +204,14 @@
   message->leaving = leaving_;
   message->upstreams_complete_until = upstream_changes_.complete_until();
   message->upstreams_last_change = upstream_changes_.last_change();
+  message->upstreams_log_begin = upstream_changes_.begin();
   message->source = source_;
+  const auto age = [&](SourcePart part) {
+    const absl::Time at = confirmed_at_[static_cast<size_t>(part)];
+    return at == absl::InfinitePast() ? absl::InfiniteDuration() : now - at;
+  };
+  message->configuration_age = age(SourcePart::kConfiguration);
+  message->upstreams_age = age(SourcePart::kUpstreams);
   message->group_count = group_count_;
   message->knows_evacuations = evacuations_.revision > 0;
   const auto* hello = std::get_if<HelloMessage>(&message->content);
@@ -170,15 +226,13 @@
     roster_.Remove(message.sender);
   else
     roster_.OnMessageReceived(message.sender, now);
-  roster_.SetLostSource(message.sender, message.source == SourceState::kLost);
+  roster_.SetLostSource(message.sender, message.source == SourceState::kLost,
+                        now);
   roster_.SetCanSchedule(message.sender, message.group_count > 0);
   announced_configuration_version_ =
       std::max(announced_configuration_version_, message.configuration_version);
-  // An instance that has lost the source counts too, because the next in order
-  // replaces it.
-  if (message.source != SourceState::kPassive)
-    last_watcher_message_ = now;
   CompareEvacuations(message, now);
+  AdoptSourceAges(message, now);
   if (message.upstreams_last_change >= announced_change_) {
     announced_change_ = message.upstreams_last_change;
     change_announcer_ = message.sender;
@@ -245,7 +299,7 @@
 void Membership::OnWelcome(const WelcomeMessage& welcome, absl::Time now) {
   for (const InstanceRoster::Member& member : welcome.members) {
     roster_.OnLivenessReport(member.ip, now, member.age);
-    roster_.SetLostSource(member.ip, member.lost_source);
+    roster_.SetLostSource(member.ip, member.lost_source, now);
   }
 }
 
@@ -348,6 +402,19 @@
   next_hello_ = std::min(next_hello_, now);
 }
 
+bool Membership::HasNewConfirmation(absl::Time now) const {
+  if (source_ != SourceState::kWatching ||
+      now - last_hello_ < kConfirmationInterval)
+    return false;
+  const absl::Time newest =
+      *std::max_element(confirmed_here_at_.begin(), confirmed_here_at_.end());
+  if (newest <= last_hello_)
+    return false;
+  const std::vector<InstanceIp> receivers = HelloReceivers(now);
+  return std::find(receivers.begin(), receivers.end(), options_.self) ==
+         receivers.end();
+}
+
 std::vector<InstanceIp> Membership::TakeHelloTargets(absl::Time now) {
   if (started_ == absl::InfinitePast())
     started_ = now;
@@ -356,8 +423,9 @@
   // this instance has received from the source.
   const bool has_news = source_ == SourceState::kWatching &&
                         upstream_changes_.last_change() > hello_change_;
-  if (now < next_hello_ && !has_news)
+  if (now < next_hello_ && !has_news && !HasNewConfirmation(now))
     return {};
+  last_hello_ = now;
   hello_change_ = upstream_changes_.last_change();
   next_hello_ = now + (IsJoining(now) ? kJoinHelloInterval : kHelloInterval);
   ++hello_rounds_;
--- a/modules/peers/membership.h
+++ b/modules/peers/membership.h
@@ -1,6 +1,7 @@
 #ifndef MODULES_PEERS_MEMBERSHIP_H_
 #define MODULES_PEERS_MEMBERSHIP_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -11,6 +12,7 @@
 #include "modules/core/recent_maximum.h"
 #include "modules/decisions/instance_roster.h"
 #include "modules/peers/placement_message.h"
+#include "modules/peers/source_part.h"
 #include "modules/routing/evacuations.h"
 #include "modules/routing/upstream_change_log.h"
 
@@ -21,10 +23,12 @@
 
     Only a few instances watch the source. The header of every message announces
     the newest known configuration version and upstream change; an instance that
-    is behind obtains the missing upstream changes from the reply to a hello. An
-    instance watches the source itself when it is among the first kWatchers of
-    the roster's order, or when it receives no message from an instance that
-    does.
+    is behind obtains the missing upstream changes from the reply to a hello.
+   The header also carries the time since the source last confirmed that this is
+    the newest: an instance that says it watches may be cut off without knowing
+    it. An instance watches the source itself when it is among the first
+    kWatchers of the roster's order, or when the last confirmation that it knows
+    of is too old.
 
     Performs no I/O and reads no clock: callers pass the time. Not thread-safe.
 
@@ -43,9 +47,9 @@
     InstanceIp self = 0;
     /** Instances to contact before others are known. */
     std::vector<InstanceIp> seeds;
-    /** Time without a message from an instance that watches the source after
-        which this instance watches it. */
-    absl::Duration watcher_timeout = absl::Milliseconds(1000);
+    /** Age of the last confirmation by the source, from whichever instance,
+        at which this instance watches the source itself. */
+    absl::Duration max_source_age = absl::Milliseconds(1400);
     /** Whether operators evacuate data centres. Without it what other instances
         send of evacuations is ignored, since nobody would read their end. */
     bool uses_evacuations = true;
@@ -64,6 +68,16 @@
   /** Sets the relation of this instance to the source. Losing the source
       brings the next hello forward. */
   void SetSourceState(SourceState state, absl::Time now);
+  /** Called when the source has confirmed to this instance, as of `as_of`, that
+      it has nothing newer of `part` than what this instance knows. */
+  void OnSourceConfirmed(SourcePart part, absl::Time as_of);
+  /** Returns the time since the source last confirmed, to this or another
+      instance, that all parts known here are the newest; at most the time since
+      the start. */
+  absl::Duration SourceAge(absl::Time now) const;
+  /** Returns whether this instance is one of those that watch the source for
+      all. */
+  bool IsWatcher(absl::Time now) const;
   /** Returns whether this instance is to watch the source. */
   bool ShouldWatchSource(absl::Time now) const;
   /** Replaces the evacuated data centres if `evacuations` is of a newer
@@ -87,7 +101,7 @@
   }
 
   /** Fills in the header fields of an outgoing message. */
-  void FillHeader(PeerMessage* message) const;
+  void FillHeader(PeerMessage* message, absl::Time now) const;
   /** Processes the header fields of a received message. */
   void OnHeader(const PeerMessage& message, absl::Time now);
   /** Returns whether this instance lacks an upstream change that another one
@@ -166,6 +180,15 @@
   const absl::flat_hash_set<InstanceIp>& SchedulerCandidates(absl::Time now);
   /** Repeats the evacuated data centres if the sender does not know them. */
   void CompareEvacuations(const PeerMessage& message, absl::Time now);
+  /** Adopts what the sender knows of the last confirmations by the source, as
+      far as this instance knows what was confirmed. */
+  void AdoptSourceAges(const PeerMessage& message, absl::Time now);
+  /** Returns whether the source seems to be away for all instances, so that
+      those that do not watch it need not try. */
+  bool IsSourceAway(absl::Time now) const;
+  /** Returns whether the source has confirmed something to this instance of
+      which the instances that all others send hellos to are to learn now. */
+  bool HasNewConfirmation(absl::Time now) const;
   /** Processes the live count announced in a reply to a hello. */
   void OnLiveCount(size_t count, absl::Time now);
 
@@ -189,11 +212,16 @@
   uint64_t announced_change_ = 0;
   absl::Time change_awaited_since_ = absl::InfiniteFuture();
   SourceState source_ = SourceState::kPassive;
-  /** Time of the last message from an instance that watches the source or has
-      lost it. */
-  absl::Time last_watcher_message_ = absl::InfinitePast();
-  /** Addition to the watcher timeout; differs between instances. */
-  absl::Duration timeout_offset_;
+  /** By SourcePart: when the source last confirmed it to any instance, and to
+      this one. */
+  using ConfirmationTimes = std::array<absl::Time, kSourceParts>;
+  ConfirmationTimes confirmed_at_ = {absl::InfinitePast(),
+                                     absl::InfinitePast()};
+  ConfirmationTimes confirmed_here_at_ = confirmed_at_;
+  /** Time of the last hello. */
+  absl::Time last_hello_ = absl::InfinitePast();
+  /** Addition to Options::max_source_age; differs between instances. */
+  absl::Duration age_offset_;
   /** Time of the first call of TakeHelloTargets. */
   absl::Time started_ = absl::InfinitePast();
   absl::Time next_hello_ = absl::InfinitePast();
--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -120,6 +120,14 @@
   upstreamsLastChange @24 :UInt64;
   # @see chicory::SourceState
   sourceState @25 :UInt8;
+  # Time since the source last confirmed to any instance that it has no newer
+  # configuration, and no newer upstream changes, than the sender announces.
+  # 65535 if that is unknown or longer ago.
+  configurationAgeMilliseconds @44 :UInt16 = 65535;
+  upstreamsAgeMilliseconds @45 :UInt16 = 65535;
+  # How many revisions before upstreamsCompleteUntil the sender's log of upstream
+  # changes begins.
+  upstreamsLogLength @46 :UInt32;
   # Groups of upstreams that the sender uses; 0 if it knows no upstreams.
   groupCount @33 :UInt32;
   # @see chicory::CrashingParts::digest
--- a/modules/peers/placement.capnp.h
+++ b/modules/peers/placement.capnp.h
@@ -184,7 +184,7 @@
   struct SubmitWithTerms;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(fbb30b84410a6efa, 10, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -199,7 +199,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(ceb049bfcf0fbed3, 10, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -214,7 +214,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(e5ad0fab8ff98dfa, 10, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -229,7 +229,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(d644d23b36b0b6f4, 10, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -244,7 +244,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(be73766630daf0e1, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(be73766630daf0e1, 10, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -259,7 +259,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eda9beee30379697, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(eda9beee30379697, 10, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1321,6 +1321,12 @@
 
   inline bool getKnowsEvacuations() const;
 
+  inline  ::uint16_t getConfigurationAgeMilliseconds() const;
+
+  inline  ::uint16_t getUpstreamsAgeMilliseconds() const;
+
+  inline  ::uint32_t getUpstreamsLogLength() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1493,6 +1499,15 @@
   inline bool getKnowsEvacuations();
   inline void setKnowsEvacuations(bool value);
 
+  inline  ::uint16_t getConfigurationAgeMilliseconds();
+  inline void setConfigurationAgeMilliseconds( ::uint16_t value);
+
+  inline  ::uint16_t getUpstreamsAgeMilliseconds();
+  inline void setUpstreamsAgeMilliseconds( ::uint16_t value);
+
+  inline  ::uint32_t getUpstreamsLogLength();
+  inline void setUpstreamsLogLength( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4037,6 +4052,48 @@
       ::capnp::bounded<53>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Datagram::Reader::getConfigurationAgeMilliseconds() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<36>() * ::capnp::ELEMENTS, 65535u);
+}
+
+inline  ::uint16_t Datagram::Builder::getConfigurationAgeMilliseconds() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<36>() * ::capnp::ELEMENTS, 65535u);
+}
+inline void Datagram::Builder::setConfigurationAgeMilliseconds( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<36>() * ::capnp::ELEMENTS, value, 65535u);
+}
+
+inline  ::uint16_t Datagram::Reader::getUpstreamsAgeMilliseconds() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<37>() * ::capnp::ELEMENTS, 65535u);
+}
+
+inline  ::uint16_t Datagram::Builder::getUpstreamsAgeMilliseconds() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<37>() * ::capnp::ELEMENTS, 65535u);
+}
+inline void Datagram::Builder::setUpstreamsAgeMilliseconds( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<37>() * ::capnp::ELEMENTS, value, 65535u);
+}
+
+inline  ::uint32_t Datagram::Reader::getUpstreamsLogLength() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::Builder::getUpstreamsLogLength() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setUpstreamsLogLength( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Datagram::Assign::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -27,6 +27,22 @@
     the work that a malformed datagram can cause. */
 constexpr uint64_t kMaxReadWords = 4096;
 
+/** Marks an age that is unknown or does not fit. */
+constexpr uint16_t kUnknownWireAge = std::numeric_limits<uint16_t>::max();
+
+/** Returns an age in milliseconds, rounded up, so that nothing appears newer
+    than it is. */
+uint16_t ToWireAge(absl::Duration age) {
+  const absl::Duration rounded = absl::Ceil(age, absl::Milliseconds(1));
+  return static_cast<uint16_t>(std::clamp<int64_t>(
+      absl::ToInt64Milliseconds(rounded), 0, kUnknownWireAge));
+}
+
+absl::Duration FromWireAge(uint16_t age_ms) {
+  return age_ms == kUnknownWireAge ? absl::InfiniteDuration()
+                                   : absl::Milliseconds(age_ms);
+}
+
 /** Returns a duration in microseconds; -1 if it is infinite. */
 int64_t OptionalMicroseconds(absl::Duration duration) {
   return duration == absl::InfiniteDuration()
@@ -540,7 +556,14 @@
   datagram.setLeaving(message.leaving);
   datagram.setUpstreamsCompleteUntil(message.upstreams_complete_until);
   datagram.setUpstreamsLastChange(message.upstreams_last_change);
+  const uint64_t log_length =
+      message.upstreams_complete_until - message.upstreams_log_begin;
+  datagram.setUpstreamsLogLength(static_cast<uint32_t>(
+      std::min<uint64_t>(log_length, std::numeric_limits<uint32_t>::max())));
   datagram.setSourceState(static_cast<uint8_t>(message.source));
+  datagram.setConfigurationAgeMilliseconds(
+      ToWireAge(message.configuration_age));
+  datagram.setUpstreamsAgeMilliseconds(ToWireAge(message.upstreams_age));
   datagram.setGroupCount(message.group_count);
   datagram.setCrashDigest(message.crash_digest);
   WriteEvacuations(message.evacuations, datagram);
@@ -552,6 +575,12 @@
                      bytes.size());
 }
 
+/** Returns PeerMessage::upstreams_log_begin. */
+uint64_t ReadLogBegin(wire::Datagram::Reader datagram) {
+  const uint64_t end = datagram.getUpstreamsCompleteUntil();
+  return end - std::min<uint64_t>(end, datagram.getUpstreamsLogLength());
+}
+
 /** Returns PeerMessage::configuration_in_force. */
 uint64_t ReadConfigurationInForce(wire::Datagram::Reader datagram) {
   const uint64_t newest = datagram.getConfigurationVersion();
@@ -630,9 +659,13 @@
         .leaving = datagram.getLeaving(),
         .upstreams_complete_until = datagram.getUpstreamsCompleteUntil(),
         .upstreams_last_change = datagram.getUpstreamsLastChange(),
+        .upstreams_log_begin = ReadLogBegin(datagram),
         .source = static_cast<SourceState>(
             std::min(datagram.getSourceState(),
                      static_cast<uint8_t>(SourceState::kLost))),
+        .configuration_age =
+            FromWireAge(datagram.getConfigurationAgeMilliseconds()),
+        .upstreams_age = FromWireAge(datagram.getUpstreamsAgeMilliseconds()),
         .group_count = datagram.getGroupCount(),
         .crash_digest = datagram.getCrashDigest(),
         .evacuations = ReadEvacuations(datagram),
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -42,7 +42,7 @@
       listener_(listener),
       membership_({.self = options.self,
                    .seeds = std::move(options.seeds),
-                   .watcher_timeout = options.watcher_timeout,
+                   .max_source_age = options.max_source_age,
                    .uses_evacuations = options.uses_evacuations}),
       next_sequence_(options.first_sequence) {
   scheduler_.SetPreference(self_);
@@ -90,7 +90,7 @@
       continue;
     HelloMessage hello = MakeHello(jobs[receiver], now);
     hello.wants_welcome = false;
-    Send(receiver, {.content = std::move(hello)});
+    Send(receiver, {.content = std::move(hello)}, now);
   }
   return true;
 }
@@ -103,8 +103,8 @@
   });
 }
 
-void PlacementNode::Send(InstanceIp to, PeerMessage message) {
-  membership_.FillHeader(&message);
+void PlacementNode::Send(InstanceIp to, PeerMessage message, absl::Time now) {
+  membership_.FillHeader(&message, now);
   message.crash_digest = crashing_parts_.digest();
   transport_->Send(to, message);
 }
@@ -134,7 +134,7 @@
     return;
   }
   ++job->unanswered_submits;
-  Send(scheduler, {.content = MakeSubmit(job->request, now)});
+  Send(scheduler, {.content = MakeSubmit(job->request, now)}, now);
 }
 
 SubmitMessage PlacementNode::MakeSubmit(const WorkRequest& request,
@@ -160,7 +160,7 @@
   Job& job = found->second;
   job.response_started = true;
   if (job.scheduler != self_) {
-    Send(job.scheduler, {.content = ResponseStartedMessage{key.sequence}});
+    Send(job.scheduler, {.content = ResponseStartedMessage{key.sequence}}, now);
     return;
   }
   scheduler_.OnResponseStarted(key, now);
@@ -180,7 +180,8 @@
     Send(scheduler,
          {.content = EndedMessage{.sequence = key.sequence,
                                   .result = result,
-                                  .faulty_upstream = faulty_upstream}});
+                                  .faulty_upstream = faulty_upstream}},
+         now);
   }
   scheduler_.OnEnded(key, result, faulty_upstream, now);
   RunScheduler(now);
@@ -228,9 +229,11 @@
                                       bool wants_reply,
                                       absl::Time now,
                                       const CrashSuspects& first) {
-  Send(to, {.content = CrashEvidenceMessage{
-                .evidence = crashing_parts_.Evidence(now, first),
-                .wants_reply = wants_reply}});
+  Send(to,
+       {.content = CrashEvidenceMessage{.evidence = crashing_parts_.Evidence(
+                                            now, first),
+                                        .wants_reply = wants_reply}},
+       now);
 }
 
 void PlacementNode::OnCrashEvidence(const PeerMessage& message,
@@ -260,17 +263,18 @@
 void PlacementNode::RunScheduler(absl::Time now) {
   UpdateLimitUse(now);
   for (const ScheduleDecision& decision : scheduler_.Run(now))
-    DeliverDecision(decision);
+    DeliverDecision(decision, now);
 }
 
-void PlacementNode::DeliverDecision(const ScheduleDecision& decision) {
+void PlacementNode::DeliverDecision(const ScheduleDecision& decision,
+                                    absl::Time now) {
   if (decision.key.owner == self_) {
     ApplyDecision(decision, self_);
     return;
   }
   if (decision.kind == ScheduleDecision::Kind::kAssign)
     assignments_[decision.key] = {.decision = decision};
-  Send(decision.key.owner, {.content = DecisionMessage{decision}});
+  Send(decision.key.owner, {.content = DecisionMessage{decision}}, now);
 }
 
 void PlacementNode::ApplyDecision(const ScheduleDecision& decision,
@@ -317,7 +321,7 @@
     OnQueued(message.sender, *queued);
   } else if (const auto* decision =
                  std::get_if<DecisionMessage>(&message.content)) {
-    OnRemoteDecision(message.sender, *decision);
+    OnRemoteDecision(message.sender, *decision, now);
   } else if (const auto* first =
                  std::get_if<ResponseStartedMessage>(&message.content)) {
     scheduler_.OnResponseStarted({message.sender, first->sequence}, now);
@@ -338,7 +342,7 @@
     return;
   HelloMessage hello = MakeHello(RunningJobs(now)[*target], now);
   hello.wants_changes = true;
-  Send(*target, {.content = std::move(hello)});
+  Send(*target, {.content = std::move(hello)}, now);
 }
 
 void PlacementNode::OnHello(const PeerMessage& message, absl::Time now) {
@@ -357,7 +361,7 @@
     DropUnlisted(message.sender, listed, now);
   if (hello.wants_welcome) {
     for (WelcomeMessage& reply : membership_.MakeWelcomes(message, now))
-      Send(message.sender, {.content = std::move(reply)});
+      Send(message.sender, {.content = std::move(reply)}, now);
   }
   if (message.crash_digest != crashing_parts_.digest())
     SendCrashEvidence(message.sender, /*wants_reply=*/true, now);
@@ -399,19 +403,19 @@
                              const SubmitMessage& submit,
                              absl::Time now) {
   if (membership_.leaving()) {
-    Send(sender, {.content = LeaveMessage{}});
+    Send(sender, {.content = LeaveMessage{}}, now);
     return;
   }
   const WorkRequest request = submit.work.ToRequest(sender, now);
   if (!has_upstreams_ &&
       membership_.SchedulingInstance(now, request.group) != self_) {
     // The header of the reply shows that this instance cannot schedule.
-    Send(sender, {.content = WelcomeMessage{}});
+    Send(sender, {.content = WelcomeMessage{}}, now);
     return;
   }
   auto found = assignments_.find(request.key);
   if (found != assignments_.end()) {
-    Send(sender, {.content = DecisionMessage{found->second.decision}});
+    Send(sender, {.content = DecisionMessage{found->second.decision}}, now);
     return;
   }
   std::vector<RequestLimit> limits;
@@ -424,7 +428,7 @@
   scheduler_.Submit(request);
   RunScheduler(now);
   if (scheduler_.IsWaiting(request.key))
-    Send(sender, {.content = QueuedMessage{request.key.sequence}});
+    Send(sender, {.content = QueuedMessage{request.key.sequence}}, now);
 }
 
 void PlacementNode::OnQueued(InstanceIp sender, const QueuedMessage& queued) {
@@ -437,7 +441,8 @@
 }
 
 void PlacementNode::OnRemoteDecision(InstanceIp sender,
-                                     const DecisionMessage& message) {
+                                     const DecisionMessage& message,
+                                     absl::Time now) {
   ScheduleDecision decision = message.decision;
   decision.key.owner = self_;
   auto found = jobs_.find(decision.key.sequence);
@@ -451,7 +456,8 @@
     // Cancelled, or placed by another scheduler in the meantime.
     Send(sender,
          {.content = EndedMessage{.sequence = decision.key.sequence,
-                                  .result = AttemptResult::kCancelled}});
+                                  .result = AttemptResult::kCancelled}},
+         now);
   }
 }
 
@@ -546,21 +552,21 @@
   scheduler_.limits().Expire(now);
   JobsByScheduler jobs = RunningJobs(now);
   for (InstanceIp target : targets)
-    Send(target, {.content = MakeHello(jobs[target], now)});
+    Send(target, {.content = MakeHello(jobs[target], now)}, now);
   if (!scheduler_.has_groups())
     return;
   for (InstanceIp scheduler : SchedulersForHello(jobs)) {
     HelloMessage hello = MakeHello(jobs[scheduler], now);
     hello.wants_welcome = false;
     if (scheduler != self_)
-      Send(scheduler, {.content = std::move(hello)});
+      Send(scheduler, {.content = std::move(hello)}, now);
   }
 }
 
 void PlacementNode::Leave(absl::Time now) {
   membership_.Leave();
   for (const InstanceRoster::Member& member : membership_.Members(now))
-    Send(member.ip, {.content = LeaveMessage{}});
+    Send(member.ip, {.content = LeaveMessage{}}, now);
 }
 
 }  // namespace chicory
--- a/modules/peers/placement_node.h
+++ b/modules/peers/placement_node.h
@@ -71,7 +71,7 @@
     InstanceIp self = 0;
     std::vector<InstanceIp> seeds;
     /** @see Membership::Options */
-    absl::Duration watcher_timeout = absl::Milliseconds(1000);
+    absl::Duration max_source_age = absl::Milliseconds(1400);
     bool uses_evacuations = true;
     /** First sequence number. Must differ between starts of the instance, so
         that its requests are not taken for those of a former start. */
@@ -169,7 +169,7 @@
       instance. */
   void SubmitToScheduler(Job* job, absl::Time now);
   SubmitMessage MakeSubmit(const WorkRequest& request, absl::Time now) const;
-  void Send(InstanceIp to, PeerMessage message);
+  void Send(InstanceIp to, PeerMessage message, absl::Time now);
   /** Sequence numbers of running requests, by the instances that schedule them
       or are next in order to take over. */
   using JobsByScheduler = std::map<InstanceIp, std::vector<uint64_t>>;
@@ -183,7 +183,7 @@
       most once per kLimitUseInterval unless an upstream names a limit. */
   void UpdateLimitUse(absl::Time now);
   /** Passes a decision made here to the owner of the request. */
-  void DeliverDecision(const ScheduleDecision& decision);
+  void DeliverDecision(const ScheduleDecision& decision, absl::Time now);
   /** Applies a decision about a request of this instance. */
   void ApplyDecision(const ScheduleDecision& decision, InstanceIp scheduler);
   /** Uses the number of groups that the first scheduler announces. */
@@ -200,7 +200,9 @@
                     absl::Time now);
   void OnSubmit(InstanceIp sender, const SubmitMessage& submit, absl::Time now);
   void OnQueued(InstanceIp sender, const QueuedMessage& queued);
-  void OnRemoteDecision(InstanceIp sender, const DecisionMessage& message);
+  void OnRemoteDecision(InstanceIp sender,
+                        const DecisionMessage& message,
+                        absl::Time now);
   void OnCrashEvidence(const PeerMessage& message, absl::Time now);
   void SendCrashEvidence(InstanceIp to,
                          bool wants_reply,
--- a/modules/routing/upstream_change_log.h
+++ b/modules/routing/upstream_change_log.h
@@ -80,6 +80,8 @@
 
   /** Revision up to which every change is known. */
   uint64_t complete_until() const { return complete_until_; }
+  /** Revision from which on every change is in the log, or was. */
+  uint64_t begin() const { return base_; }
   /** Revision of the latest known change. */
   uint64_t last_change() const { return last_change_; }
 
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -23,12 +23,17 @@
 
 /** How often the settings file is checked for changes made without a signal. */
 constexpr std::chrono::seconds kSettingsPollInterval(2);
-/** Longest time that a watch request waits for changes at the store. A watch
-    that the store has lost is noticed only after this time. */
+/** Longest time that a watch request waits for changes at the store, and as a
+    fraction of the time in which a change must be known everywhere. A watch
+   that the store has lost is noticed only after this time. */
 constexpr absl::Duration kMaxWatchWait = absl::Seconds(3);
-/** Fraction of `apply_within` for which an instance waits for a message from an
-    instance that watches the store. */
-constexpr double kWatcherTimeoutFraction = 0.5;
+constexpr double kWatchWaitFraction = 0.6;
+/** Fractions of the same time after which an instance that watches the store
+    counts it as lost if it is silent, and after which one that does not watch
+   it does so because no other knows it to be up to date. The rest is for
+   reading a change. */
+constexpr double kMaxSilenceFraction = 0.8;
+constexpr double kMaxSourceAgeFraction = 0.7;
 /** Fraction of `apply_within` between two refreshes from the store that are
     caused by newer data at other instances. */
 constexpr double kRefreshIntervalFraction = 0.25;
@@ -55,9 +60,11 @@
 /** Returns the time in which a change at the store must be known everywhere. */
 absl::Duration ChangeBound(const GatewaySettings& settings) {
   const absl::Duration evacuate_within = EvacuationBound(settings);
+  const absl::Duration within =
+      std::min(settings.apply_within, settings.drain_within);
   return evacuate_within > absl::ZeroDuration()
-             ? std::min(settings.apply_within, evacuate_within)
-             : settings.apply_within;
+             ? std::min(within, evacuate_within)
+             : within;
 }
 
 std::optional<GatewaySettings> LoadSettings(
@@ -172,13 +179,16 @@
        .configuration_batch_delay =
            settings.apply_within * kConfigurationGatherFraction,
        .upstreams_batch_delay = settings.drain_within * kUpstreamGatherFraction,
-       .max_watch_wait = kMaxWatchWait,
+       .max_watch_wait =
+           std::min(kMaxWatchWait, ChangeBound(settings) * kWatchWaitFraction),
        .evacuations_watch_wait =
            std::min(kMaxWatchWait,
                     EvacuationBound(settings) * kEvacuationWatchFraction)});
   settings.gateway.first_sequence = FirstSequence();
-  settings.gateway.watcher_timeout =
-      ChangeBound(settings) * kWatcherTimeoutFraction;
+  settings.gateway.max_source_age =
+      ChangeBound(settings) * kMaxSourceAgeFraction;
+  settings.gateway.max_source_silence =
+      ChangeBound(settings) * kMaxSilenceFraction;
   settings.gateway.refresh_interval =
       settings.apply_within * kRefreshIntervalFraction;
   Gateway gateway(loop, settings.gateway, codec, log, &source);
--- a/tests/logic/membership_test.cc
+++ b/tests/logic/membership_test.cc
@@ -74,6 +74,8 @@
     }
     /** Reads the source if this instance is to watch it. */
     void UpdateSourceState() {
+      if (is_cut_off)
+        return;
       Membership& membership = node.membership();
       const bool is_watching = membership.ShouldWatchSource(fleet->now);
       if (is_watching) {
@@ -91,8 +93,11 @@
       if (is_watching && known < fleet->revision)
         membership.upstream_changes().Add(
             Batch(int(known) + 1, int(fleet->revision)));
-      if (is_watching)
+      if (is_watching) {
         membership.SetConfigurationVersion(fleet->configuration);
+        membership.OnSourceConfirmed(SourcePart::kConfiguration, fleet->now);
+        membership.OnSourceConfirmed(SourcePart::kUpstreams, fleet->now);
+      }
       // As SourceWatcher does, at the start and while it watches.
       const bool reads =
           is_watching || membership.ShouldReadEvacuations(fleet->now);
@@ -109,6 +114,8 @@
     size_t changes_received = 0;
     int64_t bytes_sent = 0;
     bool is_refused = false;
+    /** The source has become silent, which this instance has not noticed. */
+    bool is_cut_off = false;
     absl::Time lost_at = absl::InfinitePast();
   };
 
@@ -149,12 +156,28 @@
     }
     return watchers;
   }
-  /** Returns how many instances lack the source's last upstream change. */
+  /** Cuts off the instances that watch the source and, up to `count`, others.
+   */
+  void CutOffWatchers(int count) {
+    int cut_off = 0;
+    const std::set<InstanceIp> watchers = Watchers();
+    for (const bool takes_watchers : {true, false}) {
+      for (auto& [ip, member] : members) {
+        if (cut_off < count && watchers.contains(ip) == takes_watchers) {
+          member->is_cut_off = true;
+          ++cut_off;
+        }
+      }
+    }
+  }
+  /** Returns how many of the instances that are connected to the source lack
+      its last upstream change. */
   int CountBehind() const {
     int behind = 0;
     for (const auto& [ip, member] : members)
-      behind += member->node.membership().upstream_changes().complete_until() <
-                revision;
+      behind += !member->is_cut_off &&
+                member->node.membership().upstream_changes().complete_until() <
+                    revision;
     return behind;
   }
   /** Runs the fleet and returns the most bytes that one instance sent. */
@@ -171,6 +194,8 @@
   int CountUnaware() const {
     int unaware = 0;
     for (const auto& [ip, member] : members) {
+      if (member->is_cut_off)
+        continue;
       const uint64_t known = member->node.membership().configuration_version();
       unaware += std::max(known, member->announced_version) < configuration;
     }
@@ -298,6 +323,90 @@
   }
 }
 
+// Guards against instances that use an old configuration because those that
+// watch the source for them are cut off from it and do not know it (review/7).
+TEST_CASE("instances learn of a change while those that watch are cut off") {
+  struct Case {
+    int count;
+    int cut_off;
+    absl::Duration before;
+  };
+  const absl::Duration bound = absl::Seconds(2);
+  const auto c = GENERATE(
+      Case{2, 1, absl::ZeroDuration()}, Case{4, 3, absl::Seconds(1.4)},
+      Case{8, 3, absl::ZeroDuration()}, Case{8, 3, absl::Milliseconds(400)},
+      Case{8, 3, absl::Seconds(1.4)}, Case{8, 7, absl::Seconds(3)},
+      Case{20, 2, absl::ZeroDuration()}, Case{20, 12, absl::ZeroDuration()},
+      Case{20, 19, absl::Milliseconds(400)}, Case{111, 6, absl::Seconds(1.4)},
+      Case{340, 3, absl::ZeroDuration()},
+      Case{340, 170, absl::Milliseconds(400)});
+  INFO(c.count << " instances, " << c.cut_off << " cut off " << c.before
+               << " before the change");
+  Fleet fleet(c.count, /*loss=*/0);
+  fleet.CutOffWatchers(c.cut_off);
+  fleet.Run(c.before);
+  ++fleet.configuration;
+  ++fleet.revision;
+  fleet.Run(bound);
+  CHECK(fleet.CountUnaware() == 0);
+  CHECK(fleet.CountBehind() == 0);
+}
+
+// Guards against an instance that counts as up to date although it lacks a
+// change that the sender has only as a part of its first list.
+TEST_CASE("a confirmation of upstreams counts only with all its changes") {
+  struct Case {
+    const char* name;
+    uint64_t log_begin;
+    uint64_t last_change;
+    bool counts;
+  };
+  const auto c =
+      GENERATE(Case{"nothing is missing", 10, 8, true},
+               Case{"a change is missing", 10, 11, false},
+               Case{"the sender's log begins too late", 11, 0, false});
+  INFO(c.name);
+  Membership membership({.self = 1});
+  const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+  membership.TakeHelloTargets(start);
+  membership.upstream_changes().OnListed(10);
+  const absl::Time now = start + absl::Seconds(10);
+  membership.OnHeader({.sender = 2,
+                       .upstreams_complete_until = 12,
+                       .upstreams_last_change = c.last_change,
+                       .upstreams_log_begin = c.log_begin,
+                       .configuration_age = absl::Milliseconds(100),
+                       .upstreams_age = absl::Milliseconds(300),
+                       .content = WelcomeMessage()},
+                      now);
+  CHECK(membership.SourceAge(now) ==
+        (c.counts ? absl::Milliseconds(300) : absl::Seconds(10)));
+  CHECK(membership.upstream_changes().complete_until() == (c.counts ? 12 : 10));
+}
+
+// Guards against instances that all watch the source while those that are to do
+// it for them are sound, or while none of them is connected to it.
+TEST_CASE("few instances read the source, also while it is away") {
+  for (const int count : {4, 20, 111}) {
+    INFO(count << " instances");
+    Fleet fleet(count, /*loss=*/0);
+    for (auto& [ip, member] : fleet.members)
+      member->is_refused = true;
+    fleet.Run(absl::Seconds(10));
+    fleet.source_reads = 0;
+    fleet.Run(absl::Seconds(10));
+    // The watchers read it every 200 ms in this test; each of the others tries
+    // once whenever it no longer counts the source as lost, which is after 5 s.
+    CHECK(fleet.source_reads <= 50 * int(Membership::kWatchers) + 3 * count);
+    for (auto& [ip, member] : fleet.members)
+      member->is_refused = false;
+    fleet.Run(absl::Seconds(8));
+    fleet.source_reads = 0;
+    fleet.Run(absl::Seconds(10));
+    CHECK(fleet.source_reads <= 50 * int(Membership::kWatchers));
+  }
+}
+
 // Guards against instances that use an evacuated data centre longer than the
 // goal of 1.5 s, or than the 5 s that are allowed where datagrams are lost.
 TEST_CASE("all instances learn of an evacuation and of its end") {
@@ -354,7 +463,7 @@
   membership.OnHeader(theirs, now);
   membership.TakeHelloTargets(now);
   PeerMessage reply{.content = WelcomeMessage()};
-  membership.FillHeader(&reply);
+  membership.FillHeader(&reply, now);
   CHECK((reply.evacuations.revision > 0) == c.repeats);
 }
 
--- a/tests/logic/retry_budget_fleet_test.cc
+++ b/tests/logic/retry_budget_fleet_test.cc
@@ -115,7 +115,7 @@
 
   PeerMessage MessageFrom(const Instance& instance) const {
     PeerMessage message;
-    instance.membership->FillHeader(&message);
+    instance.membership->FillHeader(&message, now_);
     return message;
   }
 
