Copies of a crashing request count as a crash for each upstream that they end

Cause: a crash counted only if its request was sent after the crash counted before it. Copies that run at the same time counted as one crash, although each ended an upstream of its own: eight crashes were two.

Ruled out: that instances do not tell each other. One instance alone shows it, and the three share the evidence within a second. chicory_entry counts each death; its tracker has no such rule.

Change: the crashes of a whole request are separate unless upstreams seem to have failed together: another one, which ran neither this request nor one that is known for several crashes, failed within 0.1 s, or copies sent more than 0.1 s apart ended within 20 ms. With a response in the 30 s before, as for a popular lookup, crashes count one after the other, as before. So do those of parts.

Why it works: each copy that has ended an upstream is now counted when it has, so the third crash refuses the rest, also the second attempts of the same round.

--- a/modules/decisions/crashing_parts.cc
+++ b/modules/decisions/crashing_parts.cc
@@ -22,6 +22,10 @@
 /** Interval of decisions while the evidence does not change. */
 constexpr absl::Duration kUpdateInterval = absl::Milliseconds(100);
 
+/** Upstreams that fail within this time of each other fail at the same time. */
+constexpr absl::Duration kSameTime = absl::Milliseconds(100);
+/** The same for crashes that instances see of copies of one request. */
+constexpr absl::Duration kSameMoment = absl::Milliseconds(20);
 /** Crashes from which on a request is known to all instances. */
 constexpr size_t kMinSharedCrashes = 2;
 
@@ -136,8 +140,9 @@
   size_t count = 0;
   absl::Time counted_last = absl::InfinitePast();
   for (const Crash& crash : crashes) {
-    if (explained.contains(crash.upstream) ||
-        crash.at - crash.wait < counted_last)
+    const bool ran_together =
+        !crash.is_separate && crash.at - crash.wait < counted_last;
+    if (explained.contains(crash.upstream) || ran_together)
       continue;
     ++count;
     counted_last = crash.at;
@@ -145,6 +150,44 @@
   return count;
 }
 
+CrashingParts::UpstreamEnds CrashingParts::Ends() const {
+  UpstreamEnds ends;
+  for (const auto& [suspect, row] : rows_) {
+    const std::vector<Crash> open = OpenCrashes(row);
+    for (const Crash& crash : open) {
+      UpstreamEnd& end = ends[crash.upstream];
+      end.at = std::min(end.at, crash.at);
+      if (suspect.kind == CrashSuspect::Kind::kRequest)
+        end.request_crashes = std::max(end.request_crashes, open.size());
+    }
+  }
+  return ends;
+}
+
+void CrashingParts::MarkSeparate(std::vector<Crash>* crashes,
+                                 const UpstreamEnds& ends) {
+  absl::flat_hash_set<UpstreamIncarnation> own;
+  for (const Crash& crash : *crashes)
+    own.insert(crash.upstream);
+  std::vector<absl::Time> others;
+  for (const auto& [upstream, end] : ends) {
+    if (!own.contains(upstream) && end.request_crashes < kMinSharedCrashes)
+      others.push_back(end.at);
+  }
+  for (Crash& crash : *crashes) {
+    const bool others_failed =
+        std::any_of(others.begin(), others.end(), [&](absl::Time at) {
+          return absl::AbsDuration(at - crash.at) <= kSameTime;
+        });
+    const bool copies_failed =
+        std::any_of(crashes->begin(), crashes->end(), [&](const Crash& copy) {
+          return absl::AbsDuration(copy.at - crash.at) <= kSameMoment &&
+                 absl::AbsDuration(copy.wait - crash.wait) > kSameTime;
+        });
+    crash.is_separate = !others_failed && !copies_failed;
+  }
+}
+
 std::tuple<size_t, int64_t, int64_t> CrashingParts::Candidate::Rank() const {
   // Suspects without a recent response come first: they explain the crashes of
   // what happened to be at the same upstreams.
@@ -181,11 +224,14 @@
 
 std::vector<CrashingParts::Candidate> CrashingParts::Candidates() const {
   std::vector<Candidate> candidates;
+  const UpstreamEnds ends = Ends();
   for (const auto& [suspect, row] : rows_) {
     std::vector<Crash> open = OpenCrashes(row);
-    if (open.empty())
+    if (open.size() < kMaxCrashes)
       continue;
     const bool had_start = open.front().at - row.last_start < kRecentStart;
+    if (suspect.kind == CrashSuspect::Kind::kRequest && !had_start)
+      MarkSeparate(&open, ends);
     const size_t count = CountCrashes(open, {});
     if (count < kMaxCrashes)
       continue;
--- a/modules/decisions/crashing_parts.h
+++ b/modules/decisions/crashing_parts.h
@@ -78,8 +78,12 @@
     - A suspect with a response shortly before needs more crashes, and so does a
       request that shared each crash with another one of as many crashes. The
       next run of either shows which it is.
-    - A crash counts only if its request was sent after the crash counted before
-      it: upstreams that fail together, such as those of a rack, have one cause.
+    - A crash of a part counts only if its request was sent after the crash
+      counted before it: upstreams that fail together, such as those of a rack,
+      have one cause. For a request this holds only where upstreams seem to have
+      failed together, see MarkSeparate(), or where it had a response shortly
+      before. Otherwise each crash counts: several copies that run at the same
+      time, at several instances, crash an upstream each.
 
     Instances exchange their evidence; the order in which it arrives does not
     matter. A request that was at a single crash is known only to the instance
@@ -158,7 +162,17 @@
     absl::Time at;
     /** Time from the sending of the request to the crash. */
     absl::Duration wait;
+    /** Whether it counts even if its request was sent before the crash counted
+        before it. Set by Candidates(). */
+    bool is_separate = false;
   };
+  /** The end of an upstream. */
+  struct UpstreamEnd {
+    absl::Time at = absl::InfiniteFuture();
+    /** The most crashes of a request that it ran. */
+    size_t request_crashes = 0;
+  };
+  using UpstreamEnds = absl::flat_hash_map<UpstreamIncarnation, UpstreamEnd>;
   struct Row {
     /** The earliest and the last one, in no order. */
     std::vector<Crash> crashes;
@@ -185,8 +199,19 @@
   absl::Time LastStart(const CrashSuspect& suspect) const;
   /** Returns the crashes of `row` since its last response, by time. */
   static std::vector<Crash> OpenCrashes(const Row& row);
+  /** Returns the ends of all upstreams whose crashes no response has followed.
+   */
+  UpstreamEnds Ends() const;
+  /** Marks the crashes of a request that are separate ones, rather than an
+      effect of upstreams that failed together. Signs of that are an upstream
+      that failed at the same time, but ran neither this request nor another one
+      with several crashes, and copies of the request that were sent at
+     different times but ended in the same moment. */
+  static void MarkSeparate(std::vector<Crash>* crashes,
+                           const UpstreamEnds& ends);
   /** Returns how many of `crashes`, leaving out those of the upstreams in
-      `explained`, followed from requests that were sent one after the other. */
+      `explained`, are separate or followed from requests that were sent one
+      after the other. */
   static size_t CountCrashes(
       const std::vector<Crash>& crashes,
       const absl::flat_hash_set<UpstreamIncarnation>& explained);
--- a/tests/node/crash_load.mjs
+++ b/tests/node/crash_load.mjs
@@ -1,7 +1,11 @@
 // Sends a request that crashes its upstreams again and again, beside sound requests, and
 // counts how often it reaches upstreams after the third crash.
 //
-//   node crash_load.mjs CONTROL_ADDRESS ADDRESSES_FILE TARGET BODY SECONDS
+//   node crash_load.mjs CONTROL_ADDRESS ADDRESSES_FILE TARGET BODY SECONDS [COPIES]
+//
+// With COPIES each caller sends so many copies of the crashing request at a time, and the
+// next ones only when the last third crash counts as long ago. Otherwise it sends one
+// after the other.
 //
 // ADDRESSES_FILE holds the gateways' addresses, a line each; it is read again before each
 // request, so that gateways may be restarted. BODY is `none` or the body of all requests.
@@ -19,7 +23,12 @@
 const CALLERS = 2;
 const CALLER_PAUSE_MS = 120;
 
-const [control, file, target, bodyText, seconds] = process.argv.slice(2);
+const COPY_STAGGER_MS = 5;
+const COPIES_PAUSE_MS = 3500;
+
+const [control, file, target, bodyText, seconds, copiesText] = process.argv.slice(2);
+const copies = Number(copiesText ?? 1);
+const pauseMs = copies > 1 ? COPIES_PAUSE_MS : CALLER_PAUSE_MS;
 const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 const begin = Date.now();
 const end = begin + Number(seconds) * 1000;
@@ -79,9 +88,13 @@
 async function caller(name) {
   for (let n = 0; Date.now() < end; ++n) {
     const late = isLate();
-    const status = await send(target, `crashing-${process.pid}-${name}-${n}`);
-    if (late) ++responses[status === 503 ? 'refused' : 'other'];
-    await sleep(CALLER_PAUSE_MS);
+    const sendCopy = async (copy) => {
+      await sleep(copy * COPY_STAGGER_MS);
+      return send(target, `crashing-${process.pid}-${name}-${n}-${copy}`);
+    };
+    for (const status of await Promise.all(Array.from({ length: copies }, (_, copy) => sendCopy(copy))))
+      if (late) ++responses[status === 503 ? 'refused' : 'other'];
+    await sleep(pauseMs);
   }
 }
 
@@ -103,7 +116,7 @@
   await Promise.all(running);
 }
 
-const callers = Array.from({ length: CALLERS }, (_, n) => caller(n));
+const callers = Array.from({ length: copies > 1 ? 1 : CALLERS }, (_, n) => caller(n));
 await Promise.all([watch(), soundCaller(), ...callers]);
 const last = await book();
 const fields = {
--- a/tests/process/gateway_crashing_request.sh
+++ b/tests/process/gateway_crashing_request.sh
@@ -34,9 +34,9 @@
     sed -n 's/^Response-Stamp: //p' | sort -u | wc -l)
   [ "$served" -eq "$UPSTREAMS" ]
 }
-# crash_load BODY SECONDS: sends the load; the result is in LOAD.
+# crash_load BODY SECONDS [COPIES]: sends the load; the result is in LOAD.
 crash_load() {
-  LOAD=$(node tests/node/crash_load.mjs "$CONTROL" "$FLEET/callers" "$TARGET" "$1" "$2")
+  LOAD=$(node tests/node/crash_load.mjs "$CONTROL" "$FLEET/callers" "$TARGET" "$@")
   echo "load: $LOAD"
 }
 # holds_bound: checks the last load.
@@ -65,6 +65,21 @@
 stream|/s/crash|prompt|20
 ROWS
 
+# Guards against copies that are sent again and again because those that run at the same
+# time count as one crash (review/8). Each row: name, target, body, ms as above, copies.
+UPSTREAMS=12
+while IFS='|' read -r name target body ms copies; do
+  begin "$name" "$target" "$ms"
+  crash_load "$body" 12 "$copies"
+  holds_bound
+  fleet_end
+done <<'ROWS'
+four copies of a lookup at once|/again/crash|look|60|4
+five copies of a booking that crashes late|/once/crash|book|400|5
+six copies of a lookup|/again/crash|none|60|6
+ROWS
+UPSTREAMS=6
+
 # Guards against breaks that are taken for connections which had been closed while idle.
 crashes() { upstream_stats | grep -o '"crashes":[0-9]*' | cut -d: -f2; }
 UPSTREAMS=3
