Instances find each other by the store's list and share the limits of upstreams

Cause: seeds were the only way to another instance, and an instance that knew no other counted as the only one. Named limits were used as a whole by whoever believed to schedule; only the rates of cold upstreams were shared by what a scheduler hears.

Change: instances that know no others, and the first three of each part of the fleet, add themselves to a list at the store and read it; what is listed is contacted like a seed (InstanceDirectory, platform/instance_list). A scheduler uses the share of a named limit that it hears of all instances known lately (LimitShare, formerly ColdShare). One that knows no other and is not listed assumes 20. The stand-in of the store takes the writes.

Why it works: an instance counts as known to others only once the list that they would read holds it, so two that both look find each other; until then neither uses more than a twentieth.

--- a/modules/decisions/fleet_scheduler.cc
+++ b/modules/decisions/fleet_scheduler.cc
@@ -413,8 +413,8 @@
         choice.memory.begin(), choice.memory.end(),
         [key](const MemoryShare& share) { return share.upstream == key; });
     limits_->OnPlaced(key, now,
-                      upstreams_.ColdShareOf(upstream->info.service, *limits_,
-                                             uses_limited_, now),
+                      upstreams_.SharesOf(upstream->info.service, *limits_,
+                                          uses_limited_, now),
                       keeps_memory ? 2 : 1);
   }
 }
--- a/modules/decisions/cold_share.h
+++ b/modules/decisions/limit_share.h
@@ -1,5 +1,5 @@
-#ifndef MODULES_DECISIONS_COLD_SHARE_H_
-#define MODULES_DECISIONS_COLD_SHARE_H_
+#ifndef MODULES_DECISIONS_LIMIT_SHARE_H_
+#define MODULES_DECISIONS_LIMIT_SHARE_H_
 
 #include <cstdint>
 #include <optional>
@@ -10,17 +10,31 @@
 
 namespace chicory {
 
-/** Determines which share of the rate of cold upstreams the scheduler at this
-    instance may use. Addresses a network partition: each part of the fleet has
-   a scheduler, and together they must keep the rate of an upstream that all
-    reach.
+/** Determines which share of the rate of cold upstreams, and of the limits that
+    upstreams name, the scheduler at this instance may use. Addresses instances
+    that do not reach each other, because of a network partition or because they
+    have not found each other: each part of the fleet has a scheduler, and
+    together they must keep the limit of an upstream that all reach.
 
     A scheduler uses the share that the instances make up which it hears itself,
     of all that were known lately. One that has just taken over counts only what
     it hears from then on: the instances on the other side may have been heard
     shortly before. Not thread-safe. */
-class ColdShare {
+class LimitShare {
  public:
+  /** The instances that an instance knows of. */
+  struct Fleet {
+    /** Known lately; nullopt if this instance does not know the others yet. */
+    std::optional<size_t> all;
+    /** The fewest that there are. */
+    size_t at_least = 1;
+    /** Alive, as reported by any of them; this one included. */
+    size_t live = 1;
+  };
+
+  /** An instance that knows no other one, and not whether there are any,
+      assumes at least so many. */
+  static constexpr size_t kAssumedInstances = 20;
   /** An instance counts for this long after its last message. Each sends the
       first scheduler a message every half second; a longer time would let the
       scheduler of the smaller part of the fleet use the whole rate for longer
@@ -32,17 +46,15 @@
   /** Called regularly with whether this instance schedules `group`. */
   void SetSchedules(uint32_t group, bool schedules, absl::Time now);
   /** Returns how far this instance may use the limits of a group's upstreams.
-      `all` is the number of instances known lately, nullopt if this instance
-      does not know the others yet; `at_least` is the fewest that there are. */
-  LimitUse UseOf(uint32_t group,
-                 std::optional<size_t> all,
-                 size_t at_least,
-                 absl::Time now);
+   */
+  LimitUse UseOf(uint32_t group, const Fleet& fleet, absl::Time now);
 
  private:
   /** Returns the number of instances heard lately and since `since`, this one
       included. */
   size_t CountHeard(absl::Time since, absl::Time now);
+  /** Returns the share of the limits that upstreams name. */
+  static double NamedShare(uint32_t group, const Fleet& fleet, size_t heard);
 
   absl::flat_hash_map<uint32_t, absl::Time> heard_;
   /** Since when this instance schedules a group. */
@@ -51,4 +63,4 @@
 
 }  // namespace chicory
 
-#endif  // MODULES_DECISIONS_COLD_SHARE_H_
+#endif  // MODULES_DECISIONS_LIMIT_SHARE_H_
--- a/modules/decisions/request_limits.cc
+++ b/modules/decisions/request_limits.cc
@@ -18,7 +18,7 @@
   if (row->per_second == per_second)
     return false;
   const bool was_limited = row->per_second != RequestLimit::kNone;
-  row->tokens = was_limited ? TokensAt(*row, now, /*cold_share=*/1) : 0;
+  row->tokens = was_limited ? TokensAt(*row, now, {}) : 0;
   row->counted_at = now;
   row->per_second = per_second;
   return true;
@@ -26,24 +26,24 @@
 
 RequestLimits::Bucket RequestLimits::BucketOf(const Row& row,
                                               absl::Time now,
-                                              double cold_share) {
+                                              const LimitShares& shares) {
   Bucket bucket;
   if (row.names_limit(now)) {
-    bucket.rate = std::max(row.per_second, kMinRate);
+    bucket.rate = std::max(row.per_second, kMinRate) * shares.named;
     bucket.most = std::max(1.0, bucket.rate * absl::ToDoubleSeconds(kBurst));
   }
   if (row.is_cold(now)) {
-    bucket.rate = std::min(bucket.rate, row.cold_per_second * cold_share);
+    bucket.rate = std::min(bucket.rate, row.cold_per_second * shares.cold);
     bucket.most =
-        std::min(bucket.most, std::max(1.0, row.cold_burst * cold_share));
+        std::min(bucket.most, std::max(1.0, row.cold_burst * shares.cold));
   }
   return bucket;
 }
 
 double RequestLimits::TokensAt(const Row& row,
                                absl::Time now,
-                               double cold_share) {
-  const Bucket bucket = BucketOf(row, now, cold_share);
+                               const LimitShares& shares) {
+  const Bucket bucket = BucketOf(row, now, shares);
   if (bucket.rate == RequestLimit::kNone)
     return row.tokens;
   const double gained =
@@ -148,32 +148,32 @@
 
 double RequestLimits::RateOf(UpstreamKey upstream,
                              absl::Time now,
-                             double cold_share) const {
+                             const LimitShares& shares) const {
   const Row* row = Find(upstream, now);
-  return row ? BucketOf(*row, now, cold_share).rate : RequestLimit::kNone;
+  return row ? BucketOf(*row, now, shares).rate : RequestLimit::kNone;
 }
 
 bool RequestLimits::Allows(UpstreamKey upstream,
                            absl::Time now,
-                           double cold_share) const {
+                           const LimitShares& shares) const {
   const Row* row = Find(upstream, now);
   if (!row)
     return true;
-  const bool has_share = cold_share > 0 || !row->is_cold(now);
-  const bool allows = has_share && TokensAt(*row, now, cold_share) >= kOneToken;
+  const bool has_share = shares.cold > 0 || !row->is_cold(now);
+  const bool allows = has_share && TokensAt(*row, now, shares) >= kOneToken;
   cold_held_back_ += !allows && row->is_cold(now) ? 1 : 0;
   return allows;
 }
 
 void RequestLimits::OnPlaced(UpstreamKey upstream,
                              absl::Time now,
-                             double cold_share,
+                             const LimitShares& shares,
                              int requests) {
   if (!Find(upstream, now))
     return;
   Row& row = rows_[upstream];
   // The first one had its turn.
-  const double left = std::max(1.0, TokensAt(row, now, cold_share));
+  const double left = std::max(1.0, TokensAt(row, now, shares));
   row.tokens = left - requests;
   row.counted_at = now;
 }
--- a/modules/decisions/request_limits.h
+++ b/modules/decisions/request_limits.h
@@ -35,6 +35,16 @@
   /** The same for services of which all upstreams are cold, if `cold_share` is
       0 because the other instances are not known yet. */
   double cold_share_if_all = 1;
+  /** Share of the limits that upstreams name, for the same reason. */
+  double named_share = 1;
+};
+
+/** Shares of the limits of an upstream that a scheduler uses. */
+struct LimitShares {
+  /** Of the limit that it names. */
+  double named = 1;
+  /** Of its rate while it is cold. */
+  double cold = 1;
 };
 
 /** The request rates to which upstreams have limited all instances together,
@@ -78,20 +88,20 @@
       be called before decisions are made. */
   void BeginBuckets(absl::Time now);
 
-  /** Returns the upstream's limit, RequestLimit::kNone if it has none. A
-      scheduler uses `cold_share` of the rate of a cold upstream; the same for
-      the functions below. */
+  /** Returns how much of the upstream's limit a scheduler with `shares` may
+      use, RequestLimit::kNone if it has none; the same for the functions
+      below. */
   double RateOf(UpstreamKey upstream,
                 absl::Time now,
-                double cold_share = 1) const;
+                const LimitShares& shares = {}) const;
   /** Returns whether the upstream may get a request now. */
   bool Allows(UpstreamKey upstream,
               absl::Time now,
-              double cold_share = 1) const;
+              const LimitShares& shares = {}) const;
   /** Counts `requests` against the upstream's limit. */
   void OnPlaced(UpstreamKey upstream,
                 absl::Time now,
-                double cold_share = 1,
+                const LimitShares& shares = {},
                 int requests = 1);
   bool IsCold(UpstreamKey upstream, absl::Time now) const;
   /** Returns the number of upstreams that have named a limit. */
@@ -138,8 +148,12 @@
   const Row* Find(UpstreamKey upstream, absl::Time now) const;
   /** Changes the rate of a row and returns whether it differed. */
   static bool SetRate(Row* row, double per_second, absl::Time now);
-  static Bucket BucketOf(const Row& row, absl::Time now, double cold_share);
-  static double TokensAt(const Row& row, absl::Time now, double cold_share);
+  static Bucket BucketOf(const Row& row,
+                         absl::Time now,
+                         const LimitShares& shares);
+  static double TokensAt(const Row& row,
+                         absl::Time now,
+                         const LimitShares& shares);
 
   absl::flat_hash_map<UpstreamKey, Row> rows_;
   bool has_new_buckets_ = false;
--- a/modules/decisions/scheduled_upstream_table.cc
+++ b/modules/decisions/scheduled_upstream_table.cc
@@ -53,12 +53,12 @@
     const RequestLimits& limits,
     const LimitUse& use,
     absl::Time now) {
-  const double cold_share = ColdShareOf(service, limits, use, now);
+  const LimitShares shares = SharesOf(service, limits, use, now);
   std::vector<ScheduledUpstream*> healthy;
   std::vector<ScheduledUpstream*> suspended;
   for (auto& [key, state] : rows_) {
     if (!state.eligible || state.info.service != service ||
-        state.full_until > now || !limits.Allows(key, now, cold_share))
+        state.full_until > now || !limits.Allows(key, now, shares))
       continue;
     if (!use.allowed && limits.RateOf(key, now) != RequestLimit::kNone)
       continue;
@@ -71,19 +71,20 @@
   return healthy.empty() ? suspended : healthy;
 }
 
-double ScheduledUpstreamTable::ColdShareOf(const std::string& service,
-                                           const RequestLimits& limits,
-                                           const LimitUse& use,
-                                           absl::Time now) const {
+LimitShares ScheduledUpstreamTable::SharesOf(const std::string& service,
+                                             const RequestLimits& limits,
+                                             const LimitUse& use,
+                                             absl::Time now) const {
   if (use.cold_share > 0 || limits.empty())
-    return use.cold_share;
+    return {.named = use.named_share, .cold = use.cold_share};
   const bool are_all_cold =
       std::all_of(rows_.begin(), rows_.end(), [&](const auto& entry) {
         const ScheduledUpstream& state = entry.second;
         return !state.eligible || state.info.service != service ||
                limits.IsCold(entry.first, now);
       });
-  return are_all_cold ? use.cold_share_if_all : 0;
+  return {.named = use.named_share,
+          .cold = are_all_cold ? use.cold_share_if_all : 0};
 }
 
 double ScheduledUpstreamTable::LimitedRateOf(const std::string& service,
@@ -92,11 +93,11 @@
                                              absl::Time now) const {
   if (limits.empty())
     return RequestLimit::kNone;
-  const double cold_share = ColdShareOf(service, limits, use, now);
+  const LimitShares shares = SharesOf(service, limits, use, now);
   double rate = 0;
   for (const auto& [key, state] : rows_) {
     if (state.eligible && state.info.service == service)
-      rate += limits.RateOf(key, now, cold_share);
+      rate += limits.RateOf(key, now, shares);
   }
   return rate > 0 ? rate : RequestLimit::kNone;
 }
--- a/modules/decisions/scheduled_upstream_table.h
+++ b/modules/decisions/scheduled_upstream_table.h
@@ -42,12 +42,12 @@
                        const RequestLimits& limits,
                        const LimitUse& use,
                        absl::Time now) const;
-  /** Returns the share of the rate of cold upstreams that `use` allows for the
-      service. */
-  double ColdShareOf(const std::string& service,
-                     const RequestLimits& limits,
-                     const LimitUse& use,
-                     absl::Time now) const;
+  /** Returns the shares of their limits that `use` allows for the service's
+      upstreams. */
+  LimitShares SharesOf(const std::string& service,
+                       const RequestLimits& limits,
+                       const LimitUse& use,
+                       absl::Time now) const;
 
   /** Adds the load of a request to the upstreams of its placement, and
       `prefill` to the prefill backlog of each. Returns the keys of these
--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -154,6 +154,7 @@
           {.self = options_.peers.ip,
            .seeds = options_.seeds,
            .max_source_age = options_.max_source_age,
+           .uses_directory = true,
            .uses_evacuations = options_.evacuate_within > absl::ZeroDuration(),
            .first_sequence = options_.first_sequence,
            .admission_control = options_.admission_control},
@@ -165,6 +166,7 @@
                       options_.refresh_interval,
                       options_.max_source_silence,
                       options_.evacuate_within > absl::ZeroDuration()),
+      instance_directory_(source, &placement_.membership(), log),
       snapshot_server_(loop, metrics_, this),
       snapshot_fetcher_(
           loop,
@@ -419,6 +421,10 @@
     snapshot_fetcher_.plan().OnSourceFailed();
 }
 
+void Gateway::OnInstances(const std::vector<InstanceIp>& instances) {
+  instance_directory_.OnInstances(instances, SteadyNow());
+}
+
 void Gateway::OnSourceConfirmed(SourcePart part, absl::Time as_of) {
   source_watcher_.OnConfirmed(as_of);
   placement_.membership().OnSourceConfirmed(part, as_of);
@@ -482,6 +488,7 @@
     PublishUpstreams();
   placement_.Tick(now);
   source_watcher_.Tick(now);
+  instance_directory_.Tick(now);
   snapshot_fetcher_.Tick(now);
   if (now >= next_housekeeping_) {
     next_housekeeping_ = now + kHousekeepingInterval;
@@ -570,6 +577,7 @@
   on_stopped_ = std::move(done);
   callers_.BeginDrain();
   placement_.Leave(now);
+  instance_directory_.Leave();
   log_.Write("stopping", {{"in_flight", state_.requests.size()},
                           {"connections", callers_.connections()}});
   configuration_wait_.Release();
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "modules/gateway/configuration_wait.h"
 #include "modules/gateway/gateway_inputs.h"
 #include "modules/gateway/gateway_state.h"
+#include "modules/gateway/instance_directory.h"
 #include "modules/gateway/snapshot_fetcher.h"
 #include "modules/gateway/snapshot_server.h"
 #include "modules/gateway/source_watcher.h"
@@ -126,6 +127,7 @@
                    bool after_outage) override;
   void OnUpstreamChanges(const UpstreamBatch& batch) override;
   void OnEvacuations(const Evacuations& evacuations) override;
+  void OnInstances(const std::vector<InstanceIp>& instances) override;
   void OnSourceConfirmed(SourcePart part, absl::Time as_of) override;
   void OnSourceReachable(const std::string& source,
                          bool reachable,
@@ -214,6 +216,7 @@
   MemoryBudget memory_;
   PlacementNode placement_;
   SourceWatcher source_watcher_;
+  InstanceDirectory instance_directory_;
   SnapshotServer snapshot_server_;
   SnapshotFetcher snapshot_fetcher_;
   GatewayState state_;
--- a/modules/gateway/gateway_inputs.h
+++ b/modules/gateway/gateway_inputs.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "modules/decisions/instance_roster.h"
 #include "modules/peers/source_part.h"
 #include "modules/routing/evacuations.h"
 #include "modules/routing/routing_table.h"
@@ -33,6 +34,9 @@
   /** Called when the source has confirmed that as of `as_of` it had nothing of
       `part` beyond what has been passed to the other methods. */
   virtual void OnSourceConfirmed(SourcePart part, absl::Time as_of) = 0;
+  /** Called with the instances that the source lists, this one included if it
+      is among them. */
+  virtual void OnInstances(const std::vector<InstanceIp>& instances) = 0;
   /** Called when the part of the source named `source` becomes unreachable or
       reachable again. `reason` is empty if it is reachable. */
   virtual void OnSourceReachable(const std::string& source,
@@ -67,6 +71,12 @@
   virtual void RefreshUpstreams(Freshness freshness) = 0;
   /** Reads the evacuated data centres once, unless that was done before. */
   virtual void ReadEvacuations() = 0;
+  /** Adds an instance to the source's list of instances, or removes it. Whether
+      that has succeeded shows when the list is read. */
+  virtual void ListInstance(InstanceIp instance) = 0;
+  virtual void UnlistInstance(InstanceIp instance) = 0;
+  /** Reads the list, after what was ordered before has been done. */
+  virtual void ReadInstances(Freshness freshness) = 0;
 };
 
 }  // namespace chicory
--- a/modules/peers/membership.cc
+++ b/modules/peers/membership.cc
@@ -60,6 +60,13 @@
     receiver most likely knows them, for parts of the fleet that find each other
     again and for lost datagrams. */
 constexpr uint64_t kRoundsPerEvacuations = 8;
+/** Most seeds and listed instances that are sent a hello at a time. */
+constexpr size_t kMaxContacts = 16;
+/** Time from the start after which an instance that has not been found by
+    others is listed at the source. */
+constexpr absl::Duration kListingDelay = absl::Milliseconds(600);
+/** Instances of each part of the fleet that the source lists. */
+constexpr size_t kListed = 3;
 /** Below this number of live instances every hello goes to all seeds. */
 constexpr size_t kMinInstancesWithoutAllSeeds = 3;
 /** Largest addition to Options::max_source_age, as a fraction of it. Differs
@@ -371,16 +378,62 @@
 }
 
 std::optional<size_t> Membership::SharingInstances(absl::Time now) const {
-  const size_t most =
-      std::max(most_live_instances_.Largest(), LiveInstances(now));
+  const size_t most = std::max(most_live_instances_.Largest(),
+                               LiveInstances(now) + CountListedNotLive(now));
+  // The source lists this instance and no other, so that seeds which do not
+  // respond are gone.
+  if (most == 1 && listed_)
+    return 1;
+  if (most == 1 && options_.uses_directory)
+    return std::nullopt;
   if (OtherSeeds() > 0 && (most == 1 || IsJoining(now)))
     return std::nullopt;
   return std::max(most, OtherSeeds() + 1);
 }
 
 size_t Membership::KnownInstances(absl::Time now) const {
-  return std::max(
-      {most_live_instances_.Largest(), LiveInstances(now), OtherSeeds() + 1});
+  return std::max({most_live_instances_.Largest(),
+                   LiveInstances(now) + CountListedNotLive(now),
+                   OtherSeeds() + 1});
+}
+
+bool Membership::ShouldBeListed(absl::Time now) const {
+  if (!options_.uses_directory || leaving_ || now - started_ < kListingDelay)
+    return false;
+  const std::vector<InstanceIp> first = roster_.CommonOrder(now, kListed);
+  return std::find(first.begin(), first.end(), options_.self) != first.end();
+}
+
+void Membership::SetListedInstances(std::vector<InstanceIp> others) {
+  listed_ = std::move(others);
+}
+
+bool Membership::KeepsList(absl::Time now) const {
+  return roster_.CommonOrder(now, 1).front() == options_.self;
+}
+
+bool Membership::IsLive(InstanceIp ip, absl::Time now) const {
+  const std::vector<InstanceRoster::Member> members = roster_.Members(now);
+  return std::any_of(
+      members.begin(), members.end(),
+      [ip](const InstanceRoster::Member& member) { return member.ip == ip; });
+}
+
+std::vector<InstanceIp> Membership::Contacts() const {
+  std::vector<InstanceIp> contacts = options_.seeds;
+  if (listed_)
+    contacts.insert(contacts.end(), listed_->begin(), listed_->end());
+  std::sort(contacts.begin(), contacts.end());
+  contacts.erase(std::unique(contacts.begin(), contacts.end()), contacts.end());
+  return contacts;
+}
+
+size_t Membership::CountListedNotLive(absl::Time now) const {
+  if (!listed_)
+    return 0;
+  return static_cast<size_t>(
+      std::count_if(listed_->begin(), listed_->end(),
+                    [&](InstanceIp ip) { return !IsLive(ip, now); }));
 }
 
 size_t Membership::OtherSeeds() const {
@@ -415,6 +468,19 @@
          receivers.end();
 }
 
+void Membership::AddContacts(std::vector<InstanceIp>* targets) const {
+  const std::vector<InstanceIp> contacts = Contacts();
+  const bool knows_few = roster_live_count_ < kMinInstancesWithoutAllSeeds;
+  if (contacts.empty() ||
+      (!knows_few && hello_rounds_ % kRoundsPerSeedHello != 0))
+    return;
+  const size_t count = knows_few ? std::min(contacts.size(), kMaxContacts) : 1;
+  const size_t first =
+      knows_few ? hello_rounds_ * count : hello_rounds_ / kRoundsPerSeedHello;
+  for (size_t i = 0; i < count; ++i)
+    targets->push_back(contacts[(first + i) % contacts.size()]);
+}
+
 std::vector<InstanceIp> Membership::TakeHelloTargets(absl::Time now) {
   if (started_ == absl::InfinitePast())
     started_ = now;
@@ -456,14 +522,7 @@
       targets.push_back(members[random % members.size()].ip);
     }
   }
-  const std::vector<InstanceIp>& seeds = options_.seeds;
-  if (!seeds.empty()) {
-    if (roster_live_count_ < kMinInstancesWithoutAllSeeds)
-      targets.insert(targets.end(), seeds.begin(), seeds.end());
-    else if (hello_rounds_ % kRoundsPerSeedHello == 0)
-      targets.push_back(
-          seeds[(hello_rounds_ / kRoundsPerSeedHello) % seeds.size()]);
-  }
+  AddContacts(&targets);
   std::sort(targets.begin(), targets.end());
   targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
   std::erase(targets, options_.self);
--- a/modules/peers/membership.h
+++ b/modules/peers/membership.h
@@ -50,6 +50,9 @@
     /** Age of the last confirmation by the source, from whichever instance,
         at which this instance watches the source itself. */
     absl::Duration max_source_age = absl::Milliseconds(1400);
+    /** Whether the source keeps a list of instances, in which instances that
+        know no others are found. */
+    bool uses_directory = false;
     /** Whether operators evacuate data centres. Without it what other instances
         send of evacuations is ignored, since nobody would read their end. */
     bool uses_evacuations = true;
@@ -58,6 +61,19 @@
   explicit Membership(Options options);
 
   void SetSeeds(std::vector<InstanceIp> seeds);
+  /** Returns whether this instance is to be in the source's list of instances,
+      and to read it: if it knows no others, and a few instances of each part of
+      the fleet, so that parts which do not know each other meet. */
+  bool ShouldBeListed(absl::Time now) const;
+  /** Sets the other instances that the source lists. To be called only once it
+      lists this one too: whoever reads the list later finds it. */
+  void SetListedInstances(std::vector<InstanceIp> others);
+  /** Returns whether this instance is the one that removes those from the list
+      which are gone. */
+  bool KeepsList(absl::Time now) const;
+  /** Returns whether a message from `ip` has been received or reported lately.
+   */
+  bool IsLive(InstanceIp ip, absl::Time now) const;
   /** Sets the number of groups of upstreams, each of which has a scheduler; 0
       if no upstreams are known, in which case other instances are preferred as
       schedulers. */
@@ -171,6 +187,13 @@
   InstanceIp self() const { return options_.self; }
 
  private:
+  /** Returns the instances to contact before others are known: the seeds and
+      those that the source lists. */
+  std::vector<InstanceIp> Contacts() const;
+  /** Adds the contacts that are due for a hello. */
+  void AddContacts(std::vector<InstanceIp>* targets) const;
+  /** Returns how many of the listed instances are not known to live. */
+  size_t CountListedNotLive(absl::Time now) const;
   /** Returns the number of seeds without this instance. */
   size_t OtherSeeds() const;
   /** Returns the live instances to list in a welcome. */
@@ -194,6 +217,9 @@
 
   Options options_;
   InstanceRoster roster_;
+  /** The other instances in the source's list; nullopt until it lists this
+      one. */
+  std::optional<std::vector<InstanceIp>> listed_;
   UpstreamChangeLog upstream_changes_;
   Evacuations evacuations_;
   absl::Time evacuations_repeated_until_ = absl::InfinitePast();
--- a/modules/peers/placement_node.cc
+++ b/modules/peers/placement_node.cc
@@ -43,6 +43,7 @@
       membership_({.self = options.self,
                    .seeds = std::move(options.seeds),
                    .max_source_age = options.max_source_age,
+                   .uses_directory = options.uses_directory,
                    .uses_evacuations = options.uses_evacuations}),
       next_sequence_(options.first_sequence) {
   scheduler_.SetPreference(self_);
@@ -249,14 +250,15 @@
   if (!is_due && scheduler_.limits().limited(now) == 0)
     return;
   next_limit_use_ = now + kLimitUseInterval;
-  const std::optional<size_t> all = membership_.SharingInstances(now);
-  const size_t at_least = membership_.KnownInstances(now);
+  const LimitShare::Fleet fleet{.all = membership_.SharingInstances(now),
+                                .at_least = membership_.KnownInstances(now),
+                                .live = membership_.LiveInstances(now)};
   scheduler_.SetLimitUse([&](uint32_t group) {
     // An instance that suspects the scheduler wrongly turns to this one
     // meanwhile; two schedulers would together exceed a limit.
-    cold_share_.SetSchedules(
+    limit_share_.SetSchedules(
         group, membership_.SchedulingInstance(now, group) == self_, now);
-    return cold_share_.UseOf(group, all, at_least, now);
+    return limit_share_.UseOf(group, fleet, now);
   });
 }
 
@@ -296,8 +298,7 @@
   if (message.sender == self_)
     return;
   membership_.OnHeader(message, now);
-  if (has_cold_rates_)
-    cold_share_.OnMessage(message.sender, now);
+  limit_share_.OnMessage(message.sender, now);
   if (std::holds_alternative<LeaveMessage>(message.content))
     return;
   if (membership_.AdoptEvacuations(message.evacuations, now))
--- a/modules/peers/placement_node.h
+++ b/modules/peers/placement_node.h
@@ -9,8 +9,8 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
-#include "modules/decisions/cold_share.h"
 #include "modules/decisions/crashing_parts.h"
+#include "modules/decisions/limit_share.h"
 #include "modules/decisions/scheduler_groups.h"
 #include "modules/peers/membership.h"
 #include "modules/peers/placement_message.h"
@@ -72,6 +72,7 @@
     std::vector<InstanceIp> seeds;
     /** @see Membership::Options */
     absl::Duration max_source_age = absl::Milliseconds(1400);
+    bool uses_directory = false;
     bool uses_evacuations = true;
     /** First sequence number. Must differ between starts of the instance, so
         that its requests are not taken for those of a former start. */
@@ -225,7 +226,7 @@
   Membership membership_;
   BatchAssembler missed_changes_;
   SchedulerGroups scheduler_;
-  ColdShare cold_share_;
+  LimitShare limit_share_;
   absl::Time next_limit_use_ = absl::InfinitePast();
   /** An upstream's service has a rate for cold upstreams. */
   bool has_cold_rates_ = false;
--- a/stand_ins/platform_store.cc
+++ b/stand_ins/platform_store.cc
@@ -17,6 +17,10 @@
 using Json = nlohmann::json;
 
 constexpr int kOk = 200;
+constexpr int kCreated = 201;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
 constexpr int kGone = 410;
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
@@ -74,6 +78,13 @@
       case StoreMode::kOk:
         break;
     }
+    if (request.method != "GET") {
+      writer_->SendComplete(request.method == "POST"
+                                ? store_->Create(kind_, request.body)
+                                : store_->Delete(kind_),
+                            {}, "{}");
+      return;
+    }
     const std::string watch = QueryValue(request.target, "watch");
     if (watch.empty()) {
       writer_->SendComplete(
@@ -182,6 +193,30 @@
   ++revision_;
 }
 
+int PlatformStore::Create(const std::string& kind, const std::string& body) {
+  const Json object = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const Json::json_pointer name_path("/metadata/name");
+  if (object.is_discarded() || !object.contains(name_path))
+    return kBadRequest;
+  const std::string name = object[name_path];
+  const auto found = objects_[kind].find(name);
+  if (found != objects_[kind].end() && !found->second.deleted)
+    return kConflict;
+  Put(kind, name, object.value("spec", Json()).dump());
+  return kCreated;
+}
+
+int PlatformStore::Delete(const std::string& path) {
+  const std::vector<std::string> parts = absl::StrSplit(path, '/');
+  if (parts.size() != 2)
+    return kBadRequest;
+  const auto found = objects_[parts[0]].find(parts[1]);
+  if (found == objects_[parts[0]].end() || found->second.deleted)
+    return kNotFound;
+  Remove(parts[0], parts[1]);
+  return kOk;
+}
+
 bool PlatformStore::HasChanged(const std::string& kind,
                                uint64_t revision) const {
   auto found = objects_.find(kind);
--- a/stand_ins/platform_store.h
+++ b/stand_ins/platform_store.h
@@ -25,8 +25,9 @@
   kDisconnect,
 };
 
-/** Serves the lists and watches of the platform's store, for process tests. The
-    test itself stores the objects. Used on the thread of the event loop. */
+/** Serves the lists, watches and writes of the platform's store, for process
+    tests. Of writes it serves what the gateway uses: POST of a new object, and
+    DELETE. Used on the thread of the event loop. */
 class PlatformStore : public HttpServer::Delegate {
  public:
   explicit PlatformStore(boost::asio::io_context& loop) : loop_(loop) {}
@@ -61,6 +62,11 @@
   /** Returns one page of the objects of `kind` whose names sort after
       `after`, as JSON. */
   std::string List(const std::string& kind, const std::string& after) const;
+  /** Creates the object of `kind` in `body`. Returns the status. */
+  int Create(const std::string& kind, const std::string& body);
+  /** Deletes the object at `path`, which follows /objects/. Returns the status.
+   */
+  int Delete(const std::string& path);
   bool HasChanged(const std::string& kind, uint64_t revision) const;
   /** Responds to the waiting watches whose objects have changed. Does nothing
       unless the mode is kOk. */
--- a/tests/logic/cold_upstreams_test.cc
+++ b/tests/logic/cold_upstreams_test.cc
@@ -5,7 +5,7 @@
 #include <optional>
 #include <vector>
 
-#include "modules/decisions/cold_share.h"
+#include "modules/decisions/limit_share.h"
 
 namespace chicory {
 namespace {
@@ -104,9 +104,9 @@
 // Guards against schedulers that together exceed the rate of a cold upstream.
 TEST_CASE("a scheduler uses the share of the instances that it hears") {
   const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
-  ColdShare share;
+  LimitShare share;
   const auto use = [&](std::optional<size_t> all, absl::Time now) {
-    return share.UseOf(/*group=*/0, all, /*at_least=*/4, now);
+    return share.UseOf(/*group=*/0, {.all = all, .at_least = 4}, now);
   };
   CHECK_FALSE(use(10, start).allowed);
   share.OnMessage(2, start - absl::Milliseconds(1));
@@ -119,12 +119,40 @@
   CHECK(use(std::nullopt, start + absl::Milliseconds(100)).cold_share_if_all ==
         1);
   const absl::Time later =
-      start + absl::Milliseconds(100) + ColdShare::kHeardWithin;
+      start + absl::Milliseconds(100) + LimitShare::kHeardWithin;
   share.OnMessage(3, later);
   CHECK(use(10, later).cold_share == 0.2);
   share.SetSchedules(0, false, later);
   CHECK_FALSE(use(10, later).allowed);
 }
 
+// Guards against schedulers that together exceed a limit that an upstream
+// names, because they do not know of each other (review/9).
+TEST_CASE("a scheduler uses the share of a named limit that it may") {
+  struct Case {
+    const char* name;
+    uint32_t group;
+    LimitShare::Fleet fleet;
+    uint32_t heard;
+    double share;
+  };
+  const auto c = GENERATE(
+      Case{"alone, and the source lists no other", 0, {1, 1, 1}, 1, 1},
+      Case{"alone, and others may exist", 0, {{}, 3, 1}, 1, 0.05},
+      Case{"alone, with many seeds", 0, {{}, 40, 1}, 1, 0.025},
+      Case{"just started among others", 0, {{}, 4, 3}, 3, 0.75},
+      Case{"a half of a partitioned fleet", 0, {20, 3, 10}, 10, 0.5},
+      Case{"the whole fleet", 0, {20, 3, 20}, 20, 1},
+      Case{"another group, whose scheduler hears few", 1, {20, 3, 20}, 4, 1},
+      Case{"another group in a half", 1, {20, 3, 10}, 4, 0.5});
+  INFO(c.name);
+  const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  LimitShare share;
+  share.SetSchedules(c.group, true, now);
+  for (uint32_t ip = 2; ip <= c.heard; ++ip)
+    share.OnMessage(ip, now);
+  CHECK(share.UseOf(c.group, c.fleet, now).named_share == c.share);
+}
+
 }  // namespace
 }  // namespace chicory
--- a/tests/logic/membership_test.cc
+++ b/tests/logic/membership_test.cc
@@ -294,6 +294,37 @@
   }
 }
 
+// Guards against instances that each take themselves for the only one because
+// their seeds lead to no other (review/9), and against one that is the only one
+// but never knows it.
+TEST_CASE("the source's list tells whether there are other instances") {
+  using Instances = std::vector<InstanceIp>;
+  struct Case {
+    const char* name;
+    Instances seeds;
+    std::optional<Instances> listed;
+    std::optional<size_t> sharing;
+    Instances contacts;
+  };
+  const auto c =
+      GENERATE(Case{"not listed yet", {2, 3}, {}, {}, {2, 3}},
+               Case{"not listed yet, no other seeds", {1}, {}, {}, {}},
+               Case{"listed alone, dead seeds", {2, 3}, Instances{}, 1, {2, 3}},
+               Case{"listed alone, no other seeds", {1}, Instances{}, 1, {}},
+               Case{"others are listed", {1}, Instances{7, 8}, 3, {7, 8}});
+  INFO(c.name);
+  Membership membership({.self = 1, .seeds = c.seeds, .uses_directory = true});
+  const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+  membership.TakeHelloTargets(start);
+  CHECK_FALSE(membership.ShouldBeListed(start));
+  const absl::Time now = start + absl::Seconds(5);
+  CHECK(membership.ShouldBeListed(now));
+  if (c.listed)
+    membership.SetListedInstances(*c.listed);
+  CHECK(membership.TakeHelloTargets(now) == c.contacts);
+  CHECK(membership.SharingInstances(now) == c.sharing);
+}
+
 // Guards against instances that miss a change because they do not watch the
 // source themselves, whether one registration changes or many at once.
 TEST_CASE("few instances watch the source and all receive its changes") {
--- a/tests/logic/request_limits_test.cc
+++ b/tests/logic/request_limits_test.cc
@@ -78,6 +78,36 @@
   }
 }
 
+// Guards against parts of a fleet that each use the whole limit.
+TEST_CASE("a limited upstream gets a scheduler's share of its limit") {
+  struct Case {
+    double per_second;
+    double share;
+    /** Of 60 s. */
+    size_t least;
+    size_t most;
+  };
+  for (const Case& c : std::vector<Case>{{4, 1, 235, 244},
+                                         {4, 0.5, 115, 122},
+                                         {4, 0.05, 11, 13},
+                                         {0, 0.5, 6, 8}}) {
+    INFO(c.per_second << " a second, share " << c.share);
+    RequestLimits limits;
+    size_t placed = 0;
+    const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+    for (int i = 0; i < 6000; ++i) {
+      const absl::Time now = start + absl::Milliseconds(10) * i;
+      limits.OnResponse(kUpstream, kIncarnation, c.per_second, now, now);
+      if (!limits.Allows(kUpstream, now, {.named = c.share}))
+        continue;
+      limits.OnPlaced(kUpstream, now, {.named = c.share});
+      ++placed;
+    }
+    CHECK(placed >= c.least);
+    CHECK(placed <= c.most);
+  }
+}
+
 // Guards against a change of the scheduler at which the former and the new one
 // both use up the limit.
 TEST_CASE("a limit that becomes known leaves nothing to place at once") {
@@ -296,8 +326,9 @@
       limits.BeginBuckets(now);
       if (c.named)
         limits.OnResponse(kUpstream, kIncarnation, c.named, now, now);
-      for (int n = 0; n < 5 && limits.Allows(kUpstream, now, c.share); ++n) {
-        limits.OnPlaced(kUpstream, now, c.share, c.requests_each);
+      for (int n = 0; n < 5 && limits.Allows(kUpstream, now, {.cold = c.share});
+           ++n) {
+        limits.OnPlaced(kUpstream, now, {.cold = c.share}, c.requests_each);
         total += static_cast<size_t>(c.requests_each);
         last_second.insert(last_second.end(),
                            static_cast<size_t>(c.requests_each), now);
--- a/tests/logic/snapshot_gateway_test.cc
+++ b/tests/logic/snapshot_gateway_test.cc
@@ -27,6 +27,9 @@
   void RefreshConfiguration(Freshness) override { ++refreshes; }
   void RefreshUpstreams(Freshness) override { ++refreshes; }
   void ReadEvacuations() override {}
+  void ListInstance(InstanceIp) override {}
+  void UnlistInstance(InstanceIp) override {}
+  void ReadInstances(Freshness) override {}
 
   void Configure(uint64_t version, const std::vector<std::string>& keys) {
     RoutingTable::Options options{.version = version, .has_accounts = true};
