The end of a response waits for the write that may have met a reset

Cause: a send that meets a reset takes the error from the socket, and its handler is queued.

Change: an end of file is processed after the handlers that are queued at that time, if the write has neither completed nor failed. The handler of a send that has taken an error is among them.

Why it works: the error can leave the socket only through an attempt to send, whose handler is queued in the same step, before the read that meets the end.

--- a/modules/net/http_client_connection.cc
+++ b/modules/net/http_client_connection.cc
@@ -100,11 +100,22 @@
       asio::buffer(read_buffer_),
       [self = shared_from_this()](const boost::system::error_code& error,
                                   size_t count) {
+        if (error == asio::error::eof && !self->is_write_settled()) {
+          self->AwaitWriteBeforeEnd();
+          return;
+        }
         self->reading_ = false;
         self->FailOnException([&] { self->OnBytes(error, count); });
       });
 }
 
+void HttpClientConnection::AwaitWriteBeforeEnd() {
+  asio::post(loop_, [self = shared_from_this()] {
+    self->reading_ = false;
+    self->FailOnException([&] { self->OnBytes(asio::error::eof, 0); });
+  });
+}
+
 template <class Step>
 void HttpClientConnection::FailOnException(Step&& step) {
   try {
@@ -126,6 +137,7 @@
   }
   // A reset is reported only once. If the write meets it first, reads end as if
   // the peer had closed the connection in good order.
+  // @see AwaitWriteBeforeEnd
   const bool is_orderly_end = error == asio::error::eof && !write_failed_;
   if (is_orderly_end) {
     parser_->FeedEof();
--- a/modules/net/http_client_connection.h
+++ b/modules/net/http_client_connection.h
@@ -87,6 +87,13 @@
   void OnConnected(const boost::system::error_code& error);
   void Write();
   void Read();
+  /** Returns whether the write of the request has ended, and its handler has
+      run. */
+  bool is_write_settled() const { return request_written_ || write_failed_; }
+  /** Processes an end of file after all handlers that are queued now. A write
+      that has met a reset may be among them: its attempt to send took the error
+      from the socket, so that the read met an orderly end. */
+  void AwaitWriteBeforeEnd();
   /** Calls `step`. If it throws, fails the exchange and throws on. */
   template <class Step>
   void FailOnException(Step&& step);
--- a/tests/node/broken_upstream.mjs
+++ b/tests/node/broken_upstream.mjs
@@ -20,13 +20,18 @@
 const chunked = 'Transfer-Encoding: chunked\r\n\r\n';
 
 // begin: what is sent first. endless: what is sent over and over after it. reset: the connection
-// is reset after a pause.
+// is reset after a pause; with `soon` the response comes without a pause before it, and the reset
+// after 0, 1 or 2 ms in turn.
 const whole = (begin) => ({ begin: (request) => begin(request) + body });
 const endless = (begin, text) => ({ begin, endless: filler(text) });
 const ok = head('200 OK');
 const responses = {
   sound: whole(ok),
   reset: { begin: (request) => `${ok(request)}\r\npart`, reset: true },
+  reset_soon: { begin: (request) => `${ok(request)}\r\npart`, reset: true, soon: true },
+  reset_soon_close: {
+    begin: (request) => `${ok(request)}Connection: close\r\n\r\npart`, reset: true, soon: true,
+  },
   reset_length: { begin: (request) => `${ok(request)}Content-Length: 90\r\n\r\npart`, reset: true },
   reset_chunked: { begin: (request) => `${ok(request)}${chunked}4\r\npart\r\n`, reset: true },
   status_000: whole(head('000 Trouble')),
@@ -67,12 +72,13 @@
   send();
 }
 
+let resets = 0;
 function respond(socket, request, kind) {
   const response = responses[kind] ?? responses.sound;
   console.log(`request kind=${kind} id=${field(request, 'Request-Id') || field(request, 'Idempotency-Key')}`);
   socket.write(Buffer.from(response.begin(request), 'latin1'));
   if (response.endless) repeat(socket, response.endless);
-  if (response.reset) setTimeout(() => socket.resetAndDestroy(), kPauseMs);
+  if (response.reset) setTimeout(() => socket.resetAndDestroy(), response.soon ? resets++ % 3 : kPauseMs);
 }
 
 const server = net.createServer((socket) => {
@@ -87,7 +93,7 @@
       // Answers at once and leaves the rest of the request unread.
       socket.pause();
       socket.removeAllListeners('data');
-      setTimeout(() => respond(socket, request, kind), kPauseMs);
+      setTimeout(() => respond(socket, request, kind), responses[kind].soon ? 0 : kPauseMs);
       return;
     }
     if (request.length < end + 4 + Number(field(request, 'Content-Length') || 0)) return;
--- a/tests/process/broken_responses.sh
+++ b/tests/process/broken_responses.sh
@@ -87,6 +87,26 @@
   done
 done
 
+# Guards against a part that is complete for the caller because the end of the connection was
+# read before the failure of the write was known (resets 0 to 2 ms after the response).
+UPLOADS=150
+# no_part_complete CASE ADDRESS PATH HOST [HEADER=VALUE...]: sends the uploads.
+no_part_complete() {
+  local name=$1 ends before
+  shift
+  before=$(uploads_received)
+  ends=$(node tests/node/reset_uploads.mjs "$1" "$2" "$3" $UPLOADS "${@:4}")
+  echo "$name: $ends"
+  expect "$name" "$ends" '^complete=0 '
+  at_least "$name: received" $(($(uploads_received) - before)) 20
+}
+uploads_received() { grep -c ' id=reset-' "$FLEET/broken.out"; }
+say "the gateway: resets soon after the response"
+for kind in reset_soon reset_soon_close; do
+  no_part_complete "plain, $kind" "$(address g1 callers)" "/broken/$kind" a.example
+  no_part_complete "stream, $kind" "$(address g1 callers)" "/broken-stream/$kind" a.example "${TOKENS/: /=}"
+done
+
 # endless_crowd CALL NAME SERVE PROCESS CHECK: has CALL send CROWD requests at a time for
 # each response without an end and SERVE one beside them, and CHECKs what the callers got.
 endless_crowd() {
@@ -154,6 +174,11 @@
 expect "entry, repeated" "$again" '"code":"(crashes_upstreams|upstream_failed|retries_exhausted)"'
 expect "entry, repeated" "$again" '"run_state":"outcome unknown"'
 
+say "the entry: resets soon after the response"
+for kind in reset_soon reset_soon_close; do
+  no_part_complete "entry, $kind" "$(caller_address 1)" "/desk/bookings/$kind" a.example "${KEY/: /=}"
+done
+
 say "the entry: responses without an end"
 endless_entry() { call_entry "entry-$1" "bookings/$2" -d x; }
 serve_entry() { expect "$1: another caller" "$(chat "${2:-1}" '{"model":"stile-1","max_tokens":2,"messages":[{"role":"user","content":"x"}]}')" '"completion_tokens":2'; }
