Only datagrams from which others learn carry the ages of confirmations

Change: replies to hellos and what instances that watch send carry the ages, in steps of 1/32 s, rounded up; other datagrams leave out the last data word.

Why it works: all instances learn from replies of the hello receivers, which hear those that watch directly; the other datagrams repeated the same.

--- a/modules/peers/membership.cc
+++ b/modules/peers/membership.cc
@@ -217,8 +217,12 @@
     const absl::Time at = confirmed_at_[static_cast<size_t>(part)];
     return at == absl::InfinitePast() ? absl::InfiniteDuration() : now - at;
   };
-  message->configuration_age = age(SourcePart::kConfiguration);
-  message->upstreams_age = age(SourcePart::kUpstreams);
+  // All hear of it by those that watch the source and the replies to hellos.
+  if (source_ == SourceState::kWatching ||
+      std::holds_alternative<WelcomeMessage>(message->content)) {
+    message->configuration_age = age(SourcePart::kConfiguration);
+    message->upstreams_age = age(SourcePart::kUpstreams);
+  }
   message->group_count = group_count_;
   message->knows_evacuations = evacuations_.revision > 0;
   const auto* hello = std::get_if<HelloMessage>(&message->content);
--- a/modules/peers/placement.capnp
+++ b/modules/peers/placement.capnp
@@ -122,12 +122,12 @@
   sourceState @25 :UInt8;
   # Time since the source last confirmed to any instance that it has no newer
   # configuration, and no newer upstream changes, than the sender announces.
-  # 65535 if that is unknown or longer ago.
-  configurationAgeMilliseconds @44 :UInt16 = 65535;
-  upstreamsAgeMilliseconds @45 :UInt16 = 65535;
+  # In steps of 1/32 s; 255 if that is unknown or longer ago.
+  configurationAge @44 :UInt8 = 255;
+  upstreamsAge @45 :UInt8 = 255;
   # How many revisions before upstreamsCompleteUntil the sender's log of upstream
-  # changes begins.
-  upstreamsLogLength @46 :UInt32;
+  # changes begins; 65535 if it begins earlier.
+  upstreamsLogLength @46 :UInt16;
   # Groups of upstreams that the sender uses; 0 if it knows no upstreams.
   groupCount @33 :UInt32;
   # @see chicory::CrashingParts::digest
--- a/modules/peers/placement.capnp.h
+++ b/modules/peers/placement.capnp.h
@@ -1321,11 +1321,11 @@
 
   inline bool getKnowsEvacuations() const;
 
-  inline  ::uint16_t getConfigurationAgeMilliseconds() const;
+  inline  ::uint8_t getConfigurationAge() const;
 
-  inline  ::uint16_t getUpstreamsAgeMilliseconds() const;
+  inline  ::uint8_t getUpstreamsAge() const;
 
-  inline  ::uint32_t getUpstreamsLogLength() const;
+  inline  ::uint16_t getUpstreamsLogLength() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1499,14 +1499,14 @@
   inline bool getKnowsEvacuations();
   inline void setKnowsEvacuations(bool value);
 
-  inline  ::uint16_t getConfigurationAgeMilliseconds();
-  inline void setConfigurationAgeMilliseconds( ::uint16_t value);
+  inline  ::uint8_t getConfigurationAge();
+  inline void setConfigurationAge( ::uint8_t value);
 
-  inline  ::uint16_t getUpstreamsAgeMilliseconds();
-  inline void setUpstreamsAgeMilliseconds( ::uint16_t value);
+  inline  ::uint8_t getUpstreamsAge();
+  inline void setUpstreamsAge( ::uint8_t value);
 
-  inline  ::uint32_t getUpstreamsLogLength();
-  inline void setUpstreamsLogLength( ::uint32_t value);
+  inline  ::uint16_t getUpstreamsLogLength();
+  inline void setUpstreamsLogLength( ::uint16_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4052,46 +4052,46 @@
       ::capnp::bounded<53>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Datagram::Reader::getConfigurationAgeMilliseconds() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<36>() * ::capnp::ELEMENTS, 65535u);
+inline  ::uint8_t Datagram::Reader::getConfigurationAge() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, 255u);
 }
 
-inline  ::uint16_t Datagram::Builder::getConfigurationAgeMilliseconds() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<36>() * ::capnp::ELEMENTS, 65535u);
+inline  ::uint8_t Datagram::Builder::getConfigurationAge() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, 255u);
 }
-inline void Datagram::Builder::setConfigurationAgeMilliseconds( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<36>() * ::capnp::ELEMENTS, value, 65535u);
+inline void Datagram::Builder::setConfigurationAge( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value, 255u);
 }
 
-inline  ::uint16_t Datagram::Reader::getUpstreamsAgeMilliseconds() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<37>() * ::capnp::ELEMENTS, 65535u);
+inline  ::uint8_t Datagram::Reader::getUpstreamsAge() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<73>() * ::capnp::ELEMENTS, 255u);
 }
 
-inline  ::uint16_t Datagram::Builder::getUpstreamsAgeMilliseconds() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<37>() * ::capnp::ELEMENTS, 65535u);
+inline  ::uint8_t Datagram::Builder::getUpstreamsAge() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<73>() * ::capnp::ELEMENTS, 255u);
 }
-inline void Datagram::Builder::setUpstreamsAgeMilliseconds( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<37>() * ::capnp::ELEMENTS, value, 65535u);
+inline void Datagram::Builder::setUpstreamsAge( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<73>() * ::capnp::ELEMENTS, value, 255u);
 }
 
-inline  ::uint32_t Datagram::Reader::getUpstreamsLogLength() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Datagram::Reader::getUpstreamsLogLength() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<37>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Datagram::Builder::getUpstreamsLogLength() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Datagram::Builder::getUpstreamsLogLength() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<37>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setUpstreamsLogLength( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+inline void Datagram::Builder::setUpstreamsLogLength( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<37>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t Datagram::Assign::Reader::getSequence() const {
--- a/modules/peers/placement_message.cc
+++ b/modules/peers/placement_message.cc
@@ -1,5 +1,6 @@
 #include "modules/peers/placement_message.h"
 
+#include <capnp/any.h>
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 #include <kj/exception.h>
@@ -27,22 +28,30 @@
     the work that a malformed datagram can cause. */
 constexpr uint64_t kMaxReadWords = 4096;
 
+/** Unit of the ages of confirmations. */
+constexpr absl::Duration kAgeStep = absl::Microseconds(31250);
 /** Marks an age that is unknown or does not fit. */
-constexpr uint16_t kUnknownWireAge = std::numeric_limits<uint16_t>::max();
+constexpr uint8_t kUnknownAge = std::numeric_limits<uint8_t>::max();
 
-/** Returns an age in milliseconds, rounded up, so that nothing appears newer
-    than it is. */
-uint16_t ToWireAge(absl::Duration age) {
-  const absl::Duration rounded = absl::Ceil(age, absl::Milliseconds(1));
-  return static_cast<uint16_t>(std::clamp<int64_t>(
-      absl::ToInt64Milliseconds(rounded), 0, kUnknownWireAge));
+/** Returns an age in steps, rounded up, so that nothing appears newer than it
+    is. */
+uint8_t ToWireAge(absl::Duration age) {
+  const absl::Duration rounded =
+      absl::Ceil(std::max(age, absl::ZeroDuration()), kAgeStep);
+  return rounded >= kUnknownAge * kAgeStep
+             ? kUnknownAge
+             : static_cast<uint8_t>(rounded / kAgeStep);
 }
 
-absl::Duration FromWireAge(uint16_t age_ms) {
-  return age_ms == kUnknownWireAge ? absl::InfiniteDuration()
-                                   : absl::Milliseconds(age_ms);
+absl::Duration FromWireAge(uint8_t steps) {
+  return steps == kUnknownAge ? absl::InfiniteDuration() : steps * kAgeStep;
 }
 
+/** Size of wire::Datagram. Its last data word holds the ages of confirmations,
+    which most datagrams do not carry. */
+constexpr uint16_t kDataWords = 10;
+constexpr uint16_t kPointers = 8;
+
 /** Returns a duration in microseconds; -1 if it is infinite. */
 int64_t OptionalMicroseconds(absl::Duration duration) {
   return duration == absl::InfiniteDuration()
@@ -544,9 +553,21 @@
   return evacuations;
 }
 
+void WriteAges(const PeerMessage& message, wire::Datagram::Builder datagram) {
+  const uint64_t log_length =
+      message.upstreams_complete_until - message.upstreams_log_begin;
+  datagram.setUpstreamsLogLength(static_cast<uint16_t>(
+      std::min<uint64_t>(log_length, std::numeric_limits<uint16_t>::max())));
+  datagram.setConfigurationAge(ToWireAge(message.configuration_age));
+  datagram.setUpstreamsAge(ToWireAge(message.upstreams_age));
+}
+
 std::string Encode(const PeerMessage& message) {
   capnp::MallocMessageBuilder builder;
-  auto datagram = builder.initRoot<wire::Datagram>();
+  const uint16_t data_words = message.has_ages() ? kDataWords : kDataWords - 1;
+  auto datagram = builder.initRoot<capnp::AnyPointer>()
+                      .initAsAnyStruct(data_words, kPointers)
+                      .as<wire::Datagram>();
   datagram.setSender(message.sender);
   datagram.setConfigurationVersion(message.configuration_version);
   datagram.setHasConfiguration(message.configuration_in_force > 0);
@@ -556,14 +577,9 @@
   datagram.setLeaving(message.leaving);
   datagram.setUpstreamsCompleteUntil(message.upstreams_complete_until);
   datagram.setUpstreamsLastChange(message.upstreams_last_change);
-  const uint64_t log_length =
-      message.upstreams_complete_until - message.upstreams_log_begin;
-  datagram.setUpstreamsLogLength(static_cast<uint32_t>(
-      std::min<uint64_t>(log_length, std::numeric_limits<uint32_t>::max())));
   datagram.setSourceState(static_cast<uint8_t>(message.source));
-  datagram.setConfigurationAgeMilliseconds(
-      ToWireAge(message.configuration_age));
-  datagram.setUpstreamsAgeMilliseconds(ToWireAge(message.upstreams_age));
+  if (message.has_ages())
+    WriteAges(message, datagram);
   datagram.setGroupCount(message.group_count);
   datagram.setCrashDigest(message.crash_digest);
   WriteEvacuations(message.evacuations, datagram);
@@ -663,9 +679,8 @@
         .source = static_cast<SourceState>(
             std::min(datagram.getSourceState(),
                      static_cast<uint8_t>(SourceState::kLost))),
-        .configuration_age =
-            FromWireAge(datagram.getConfigurationAgeMilliseconds()),
-        .upstreams_age = FromWireAge(datagram.getUpstreamsAgeMilliseconds()),
+        .configuration_age = FromWireAge(datagram.getConfigurationAge()),
+        .upstreams_age = FromWireAge(datagram.getUpstreamsAge()),
         .group_count = datagram.getGroupCount(),
         .crash_digest = datagram.getCrashDigest(),
         .evacuations = ReadEvacuations(datagram),
--- a/modules/peers/placement_message.h
+++ b/modules/peers/placement_message.h
@@ -157,14 +157,20 @@
       second is that of the latest change. @see UpstreamChangeLog */
   uint64_t upstreams_complete_until = 0;
   uint64_t upstreams_last_change = 0;
-  /** Revision from which on the sender knows every upstream change. */
+  /** Revision from which on the sender knows every upstream change. Sent with
+      the ages below only. */
   uint64_t upstreams_log_begin = 0;
   SourceState source = SourceState::kPassive;
   /** Time since the source last confirmed, to any instance, that it had no
       newer configuration than `configuration_version`, and no upstream change
-      after `upstreams_last_change`. Infinite if not known. */
+      after `upstreams_last_change`. Infinite if not known, or if the receiver
+      most likely learns it from others. @see Membership::FillHeader */
   absl::Duration configuration_age = absl::InfiniteDuration();
   absl::Duration upstreams_age = absl::InfiniteDuration();
+  bool has_ages() const {
+    return configuration_age != absl::InfiniteDuration() ||
+           upstreams_age != absl::InfiniteDuration();
+  }
   /** Groups of upstreams that the sender uses; 0 if it knows no upstreams.
       @see SchedulerGroups */
   uint32_t group_count = 0;
--- a/tests/logic/placement_node_test.cc
+++ b/tests/logic/placement_node_test.cc
@@ -545,6 +545,38 @@
   }
 }
 
+// Guards against knowledge that appears newer than it is, and against datagrams
+// that grow by ages which they do not carry.
+TEST_CASE("ages of confirmations are not smaller after decoding") {
+  struct Case {
+    absl::Duration sent;
+    absl::Duration received;
+  };
+  const auto c =
+      GENERATE(Case{absl::ZeroDuration(), absl::ZeroDuration()},
+               Case{absl::Milliseconds(1), absl::Microseconds(31250)},
+               Case{absl::Milliseconds(1000), absl::Milliseconds(1000)},
+               Case{absl::Milliseconds(7937), absl::Microseconds(7937500)},
+               Case{absl::Milliseconds(7938), absl::InfiniteDuration()},
+               Case{absl::InfiniteDuration(), absl::InfiniteDuration()});
+  const PeerMessage message{.sender = 3,
+                            .upstreams_complete_until = 90'000,
+                            .upstreams_log_begin = 89'000,
+                            .configuration_age = c.sent,
+                            .upstreams_age = c.sent,
+                            .content = WelcomeMessage()};
+  const std::string bytes = EncodePeerMessage(message);
+  const auto read = DecodePeerMessage(bytes);
+  REQUIRE(read.has_value());
+  CHECK(read->configuration_age == c.received);
+  CHECK(read->upstreams_age == c.received);
+  const size_t without =
+      EncodePeerMessage({.sender = 3, .content = WelcomeMessage()}).size();
+  CHECK(bytes.size() == without + (message.has_ages() ? 8 : 0));
+  if (message.has_ages())
+    CHECK(read->upstreams_log_begin == 89'000);
+}
+
 TEST_CASE("messages are the same after encoding and decoding") {
   ScheduleDecision decision{.key = {.sequence = 5},
                             .upstream = 7,
