A malformed response is no crash of the upstream that sent it

Cause: a malformed response and a lost connection were one failure, which counts as a crash of the upstream while it ran the request.

Ruled out: an end of the connection within a response; the parser calls that malformed too, but it is what a crash looks like, and counts as before.

Change: what the server sends wrongly is a failure of its own and a fault of the upstream; it is no evidence against the request. The reason in the log stays.

Why it works: only a connection that is lost can be the end of the upstream.

--- a/modules/gateway/upstream_exchange.cc
+++ b/modules/gateway/upstream_exchange.cc
@@ -242,6 +242,11 @@
     Fail({.reason = "no_connection", .not_run = true, .not_sent = true});
     return;
   }
+  // The upstream runs, so the request has not crashed it.
+  if (failure == HttpClientConnection::Failure::kMalformed) {
+    Fail({.reason = "connection_broken"});
+    return;
+  }
   const bool is_reused = connection->is_reused();
   const bool is_stale = is_reused && !has_response_bytes_ &&
                         SteadyNow() - sent_at_ < kStaleConnectionWindow;
--- a/modules/net/http_client_connection.cc
+++ b/modules/net/http_client_connection.cc
@@ -149,7 +149,8 @@
     Feed(absl::string_view(read_buffer_.data(), count));
   }
   if (parser_->state() == ParseState::kMalformed) {
-    Fail(Failure::kBroken);
+    // To the parser, an end within a response is malformed too.
+    Fail(is_orderly_end ? Failure::kBroken : Failure::kMalformed);
     return;
   }
   if (parser_->state() == ParseState::kComplete) {
--- a/modules/net/http_client_connection.h
+++ b/modules/net/http_client_connection.h
@@ -27,9 +27,11 @@
   enum class Failure {
     /** The connection could not be established; nothing was sent. */
     kConnect,
-    /** The connection was lost or the response was malformed. The server may
-        have received the request. */
+    /** The connection was lost. The server may have received the request. */
     kBroken,
+    /** The server sent something that is no response. It may have received the
+        request. */
+    kMalformed,
   };
 
   /** Receives the progress of one exchange. */
--- a/tests/logic/upstream_exchange_test.cc
+++ b/tests/logic/upstream_exchange_test.cc
@@ -517,6 +517,34 @@
   return bytes;
 }
 
+// Guards against a sound request that is refused everywhere because upstreams
+// which run on have sent malformed responses to it.
+TEST_CASE("a malformed response is no crash of its upstream") {
+  struct MalformedCase {
+    const char* name;
+    std::string framing_and_body;
+    Ending ending;
+    AttemptResult result;
+  };
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const auto c = GENERATE_COPY(
+      MalformedCase{"a field without a colon", "odd\r\n\r\n", Ending::kOpen,
+                    AttemptResult::kFault},
+      MalformedCase{"a chunk without a size", chunked + "x\r\n", Ending::kOpen,
+                    AttemptResult::kFault},
+      MalformedCase{"a chunk without a size, closed", chunked + "x\r\n",
+                    Ending::kClose, AttemptResult::kFault},
+      MalformedCase{"an incomplete chunk, closed", chunked + "4\r\nab",
+                    Ending::kClose, AttemptResult::kCrash},
+      MalformedCase{"an incomplete head, closed", "A: ", Ending::kClose,
+                    AttemptResult::kCrash});
+  INFO(c.name);
+  const Recorder recorder = RunExchange(
+      {.framing_and_body = c.framing_and_body, .ending = c.ending}, false);
+  CHECK(recorder.outcome == "connection_broken");
+  CHECK(recorder.result == c.result);
+}
+
 // Guards against an upstream in trouble whose bytes never end: they were kept
 // until the memory or the time of the request was used up.
 TEST_CASE("a response without end is given up") {
