Whether an instance lives is looked up, not searched for

Found on reading the change: SharingInstances asks for each listed instance whether it lives, and each time all members were copied. With 340 instances of which all are listed, as after a start with dead seeds, that is 115,600 rows for each decision on a limited upstream. (Worked out, not measured.)

Change: InstanceRoster::IsLive looks the instance up.

After: "the source's list tells whether there are other instances" and the tests of InstanceDirectory pass as before.

--- a/modules/decisions/instance_roster.cc
+++ b/modules/decisions/instance_roster.cc
@@ -64,6 +64,12 @@
   rows_.erase(ip);
 }
 
+bool InstanceRoster::IsLive(InstanceIp ip, absl::Time now) const {
+  const auto found = rows_.find(ip);
+  return found != rows_.end() &&
+         now - found->second.last_seen < kLivenessTimeout;
+}
+
 std::vector<InstanceRoster::Member> InstanceRoster::Members(
     absl::Time now) const {
   std::vector<Member> members;
--- a/modules/decisions/instance_roster.h
+++ b/modules/decisions/instance_roster.h
@@ -52,6 +52,8 @@
     absl::Duration age;
     bool lost_source = false;
   };
+  /** Returns whether `ip` is a live instance other than this one. */
+  bool IsLive(InstanceIp ip, absl::Time now) const;
   /** Returns the live instances other than this one. */
   std::vector<Member> Members(absl::Time now) const;
 
--- a/modules/gateway/instance_directory.h
+++ b/modules/gateway/instance_directory.h
@@ -14,11 +14,11 @@
 /** Lets instances that know no others find them by a list at the source.
 
     An instance that is to be listed adds itself and then reads the list, so
-   that of two instances at least the later one finds the other. Whether it is
-   listed counts only once it has read so. The list is read again now and then,
-   because parts of the fleet may have lost each other; the first in order of
-   each part removes the instances that are gone. Must be used on the event
-   loop's thread.
+    that of two instances at least the later one finds the other. It counts as
+    listed only once it has read so. The list is read again now and then: parts
+    of the fleet may have lost each other. The first in order of each part
+    removes the instances that are gone. Must be used on the event loop's
+    thread.
 
     @see Membership::ShouldBeListed */
 class InstanceDirectory {
--- a/modules/peers/membership.cc
+++ b/modules/peers/membership.cc
@@ -417,10 +417,7 @@
 }
 
 bool Membership::IsLive(InstanceIp ip, absl::Time now) const {
-  const std::vector<InstanceRoster::Member> members = roster_.Members(now);
-  return std::any_of(
-      members.begin(), members.end(),
-      [ip](const InstanceRoster::Member& member) { return member.ip == ip; });
+  return roster_.IsLive(ip, now);
 }
 
 std::vector<InstanceIp> Membership::Contacts() const {
--- a/modules/peers/membership.h
+++ b/modules/peers/membership.h
@@ -24,9 +24,10 @@
     Only a few instances watch the source. The header of every message announces
     the newest known configuration version and upstream change; an instance that
     is behind obtains the missing upstream changes from the reply to a hello.
-   The header also carries the time since the source last confirmed that this is
-    the newest: an instance that says it watches may be cut off without knowing
-    it. An instance watches the source itself when it is among the first
+
+    The header also carries the time since the source last confirmed that this
+    is the newest: an instance that says it watches may be cut off without
+    knowing it. An instance watches the source itself when it is among the first
     kWatchers of the roster's order, or when the last confirmation that it knows
     of is too old.
 
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -23,16 +23,15 @@
 
 /** How often the settings file is checked for changes made without a signal. */
 constexpr std::chrono::seconds kSettingsPollInterval(2);
-/** Longest time that a watch request waits for changes at the store, and as a
-    fraction of the time in which a change must be known everywhere. A watch
-   that the store has lost is noticed only after this time. */
+/** Longest time that a watch request waits for changes at the store; also as a
+    fraction of the time in which a change must be known everywhere. */
 constexpr absl::Duration kMaxWatchWait = absl::Seconds(3);
 constexpr double kWatchWaitFraction = 0.6;
-/** Fractions of the same time after which an instance that watches the store
-    counts it as lost if it is silent, and after which one that does not watch
-   it does so because no other knows it to be up to date. The rest is for
-   reading a change. */
+/** Fraction of that time after which an instance that watches the store counts
+    it as lost if it is silent. */
 constexpr double kMaxSilenceFraction = 0.8;
+/** Fraction of that time after which an instance watches the store because no
+    other knows it to be up to date. The rest is for reading a change. */
 constexpr double kMaxSourceAgeFraction = 0.7;
 /** Fraction of `apply_within` between two refreshes from the store that are
     caused by newer data at other instances. */
