An instance with old knowledge asks the store once, and goes on as before

Of 126 instances nearly all watched the store some seconds after the start, since their first lists were of different revisions, and each for two seconds more.

Ruled out: more readings of the configuration (1,527 and 1,568) and of lists.

Why it works: one response is all that an instance needs to know that it is up to date; the change itself comes with it.

--- a/modules/gateway/source_watcher.cc
+++ b/modules/gateway/source_watcher.cc
@@ -8,7 +8,8 @@
 
 namespace {
 
-/** How long the source is still watched after the need has ended. */
+/** How long the source is still watched after the need has ended, by an
+   instance that watches it for all. */
 constexpr absl::Duration kWatchLinger = absl::Seconds(2);
 /** The same while it does not respond: time for a few calls, so that a single
     failed one is no reason to rely on others. */
@@ -103,11 +104,14 @@
 }
 
 bool SourceWatcher::ShouldWatch(SourceState state, absl::Time now) {
-  if (membership_->ShouldWatchSource(now))
+  if (membership_->ShouldWatchSource(now)) {
     last_needed_at_ = now;
-  const absl::Duration linger =
-      state == SourceState::kLost ? kLostWatchLinger : kWatchLinger;
-  return now - last_needed_at_ < linger;
+    was_needed_for_all_ = membership_->IsWatcher(now);
+    return true;
+  }
+  if (state == SourceState::kLost)
+    return now - last_needed_at_ < kLostWatchLinger;
+  return was_needed_for_all_ && now - last_needed_at_ < kWatchLinger;
 }
 
 void SourceWatcher::Tick(absl::Time now) {
--- a/modules/gateway/source_watcher.h
+++ b/modules/gateway/source_watcher.h
@@ -80,8 +80,10 @@
       silent. */
   absl::Time confirmed_at_ = absl::InfinitePast();
   absl::Time silent_at_ = absl::InfinitePast();
-  /** When this instance last had to watch the source. */
+  /** When this instance last had to watch the source, and whether that was for
+      all instances and not only because its own knowledge was old. */
   absl::Time last_needed_at_ = absl::InfinitePast();
+  bool was_needed_for_all_ = false;
   /** Whether any part of the source has been reachable since the start. */
   bool has_contact_ = false;
   /** The unreachable parts, and when a part last became unreachable. */
