--- a/modules/peers/membership.h
+++ b/modules/peers/membership.h
@@ -67,7 +67,8 @@
       the fleet, so that parts which do not know each other meet. */
   bool ShouldBeListed(absl::Time now) const;
   /** Sets the other instances that the source lists. To be called only once it
-      lists this one too: whoever reads the list later finds it. */
+      lists this one too, so that instances which read it later find this one.
+   */
   void SetListedInstances(std::vector<InstanceIp> others);
   /** Returns whether this instance is the one that removes those from the list
       which are gone. */
