The entry's refusals reach callers that are still sending

Cause: the entry closed with unread input, whose answer is a reset. The caller's next send fails, and a caller that looks at that first never reads the response. The entry also asked with 100 Continue for bodies whose announced length it refuses.

Ruled out: that the 413 is not written.

Change: after a last response the entry ends its side and discards what comes for up to 1 s, as the gateway does, but not while a connection waits for the thread. A refusal in place of 100 Continue; Connection: close where it closes.

Why it works: the kernel resets for unread input only, and there is none until the caller closes or the time is over.

--- a/modules/serving/http_api_server.cc
+++ b/modules/serving/http_api_server.cc
@@ -36,6 +36,7 @@
 constexpr size_t kMaxHeadBytes = 64 << 10;
 constexpr size_t kMaxFramingFactor = 8;
 
+constexpr int kContinue = 100;
 constexpr int kBadRequest = 400;
 constexpr int kTooLarge = 413;
 constexpr int kUnavailable = 503;
@@ -43,6 +44,10 @@
 /** Interval at which a thread that waits for a request checks for a stop. */
 constexpr absl::Duration kStopPollInterval = absl::Milliseconds(100);
 
+/** How long a closing connection keeps reading. Closing with unread input would
+    send a reset, which can destroy the response on its way. */
+constexpr absl::Duration kLingerTimeout = absl::Seconds(1);
+
 /** Returns whether any of `events` occurs on `socket` within `wait`. */
 bool Poll(int socket, short events, absl::Duration wait) {
   pollfd entry{.fd = socket, .events = events, .revents = 0};
@@ -214,6 +219,7 @@
         continue;
       }
       is_aborted_ = true;
+      can_write_ = false;
       return false;
     }
     return true;
@@ -229,11 +235,25 @@
 
   socket_t socket() const override { return socket_; }
 
+  /** Reads and discards what arrives within `wait`. Returns false if there will
+      be no more. */
+  bool DiscardInput(absl::Duration wait) {
+    if (!Poll(socket_, POLLIN, wait))
+      return true;
+    ssize_t received = 0;
+    do {
+      received = ::recv(socket_, buffer_.data(), buffer_.size(), MSG_DONTWAIT);
+    } while (received < 0 && errno == EINTR);
+    return received > 0 || (received < 0 && errno == EAGAIN);
+  }
+
   /** Discards what the library writes until the next request. */
   void DiscardLibraryWrites() { discards_library_writes_ = true; }
   /** Causes the connection to be closed after the current request. */
   void Abort() { is_aborted_ = true; }
   bool is_aborted() const { return is_aborted_; }
+  /** Returns false after a caller has disconnected or did not read. */
+  bool can_write() const { return can_write_; }
 
   /** Sets whether this is the last request on the connection, which its
       response then announces. */
@@ -298,6 +318,7 @@
   absl::Time read_deadline_;
   bool discards_library_writes_ = false;
   bool is_aborted_ = false;
+  bool can_write_ = true;
   bool is_last_ = false;
   std::atomic<bool> has_requests_{false};
   bool is_reading_body_ = false;
@@ -404,6 +425,15 @@
       current_stream->SetPhase(SocketStream::Phase::kHandling);
       return HandlerResponse::Unhandled;
     });
+    set_expect_100_continue_handler(
+        [this](const httplib::Request& request, httplib::Response& response) {
+          return CheckExpectation(request, &response);
+        });
+    set_post_routing_handler(
+        [](const httplib::Request&, httplib::Response& response) {
+          if (current_stream->is_aborted())
+            AnnounceClose(&response);
+        });
     set_payload_max_length(options_.max_body_bytes);
     set_tcp_nodelay(true);
   }
@@ -447,16 +477,19 @@
       streams_.insert(&stream);
     }
     bool succeeded = true;
-    while (succeeded && WaitForRequest(stream)) {
+    bool is_open = true;
+    while (is_open && WaitForRequest(stream)) {
       stream.BeginRequest();
       const bool is_last = is_draining_;
       stream.set_is_last(is_last);
       bool should_close = false;
       succeeded = process_request(stream, is_last, should_close, nullptr);
       stream.EndRequest();
-      if (should_close || is_last || stream.is_aborted())
-        break;
+      is_open = succeeded && !should_close && !is_last && !stream.is_aborted();
     }
+    // The caller may still have to read the response.
+    if (!is_open && stream.can_write())
+      Linger(&stream);
     current_stream = nullptr;
     {
       const absl::MutexLock lock(&streams_mutex_);
@@ -467,6 +500,44 @@
     return succeeded;
   }
 
+  /** Returns the status with which a request is answered whose caller waits for
+      a `100 Continue` before it sends the body. */
+  int CheckExpectation(const httplib::Request& request,
+                       httplib::Response* response) const {
+    uint64_t length = 0;
+    if (!absl::SimpleAtoi(request.get_header_value("Content-Length"),
+                          &length) ||
+        length <= options_.max_body_bytes) {
+      return kContinue;
+    }
+    response->status = kTooLarge;
+    // The caller may send the body all the same.
+    current_stream->Abort();
+    return kTooLarge;
+  }
+
+  static void AnnounceClose(httplib::Response* response) {
+    response->headers.erase("Keep-Alive");
+    response->headers.erase("Connection");
+    response->set_header("Connection", "close");
+  }
+
+  /** Ends the responses, and discards input until the caller closes, for a
+      bounded time. */
+  void Linger(SocketStream* stream) const {
+    ::shutdown(stream->socket(), SHUT_WR);
+    const absl::Time until = absl::Now() + kLingerTimeout;
+    while (absl::Now() < until && !IsThreadNeeded() &&
+           stream->DiscardInput(kStopPollInterval)) {
+    }
+  }
+
+  /** Returns whether a connection waits for a thread. */
+  bool IsThreadNeeded() const {
+    const GrowingThreadPool* pool = pool_;
+    return pool && pool->has_waiting();
+  }
+
   /** Ends the connection that is most dispensable, if there is one. */
   void EndOneForAnother() {
     const absl::MutexLock lock(&streams_mutex_);
@@ -494,9 +565,7 @@
     while (!stream.HasBuffered()) {
       if (Poll(stream.socket(), POLLIN, kStopPollInterval))
         return true;
-      const GrowingThreadPool* pool = pool_;
-      const bool is_needed = pool && pool->has_waiting();
-      if (is_stopping_ || is_needed || absl::Now() >= until)
+      if (is_stopping_ || IsThreadNeeded() || absl::Now() >= until)
         return false;
     }
     return true;
--- /dev/null
+++ b/tests/logic/http_api_server_test.cc
@@ -0,0 +1,145 @@
+#include "modules/serving/http_api_server.h"
+
+#include <httplib.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace chicory {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr size_t kMaxBodyBytes = 1 << 20;
+/** More than the kernel's buffers of a connection hold. */
+constexpr size_t kLongBodyBytes = 12 << 20;
+constexpr size_t kMemoryBytes = 64 << 20;
+
+/** A server with a memory budget, and one connection to it. */
+struct Fixture {
+  Fixture() : memory(kMemoryBytes), server(OptionsWith(&memory)), client(loop) {
+    server.routes().Post(
+        "/a", HttpApiServer::WithBody(
+                  [](const httplib::Request&, httplib::Response& response) {
+                    response.set_content("ok", "text/plain");
+                  }));
+    const auto address = server.Start();
+    REQUIRE(address.has_value());
+    const size_t colon = address->find(':');
+    int port = 0;
+    REQUIRE(absl::SimpleAtoi(address->substr(colon + 1), &port));
+    client.connect({asio::ip::address_v4::loopback(),
+                    static_cast<asio::ip::port_type>(port)});
+  }
+
+  static HttpApiServer::Options OptionsWith(SharedMemoryBudget* memory) {
+    return {.listen = "127.0.0.1:0",
+            .max_body_bytes = kMaxBodyBytes,
+            .memory = memory};
+  }
+
+  /** Sends all of `bytes` and returns the error if that fails. */
+  boost::system::error_code Send(const std::string& bytes) {
+    boost::system::error_code error;
+    asio::write(client, asio::buffer(bytes), error);
+    return error;
+  }
+
+  /** Returns all that the server sends until it closes. */
+  std::string Received() {
+    std::string bytes;
+    boost::system::error_code error;
+    asio::read(client, asio::dynamic_buffer(bytes), error);
+    CHECK(error == asio::error::eof);
+    return bytes;
+  }
+
+  SharedMemoryBudget memory;
+  HttpApiServer server;
+  asio::io_context loop;
+  asio::ip::tcp::socket client;
+};
+
+std::string ChunkedBody(size_t size) {
+  return absl::StrCat(absl::Hex(size), "\r\n", std::string(size, 'x'),
+                      "\r\n0\r\n\r\n");
+}
+
+struct RefusedRequest {
+  const char* name;
+  std::string head;
+  std::string body;
+  const char* status_line;
+};
+
+}  // namespace
+
+/** Guards against refusals that are lost because the server resets a connection
+    on which the caller is still sending. */
+TEST_CASE("a refusal reaches a caller that sends all before it reads") {
+  const std::string long_body(kLongBodyBytes, 'x');
+  const std::string length =
+      absl::StrCat("Content-Length: ", kLongBodyBytes, "\r\n");
+  const RefusedRequest requests[] = {
+      {.name = "announced length over the limit",
+       .head = length,
+       .body = long_body,
+       .status_line = "HTTP/1.1 413 "},
+      {.name = "announced length over the limit, waits for 100 Continue",
+       .head = length + "Expect: 100-continue\r\n",
+       .body = long_body,
+       .status_line = "HTTP/1.1 413 "},
+      {.name = "chunk over the limit",
+       .head = "Transfer-Encoding: chunked\r\n",
+       .body = ChunkedBody(kLongBodyBytes),
+       .status_line = "HTTP/1.1 413 "}};
+  for (const RefusedRequest& request : requests) {
+    INFO(request.name);
+    Fixture fixture;
+    CHECK(!fixture.Send(absl::StrCat("POST /a HTTP/1.1\r\nHost: h\r\n",
+                                     request.head, "\r\n", request.body)));
+    const std::string received = fixture.Received();
+    CHECK(absl::StartsWith(received, request.status_line));
+    CHECK(absl::StrContains(received, "Connection: close\r\n"));
+  }
+}
+
+/** Guards against last responses that are lost because of the next request. */
+TEST_CASE("the last response of a drained server reaches its caller") {
+  Fixture fixture;
+  fixture.server.Drain();
+  const std::string request = absl::StrCat(
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: ", kMaxBodyBytes,
+      "\r\n\r\n", std::string(kMaxBodyBytes, 'x'));
+  std::string requests;
+  for (size_t sent = 0; sent < kLongBodyBytes; sent += kMaxBodyBytes)
+    requests.append(request);
+  CHECK(!fixture.Send(requests));
+  const std::string received = fixture.Received();
+  CHECK(absl::StartsWith(received, "HTTP/1.1 200 "));
+  CHECK(absl::StrContains(received, "Connection: close\r\n"));
+}
+
+TEST_CASE("a caller whose announced body is legal is told to continue") {
+  Fixture fixture;
+  const std::string body(kMaxBodyBytes, 'x');
+  CHECK(!fixture.Send(
+      absl::StrCat("POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+                   "Connection: close\r\nContent-Length: ",
+                   body.size(), "\r\n\r\n")));
+  std::string interim(std::string("HTTP/1.1 100 Continue\r\n\r\n").size(), ' ');
+  asio::read(fixture.client, asio::buffer(interim));
+  CHECK(interim == "HTTP/1.1 100 Continue\r\n\r\n");
+  CHECK(!fixture.Send(body));
+  CHECK(absl::StartsWith(fixture.Received(), "HTTP/1.1 200 "));
+}
+
+}  // namespace chicory
