The entry closes a connection after a malformed head

What callers saw: a request behind a malformed one on the same connection ran. Behind a proxy that takes both for one request this is another caller's request.

Cause: the library answers 400 and keeps the connection; the bytes after the point at which it gave up are parsed as the next request.

Ruled out: the gateway, whose parser ends the connection on its first error (RefuseMalformedRequest).

Change: the pre-routing handler records that the head is valid; a response without that closes the connection and says so.

Before, with the new test: the request behind the malformed one ran in 4 of 4 rows, after two or three responses with 400. After: one 400, nothing ran.

Why it works: no byte after a malformed head is parsed; the connection lingers and discards them.

--- a/modules/serving/http_api_server.cc
+++ b/modules/serving/http_api_server.cc
@@ -99,6 +99,12 @@
     phase_since_ns_ = absl::ToUnixNanos(absl::Now());
     phase_ = phase;
   }
+  /** Called when the head of a request has been read and is valid. */
+  void OnHeadRead() {
+    has_read_head_ = true;
+    SetPhase(Phase::kHandling);
+  }
+  bool has_read_head() const { return has_read_head_; }
   Phase phase() const { return phase_; }
   absl::Time phase_since() const {
     return absl::FromUnixNanos(phase_since_ns_);
@@ -159,6 +165,7 @@
     discards_library_writes_ = false;
     is_aborted_ = false;
     has_requests_ = true;
+    has_read_head_ = false;
     head_bytes_ = 0;
     body_bytes_ = 0;
     framing_bytes_ = 0;
@@ -321,6 +328,7 @@
   bool can_write_ = true;
   bool is_last_ = false;
   std::atomic<bool> has_requests_{false};
+  bool has_read_head_ = false;
   bool is_reading_body_ = false;
   size_t head_bytes_ = 0;
   size_t body_bytes_ = 0;
@@ -422,7 +430,7 @@
     };
     // The head has been read; a handler that reads a body says so.
     set_pre_routing_handler([](const httplib::Request&, httplib::Response&) {
-      current_stream->SetPhase(SocketStream::Phase::kHandling);
+      current_stream->OnHeadRead();
       return HandlerResponse::Unhandled;
     });
     set_expect_100_continue_handler(
@@ -431,6 +439,10 @@
         });
     set_post_routing_handler(
         [](const httplib::Request&, httplib::Response& response) {
+          // Where a malformed request ends is not known: what follows it must
+          // not be taken for the next one.
+          if (!current_stream->has_read_head())
+            current_stream->Abort();
           if (current_stream->is_aborted())
             AnnounceClose(&response);
         });
--- a/tests/logic/http_api_server_test.cc
+++ b/tests/logic/http_api_server_test.cc
@@ -2,6 +2,7 @@
 
 #include <httplib.h>
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -21,6 +22,8 @@
 constexpr size_t kMaxBodyBytes = 1 << 20;
 /** More than the kernel's buffers of a connection hold. */
 constexpr size_t kLongBodyBytes = 12 << 20;
+/** More than the library takes. */
+constexpr size_t kLongHeaderBytes = 20000;
 constexpr size_t kMemoryBytes = 64 << 20;
 
 /** A server with a memory budget, and one connection to it. */
@@ -28,7 +31,8 @@
   Fixture() : memory(kMemoryBytes), server(OptionsWith(&memory)), client(loop) {
     server.routes().Post(
         "/a", HttpApiServer::WithBody(
-                  [](const httplib::Request&, httplib::Response& response) {
+                  [this](const httplib::Request&, httplib::Response& response) {
+                    ++handled;
                     response.set_content("ok", "text/plain");
                   }));
     const auto address = server.Start();
@@ -62,6 +66,7 @@
     return bytes;
   }
 
+  std::atomic<int> handled{0};
   SharedMemoryBudget memory;
   HttpApiServer server;
   asio::io_context loop;
@@ -128,6 +133,35 @@
   CHECK(absl::StrContains(received, "Connection: close\r\n"));
 }
 
+/** Guards against the rest of a malformed request that runs as a request. */
+TEST_CASE("nothing after a malformed head is a request") {
+  struct Malformed {
+    const char* name;
+    std::string head;
+  };
+  const Malformed requests[] = {
+      {.name = "header over the limit",
+       .head = absl::StrCat("POST /a HTTP/1.1\r\nX-Long: ",
+                            std::string(kLongHeaderBytes, 'x'), "\r\n\r\n")},
+      {.name = "request line with another version",
+       .head = "POST /a HTTP/3.7\r\nHost: h\r\n\r\n"},
+      {.name = "request line without a target",
+       .head = "POST\r\nHost: h\r\n\r\n"},
+      {.name = "method that is none", .head = "PO ST /a HTTP/1.1\r\n\r\n"}};
+  for (const Malformed& request : requests) {
+    INFO(request.name);
+    Fixture fixture;
+    CHECK(!fixture.Send(request.head +
+                        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: "
+                        "0\r\n\r\n"));
+    const std::string received = fixture.Received();
+    CHECK(absl::StartsWith(received, "HTTP/1.1 400 "));
+    CHECK(absl::StrContains(received, "Connection: close\r\n"));
+    CHECK(received.rfind("HTTP/1.1 ") == 0);
+    CHECK(fixture.handled == 0);
+  }
+}
+
 TEST_CASE("a caller whose announced body is legal is told to continue") {
   Fixture fixture;
   const std::string body(kMaxBodyBytes, 'x');
