The entry takes no unread body for a request

What callers saw: a request that is the body of a GET, HEAD or OPTIONS ran. Behind a proxy that reads the body as such it is hidden in another request.

Cause: the library reads bodies only of the methods whose handlers take them, and parses what follows the head of the others as the next request.

Ruled out: the gateway, whose parser reads the bodies of all methods; methods with a body, whose bodies WithBody reads or ends the connection.

Change: a request that announces a body that was not read closes its connection, and its response says so.

Before, with the new test: the hidden request ran in 4 of 4 rows. After: none, one response.

Why it works: the connection goes on only where the whole request has been read.

--- a/modules/serving/http_api_server.cc
+++ b/modules/serving/http_api_server.cc
@@ -100,11 +100,16 @@
     phase_ = phase;
   }
   /** Called when the head of a request has been read and is valid. */
-  void OnHeadRead() {
+  void OnHeadRead(bool announces_body) {
     has_read_head_ = true;
+    has_unread_body_ = announces_body;
     SetPhase(Phase::kHandling);
   }
-  bool has_read_head() const { return has_read_head_; }
+  /** Returns false if the rest of a request may follow: it was malformed, so
+      that its end is not known, or nobody has read its body. */
+  bool is_at_end_of_request() const {
+    return has_read_head_ && !has_unread_body_;
+  }
   Phase phase() const { return phase_; }
   absl::Time phase_since() const {
     return absl::FromUnixNanos(phase_since_ns_);
@@ -141,6 +146,7 @@
     is_reading_body_ = false;
     SetPhase(Phase::kHandling);
     if (is_read && !is_interrupted_) {
+      has_unread_body_ = false;
       // The parsed request and the copies for upstreams take about as much
       // twice over.
       Hold(3 * body->capacity(), /*can_end=*/false);
@@ -329,6 +335,7 @@
   bool is_last_ = false;
   std::atomic<bool> has_requests_{false};
   bool has_read_head_ = false;
+  bool has_unread_body_ = false;
   bool is_reading_body_ = false;
   size_t head_bytes_ = 0;
   size_t body_bytes_ = 0;
@@ -429,19 +436,19 @@
       return pool_.load();
     };
     // The head has been read; a handler that reads a body says so.
-    set_pre_routing_handler([](const httplib::Request&, httplib::Response&) {
-      current_stream->OnHeadRead();
-      return HandlerResponse::Unhandled;
-    });
+    set_pre_routing_handler(
+        [](const httplib::Request& request, httplib::Response&) {
+          current_stream->OnHeadRead(AnnouncesBody(request));
+          return HandlerResponse::Unhandled;
+        });
     set_expect_100_continue_handler(
         [this](const httplib::Request& request, httplib::Response& response) {
           return CheckExpectation(request, &response);
         });
     set_post_routing_handler(
         [](const httplib::Request&, httplib::Response& response) {
-          // Where a malformed request ends is not known: what follows it must
-          // not be taken for the next one.
-          if (!current_stream->has_read_head())
+          // What follows must not be taken for the next request.
+          if (!current_stream->is_at_end_of_request())
             current_stream->Abort();
           if (current_stream->is_aborted())
             AnnounceClose(&response);
@@ -528,6 +535,12 @@
     return kTooLarge;
   }
 
+  static bool AnnouncesBody(const httplib::Request& request) {
+    return request.has_header("Transfer-Encoding") ||
+           (request.has_header("Content-Length") &&
+            request.get_header_value("Content-Length") != "0");
+  }
+
   static void AnnounceClose(httplib::Response* response) {
     response->headers.erase("Keep-Alive");
     response->headers.erase("Connection");
--- a/tests/logic/http_api_server_test.cc
+++ b/tests/logic/http_api_server_test.cc
@@ -35,6 +35,10 @@
                     ++handled;
                     response.set_content("ok", "text/plain");
                   }));
+    server.routes().Get(
+        "/b", [](const httplib::Request&, httplib::Response& response) {
+          response.set_content("ok", "text/plain");
+        });
     const auto address = server.Start();
     REQUIRE(address.has_value());
     const size_t colon = address->find(':');
@@ -162,6 +166,38 @@
   }
 }
 
+/** Guards against bodies that nobody reads and that run as requests. */
+TEST_CASE("a body that no handler reads is no request") {
+  const std::string hidden =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+  const std::string length =
+      absl::StrCat("Content-Length: ", hidden.size(), "\r\n\r\n");
+  struct Unread {
+    const char* name;
+    std::string request;
+  };
+  const Unread requests[] = {
+      {.name = "GET with a length",
+       .request = "GET /b HTTP/1.1\r\nHost: h\r\n" + length + hidden},
+      {.name = "GET in chunks",
+       .request = absl::StrCat("GET /b HTTP/1.1\r\nHost: h\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n",
+                               hidden)},
+      {.name = "HEAD with a length",
+       .request = "HEAD /b HTTP/1.1\r\nHost: h\r\n" + length + hidden},
+      {.name = "OPTIONS with a length",
+       .request = "OPTIONS /b HTTP/1.1\r\nHost: h\r\n" + length + hidden}};
+  for (const Unread& request : requests) {
+    INFO(request.name);
+    Fixture fixture;
+    CHECK(!fixture.Send(request.request));
+    const std::string received = fixture.Received();
+    CHECK(absl::StrContains(received, "Connection: close\r\n"));
+    CHECK(received.rfind("HTTP/1.1 ") == 0);
+    CHECK(fixture.handled == 0);
+  }
+}
+
 TEST_CASE("a caller whose announced body is legal is told to continue") {
   Fixture fixture;
   const std::string body(kMaxBodyBytes, 'x');
