--- a/modules/net/http_server_connection.cc
+++ b/modules/net/http_server_connection.cc
@@ -134,7 +134,7 @@
 
 void HttpServerConnection::Evict() {
   eviction_pending_ = false;
-  // A response of which more has been written meanwhile goes on.
+  // A response of which more has been written meanwhile continues.
   const bool has_progress = sent_bytes_ != sent_at_eviction_ ||
                             (!response_ended_ && sending_.empty());
   if (handler_ && has_progress) {
--- a/tests/logic/placement_node_test.cc
+++ b/tests/logic/placement_node_test.cc
@@ -1300,7 +1300,7 @@
                  << service.most());
     CHECK(static_cast<double>(service.most()) <= ColdService::kAllowed);
     CHECK(service.total() - before >= c.least);
-    // The parts find each other, or the scheduler goes on.
+    // The parts find each other, or the scheduler continues.
     fleet.part_of = [](InstanceIp) { return 0; };
     for (auto& [ip, member] : fleet.members)
       member->is_frozen = false;
