A request whose end is in doubt is refused

A request with Transfer-Encoding: gzip, identity or "chunked, gzip" ran with an empty body, and the bytes of its body ran as the next request; the caller got two responses.

Cause: HttpRequestParser took the library's word for where a body ends, and to the library a request without a length whose last coding is not chunked has no body. Likewise several equal lengths counted as one, codings below chunked were dropped and chunks were taken in HTTP/1.0.

Ruled out: the upstream reading one request as two. It got two exchanges, the first with Content-Length: 0.

Change: CheckRequestFraming (RFC 9112, section 6) decides when the head is complete, before any of the body is parsed; 400 (501 for a coding below chunks) and the connection closes. Logged as request_malformed, which did not exist; such refusals left no line.

Why it works: no byte after a head is parsed unless one rule that all parties share says how many belong to it.

--- a/modules/gateway/gateway.cc
+++ b/modules/gateway/gateway.cc
@@ -62,7 +62,7 @@
 }  // namespace
 
 /** Logs and counts the connections of one listener that close for the sake of
-    others. */
+    others, and logs the requests that it cannot read. */
 class Gateway::LoggingDelegate : public HttpServer::Delegate {
  public:
   LoggingDelegate(Gateway* gateway, const char* listener)
@@ -82,6 +82,14 @@
                           {"max_held", gateway_->memory_.max_bytes()},
                           {"connections", gateway_->callers_.connections()}});
   }
+  void OnMalformedRequest(uint32_t client,
+                          int status,
+                          const std::string& reason) override {
+    gateway_->log_.Write("request_malformed", {{"listener", listener_},
+                                               {"caller", IpText(client)},
+                                               {"status", status},
+                                               {"reason", reason}});
+  }
 
  protected:
   Gateway* gateway_;
--- a/modules/net/http_message.cc
+++ b/modules/net/http_message.cc
@@ -13,6 +13,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
+#include "modules/net/request_framing.h"
 
 namespace chicory {
 
@@ -29,6 +30,7 @@
 constexpr int kMinStatus = 100;
 constexpr int kMinFinalStatus = 200;
 constexpr int kMaxStatus = 599;
+constexpr int kBadRequest = 400;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
 /** HTTP/1.1 as a version number of the parser. */
@@ -107,6 +109,13 @@
   return headers;
 }
 
+/** Returns the status of the response to a request that the library refuses. */
+int StatusOf(const boost::beast::error_code& error) {
+  if (error == http::error::header_limit)
+    return kHeadTooLarge;
+  return error == http::error::body_limit ? kBodyTooLarge : kBadRequest;
+}
+
 /** Passes `bytes` to a parser of the library and returns the number of bytes
     consumed. A field of 64 KiB or more, for which the library throws, counts as
     a head that is too large. */
@@ -169,6 +178,7 @@
 
 struct HttpRequestParser::Impl {
   http::request_parser<GrowingBody> parser;
+  bool has_head = false;
   /** Bytes of chunk extensions so far. */
   size_t extension_bytes = 0;
   std::function<
@@ -180,7 +190,8 @@
     : options_(options), impl_(std::make_unique<Impl>()) {
   impl_->parser.header_limit(static_cast<uint32_t>(options_.max_header_bytes));
   impl_->parser.body_limit(options_.max_body_bytes);
-  impl_->parser.eager(true);
+  // Up to the end of the head, so that it is checked before its body is read.
+  impl_->parser.eager(false);
   // A body in chunks of one byte may be as large as others; what comes with
   // the chunks is bounded for the request as a whole.
   impl_->on_chunk_header = [this](uint64_t, boost::beast::string_view extension,
@@ -204,13 +215,13 @@
     if (error == http::error::need_more)
       break;
     if (error) {
-      state_ = ParseState::kMalformed;
-      if (error == http::error::header_limit)
-        error_status_ = kHeadTooLarge;
-      else if (error == http::error::body_limit)
-        error_status_ = kBodyTooLarge;
+      SetMalformed(StatusOf(error), error.message());
       return used;
     }
+    if (!impl_->has_head && impl_->parser.is_header_done())
+      CheckHead();
+    if (state_ == ParseState::kMalformed)
+      return used;
     if (impl_->parser.is_done())
       state_ = ParseState::kComplete;
     else if (taken == 0)
@@ -219,13 +230,27 @@
   // What the parser does not consume is the begin of a head, of the size line
   // of a chunk or of a trailer.
   if (state_ == ParseState::kNeedMore &&
-      bytes.size() - used > options_.max_header_bytes) {
-    state_ = ParseState::kMalformed;
-    error_status_ = kHeadTooLarge;
-  }
+      bytes.size() - used > options_.max_header_bytes)
+    SetMalformed(kHeadTooLarge, "a line or the head is too long");
   return used;
 }
 
+void HttpRequestParser::CheckHead() {
+  const auto& message = impl_->parser.get();
+  impl_->has_head = true;
+  impl_->parser.eager(true);
+  const FramingFault fault = CheckRequestFraming(CopyHeaders(message.base()),
+                                                 message.version() >= kHttp11);
+  if (fault != FramingFault::kNone)
+    SetMalformed(FramingFaultStatus(fault), FramingFaultName(fault));
+}
+
+void HttpRequestParser::SetMalformed(int status, absl::string_view reason) {
+  state_ = ParseState::kMalformed;
+  error_status_ = status;
+  error_reason_ = std::string(reason);
+}
+
 bool HttpRequestParser::awaits_body() const {
   return impl_->parser.is_header_done() && !impl_->parser.is_done();
 }
--- a/modules/net/http_message.h
+++ b/modules/net/http_message.h
@@ -130,20 +130,28 @@
       sends the body. */
   bool expects_continue() const;
   /** Returns the status of the response to a malformed request: 400, 413 (body
-      too large) or 431 (head too large). Only meaningful in state
-      kMalformed. */
+      too large), 431 (head too large) or 501 (unknown transfer coding). Only
+      meaningful in state kMalformed. */
   int error_status() const { return error_status_; }
+  /** Returns why the request is malformed, for log lines; empty unless it is.
+   */
+  const std::string& error_reason() const { return error_reason_; }
   /** Moves the request out of the parser. May be called once, in state
       kComplete. */
   HttpRequest Take();
 
  private:
   struct Impl;
+  /** Called when the head is complete, before any of the body is parsed. */
+  void CheckHead();
+  void SetMalformed(int status, absl::string_view reason);
+
   Options options_;
   std::unique_ptr<Impl> impl_;
   ParseState state_ = ParseState::kNeedMore;
   bool started_ = false;
   int error_status_ = 400;
+  std::string error_reason_;
 };
 
 /** Incremental parser for a single HTTP/1.1 response. The body is available as
--- a/modules/net/http_server.h
+++ b/modules/net/http_server.h
@@ -94,6 +94,14 @@
         left for others. Must not use the server. */
     virtual void OnConnectionClosed(const MemoryBudget::Eviction&,
                                     ClosedState) {}
+    /** Called when a request from `client`, an IPv4 address, is refused with
+        `status` because it cannot be parsed or is over a limit. Must not use
+        the server. */
+    virtual void OnMalformedRequest(uint32_t client,
+                                    int status,
+                                    const std::string& reason) {
+      (void)client, (void)status, (void)reason;
+    }
   };
 
   /** Numbers of connections that ended, or are ending, in other ways than with
--- a/modules/net/http_server_connection.cc
+++ b/modules/net/http_server_connection.cc
@@ -315,6 +315,8 @@
 
 void HttpServerConnection::RefuseMalformedRequest() {
   close_after_response_ = true;
+  server_->delegate_->OnMalformedRequest(
+      PeerIp(socket_), parser_->error_status(), parser_->error_reason());
   SendComplete(parser_->error_status(), {}, "");
   DropRequest();
 }
--- a/tests/logic/http_message_test.cc
+++ b/tests/logic/http_message_test.cc
@@ -65,6 +65,23 @@
        ParseState::kMalformed, 431, "", 0},
       {"not HTTP", std::string("\x16\x03\x01\x02\x00\x01", 6),
        ParseState::kMalformed, 400, "", 0},
+      {"bare line feeds", "GET /a HTTP/1.1\nHost: h\n\nGET /b HTTP/1.1\r\n\r\n",
+       ParseState::kMalformed, 400, "", 0},
+      {"bare line feed within the head",
+       head + "X: y\nContent-Length: 5\r\n\r\nhello", ParseState::kMalformed,
+       400, "", 0},
+      {"chunk size with a sign",
+       head + "Transfer-Encoding: chunked\r\n\r\n+1\r\nx\r\n0\r\n\r\n",
+       ParseState::kMalformed, 400, "", 0},
+      {"chunk without an end of line",
+       head + "Transfer-Encoding: chunked\r\n\r\n1\r\nxy0\r\n\r\n",
+       ParseState::kMalformed, 400, "", 0},
+      {"chunked in another case",
+       head + "Transfer-Encoding: Chunked \r\n\r\n0\r\n\r\n",
+       ParseState::kComplete, 0, "", 0},
+      {"folded field that is no framing",
+       head + "X: y\r\n z\r\nContent-Length: 2\r\n\r\nhi",
+       ParseState::kComplete, 0, "hi", 0},
   };
 }
 
@@ -101,6 +118,81 @@
   }
 }
 
+struct FramingCase {
+  const char* name;
+  /** Those fields of the head that mark the end of the body. */
+  std::string fields;
+  int error_status;
+  const char* error_reason;
+};
+
+/** Guards against requests that run with another body, and bodies that run as
+    requests, because their end is marked in a way that this server and its
+    peers read differently (review/10). */
+TEST_CASE("a request whose end is in doubt is malformed") {
+  const FramingCase cases[] = {
+      {"coding without chunks", "Transfer-Encoding: gzip\r\n", 400,
+       "transfer_coding_without_end"},
+      {"identity", "Transfer-Encoding: identity\r\n", 400,
+       "transfer_coding_without_end"},
+      {"no coding", "Transfer-Encoding:\r\n", 400,
+       "transfer_coding_without_end"},
+      {"chunks below another coding", "Transfer-Encoding: chunked, gzip\r\n",
+       400, "transfer_coding_without_end"},
+      {"chunks with a parameter", "Transfer-Encoding: chunked;q=1\r\n", 400,
+       "transfer_coding_without_end"},
+      {"chunks in quotes", "Transfer-Encoding: \"chunked\"\r\n", 400,
+       "transfer_coding_without_end"},
+      {"chunks twice", "Transfer-Encoding: chunked, chunked\r\n", 400,
+       "transfer_coding_without_end"},
+      {"coding below chunks", "Transfer-Encoding: gzip, chunked\r\n", 501,
+       "unknown_transfer_coding"},
+      {"coding below chunks in two fields",
+       "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", 501,
+       "unknown_transfer_coding"},
+      {"folded coding", "Transfer-Encoding:\r\n gzip\r\n", 400,
+       "transfer_coding_without_end"},
+      {"length beside another coding",
+       "Content-Length: 5\r\nTransfer-Encoding: gzip\r\n", 400, nullptr},
+      {"another coding beside a length",
+       "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n", 400, nullptr},
+      {"equal lengths", "Content-Length: 5\r\nContent-Length: 5\r\n", 400,
+       "several_lengths"},
+      {"list of equal lengths", "Content-Length: 5, 5\r\n", 400,
+       "invalid_length"},
+      {"length with a sign", "Content-Length: +5\r\n", 400, nullptr},
+      {"length in another base", "Content-Length: 0x5\r\n", 400, nullptr},
+      {"length beyond 64 bits", "Content-Length: 18446744073709551621\r\n", 400,
+       nullptr},
+      {"empty length", "Content-Length:\r\n", 400, nullptr}};
+  for (const FramingCase& c : cases) {
+    for (const size_t step : {size_t{1}, size_t{10000}}) {
+      INFO(c.name << ", " << step << " bytes at a time");
+      HttpRequestParser parser(SmallLimits());
+      const std::string bytes = absl::StrCat("POST /a HTTP/1.1\r\nHost: h\r\n",
+                                             c.fields, "\r\nhello");
+      std::string unread;
+      for (size_t i = 0; i < bytes.size(); i += step) {
+        unread += bytes.substr(i, step);
+        unread.erase(0, parser.Feed(unread));
+      }
+      CHECK(parser.state() == ParseState::kMalformed);
+      CHECK(parser.error_status() == c.error_status);
+      if (c.error_reason)
+        CHECK(parser.error_reason() == c.error_reason);
+      CHECK_FALSE(parser.error_reason().empty());
+    }
+  }
+}
+
+TEST_CASE("HTTP/1.0 has no transfer codings") {
+  HttpRequestParser parser(SmallLimits());
+  parser.Feed(
+      "POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  CHECK(parser.state() == ParseState::kMalformed);
+  CHECK(parser.error_reason() == "transfer_coding_in_http_1.0");
+}
+
 TEST_CASE("the target and unknown header fields are preserved verbatim") {
   HttpRequestParser parser(SmallLimits());
   parser.Feed(
--- a/tests/process/gateway_requests.sh
+++ b/tests/process/gateway_requests.sh
@@ -148,6 +148,14 @@
 say "malformed requests are refused, valid encodings are accepted"
 expect "two lengths" "$(send_raw g1 'POST /again/a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi!')" ' 400 '
 expect "length and chunks" "$(send_raw g1 'POST /again/a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n0\r\n\r\n')" ' 400 '
+# Guards against a body that runs as a request because its end is in doubt (review/10).
+inner='POST /once/inner HTTP/1.1\r\nHost: a.example\r\nRequest-Id: inner\r\nContent-Length: 0\r\n\r\n'
+for coding in gzip identity 'chunked, gzip' 'chunked;q=1' 'gzip, chunked'; do
+  expect "coded as $coding" "$(send_raw g1 "POST /again/a HTTP/1.1\r\nHost: a.example\r\nRequest-Id: outer\r\nTransfer-Encoding: $coding\r\n\r\n$inner")" ' (400|501) '
+done
+expect "equal lengths" "$(send_raw g1 'POST /again/a HTTP/1.1\r\nHost: a.example\r\nRequest-Id: outer\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nhi')" ' 400 '
+[ "$(run_count outer)$(run_count inner)" = 00 ] || problem "a request whose end is in doubt, or what is inside it, ran"
+expect "its reason" "$(log_of g1 request_malformed)" 'listener=callers caller=[0-9.]* status=400 reason=transfer_coding_without_end'
 expect "not HTTP" "$(send_raw g1 '\x16\x03\x01 hello\r\n\r\n')" ' 400 '
 expect "a head too large" "$(send_raw g1 "GET /again/a HTTP/1.1\r\nX: $(head -c 9000 /dev/zero | tr '\0' x)\r\n\r\n")" ' 431 '
 expect "a body too large" "$(call g1 /again/a -H 'Content-Length: 200000' -d x)" 'status=413'
