A trailer of a request is no part of its head

What callers saw: nothing wrong, and that was the fault: a request in chunks without a key, whose trailer had "Authorization: Bearer k1", got 200 on a route that needs a key. Any field of a trailer reached upstreams as if it had been sent with the head.

Cause: the library adds a trailer's fields to those of the head, and the fields were copied when the message was complete.

Ruled out: a route that is open to all; the same request without the trailer gets 401.

Change: the fields are copied when the head is complete; trailers are dropped (RFC 9110, section 6.5.1).

Why it works: what decides about a request is fixed before its body is read.

--- a/modules/net/http_message.cc
+++ b/modules/net/http_message.cc
@@ -178,6 +178,9 @@
 
 struct HttpRequestParser::Impl {
   http::request_parser<GrowingBody> parser;
+  /** The fields of the head. The library adds those of the trailer to its own.
+   */
+  HttpHeaders headers;
   bool has_head = false;
   /** Bytes of chunk extensions so far. */
   size_t extension_bytes = 0;
@@ -238,9 +241,10 @@
 void HttpRequestParser::CheckHead() {
   const auto& message = impl_->parser.get();
   impl_->has_head = true;
+  impl_->headers = CopyHeaders(message.base());
   impl_->parser.eager(true);
-  const FramingFault fault = CheckRequestFraming(CopyHeaders(message.base()),
-                                                 message.version() >= kHttp11);
+  const FramingFault fault =
+      CheckRequestFraming(impl_->headers, message.version() >= kHttp11);
   if (fault != FramingFault::kNone)
     SetMalformed(FramingFaultStatus(fault), FramingFaultName(fault));
 }
@@ -274,7 +278,7 @@
     body.shrink_to_fit();
   return {.method = ToString(message.method_string()),
           .target = ToString(message.target()),
-          .headers = CopyHeaders(message.base()),
+          .headers = std::move(impl_->headers),
           .body = std::move(body),
           .keep_alive = message.keep_alive(),
           .accepts_chunks = message.version() >= kHttp11};
--- a/modules/net/http_message.h
+++ b/modules/net/http_message.h
@@ -136,8 +136,8 @@
   /** Returns why the request is malformed, for log lines; empty unless it is.
    */
   const std::string& error_reason() const { return error_reason_; }
-  /** Moves the request out of the parser. May be called once, in state
-      kComplete. */
+  /** Moves the request out of the parser, without its trailer. May be called
+      once, in state kComplete. */
   HttpRequest Take();
 
  private:
--- a/tests/logic/http_message_test.cc
+++ b/tests/logic/http_message_test.cc
@@ -193,6 +193,27 @@
   CHECK(parser.error_reason() == "transfer_coding_in_http_1.0");
 }
 
+/** Guards against fields, such as a key or an id, that reach upstreams from
+    the end of a body. */
+TEST_CASE("a trailer is no part of the head") {
+  for (const size_t step : {size_t{1}, size_t{10000}}) {
+    HttpRequestParser parser(SmallLimits());
+    const std::string bytes =
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2\r\nhi\r\n0\r\nRequest-Id: other\r\n\r\n";
+    std::string unread;
+    for (size_t i = 0; i < bytes.size(); i += step) {
+      unread += bytes.substr(i, step);
+      unread.erase(0, parser.Feed(unread));
+    }
+    REQUIRE(parser.state() == ParseState::kComplete);
+    const HttpRequest request = parser.Take();
+    CHECK(request.body == "hi");
+    CHECK(request.headers.Find("Host") == "h");
+    CHECK_FALSE(request.headers.Has("Request-Id"));
+  }
+}
+
 TEST_CASE("the target and unknown header fields are preserved verbatim") {
   HttpRequestParser parser(SmallLimits());
   parser.Feed(
--- a/tests/process/gateway_requests.sh
+++ b/tests/process/gateway_requests.sh
@@ -162,6 +162,8 @@
 expect "a head that never ends" "$(send_raw g1 'GET /again/a HTTP/1.1\r\nHost:')" ' 408 '
 # Guards against a process that ended: the library throws at a field of 64 KiB.
 expect "a trailer too large" "$(send_raw g1 "POST /again/a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: $(head -c 65534 /dev/zero | tr '\0' x)\r\n\r\n")" ' 431 '
+# Guards against fields of a trailer that count as fields of the head.
+expect "a key in the trailer" "$(send_raw g1 'POST /keyed/a HTTP/1.1\r\nHost: a.example\r\nRequest-Id: trailing\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nAuthorization: Bearer k1\r\n\r\n')" ' 401 '
 expect "chunks" "$(call g1 /again/a -H 'Request-Id: c1' -H 'Transfer-Encoding: chunked' -d chunked)" 'ran POST /again/a chunked'
 expect "two pipelined requests" "$(
   at=$(address g1 callers)
