--- a/modules/serving/http_api_server.cc
+++ b/modules/serving/http_api_server.cc
@@ -1,18 +1,13 @@
 #include "modules/serving/http_api_server.h"
 
 #include <httplib.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <atomic>
-#include <cerrno>
 #include <deque>
 #include <functional>
-#include <optional>
 #include <set>
 #include <thread>
 #include <tuple>
@@ -23,23 +18,15 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/synchronization/mutex.h"
+#include "modules/serving/socket_stream.h"
 
 namespace chicory {
 
 namespace {
 
 constexpr int kListenBacklog = 1024;
-constexpr size_t kReadBufferBytes = 16 << 10;
-
-/** Bounds the head of a request, and what comes with the chunks of its body
-    beyond kMaxFramingFactor bytes for each byte of it. */
-constexpr size_t kMaxHeadBytes = 64 << 10;
-constexpr size_t kMaxFramingFactor = 8;
-
 constexpr int kContinue = 100;
-constexpr int kBadRequest = 400;
 constexpr int kTooLarge = 413;
-constexpr int kUnavailable = 503;
 
 /** Interval at which a thread that waits for a request checks for a stop. */
 constexpr absl::Duration kStopPollInterval = absl::Milliseconds(100);
@@ -48,305 +35,6 @@
     send a reset, which can destroy the response on its way. */
 constexpr absl::Duration kLingerTimeout = absl::Seconds(1);
 
-/** Returns whether any of `events` occurs on `socket` within `wait`. */
-bool Poll(int socket, short events, absl::Duration wait) {
-  pollfd entry{.fd = socket, .events = events, .revents = 0};
-  const int timeout_ms =
-      static_cast<int>(std::max<int64_t>(0, absl::ToInt64Milliseconds(wait)));
-  int ready = 0;
-  do {
-    ready = ::poll(&entry, 1, timeout_ms);
-  } while (ready < 0 && errno == EINTR);
-  return ready > 0;
-}
-
-/** Adapts one connection to the stream interface of the HTTP library. */
-class SocketStream : public httplib::Stream, public MemoryBudget::Holder {
- public:
-  /** What the connection is doing. */
-  enum class Phase { kWaiting, kReading, kHandling };
-
-  SocketStream(int socket, const HttpApiServer::Options& options)
-      : socket_(socket), options_(options), buffer_(kReadBufferBytes) {
-    if (!options_.memory)
-      return;
-    const absl::MutexLock lock(&options_.memory->mutex);
-    reservation_.emplace(&options_.memory->budget, PeerIp(), this);
-  }
-  ~SocketStream() override {
-    if (!options_.memory)
-      return;
-    const absl::MutexLock lock(&options_.memory->mutex);
-    reservation_.reset();
-  }
-  SocketStream(const SocketStream&) = delete;
-  SocketStream& operator=(const SocketStream&) = delete;
-
-  void OnEvicted(const MemoryBudget::Eviction& eviction) override {
-    Interrupt(eviction);
-  }
-
-  /** Ends the wait for input, so that the connection closes. May be called from
-      any thread. */
-  void Interrupt(const MemoryBudget::Eviction& eviction) {
-    is_interrupted_ = true;
-    ::shutdown(socket_, SHUT_RD);
-    if (options_.on_ended)
-      options_.on_ended(eviction);
-  }
-
-  void SetPhase(Phase phase) {
-    phase_since_ns_ = absl::ToUnixNanos(absl::Now());
-    phase_ = phase;
-  }
-  /** Called when the head of a request has been read and is valid. */
-  void OnHeadRead(bool announces_body) {
-    has_read_head_ = true;
-    has_unread_body_ = announces_body;
-    SetPhase(Phase::kHandling);
-  }
-  /** Returns false if the rest of a request may follow: it was malformed, so
-      that its end is not known, or nobody has read its body. */
-  bool is_at_end_of_request() const {
-    return has_read_head_ && !has_unread_body_;
-  }
-  Phase phase() const { return phase_; }
-  absl::Time phase_since() const {
-    return absl::FromUnixNanos(phase_since_ns_);
-  }
-  bool is_interrupted() const { return is_interrupted_; }
-  bool has_requests() const { return has_requests_; }
-
-  /** Returns the address of the peer, 0 if it is unknown. */
-  uint32_t PeerIp() const {
-    sockaddr_in address{};
-    socklen_t length = sizeof(address);
-    const int result =
-        ::getpeername(socket_, reinterpret_cast<sockaddr*>(&address), &length);
-    return result == 0 ? ntohl(address.sin_addr.s_addr) : 0;
-  }
-
-  /** Reads the body of a request. If that fails, sets the status of `response`
-      and returns false. */
-  bool ReadBody(const httplib::ContentReader& reader,
-                std::string* body,
-                httplib::Response* response) {
-    SetPhase(Phase::kReading);
-    is_reading_body_ = true;
-    bool is_too_large = false;
-    const bool is_read = reader([&](const char* data, size_t size) {
-      is_too_large = size > options_.max_body_bytes - body->size();
-      if (is_too_large || is_interrupted_)
-        return false;
-      body->append(data, size);
-      body_bytes_ = body->size();
-      Hold(body->capacity(), /*can_end=*/true);
-      return true;
-    });
-    is_reading_body_ = false;
-    SetPhase(Phase::kHandling);
-    if (is_read && !is_interrupted_) {
-      has_unread_body_ = false;
-      // The parsed request and the copies for upstreams take about as much
-      // twice over.
-      Hold(3 * body->capacity(), /*can_end=*/false);
-      return true;
-    }
-    std::string().swap(*body);
-    Hold(0, /*can_end=*/false);
-    if (is_interrupted_)
-      response->status = kUnavailable;
-    else if (is_too_large)
-      response->status = kTooLarge;
-    else if (response->status < kBadRequest)
-      response->status = kBadRequest;
-    Abort();
-    return false;
-  }
-
-  /** Resets the state of the previous request and starts the time-out of the
-      next one. */
-  void BeginRequest() {
-    read_deadline_ = absl::Now() + options_.request_timeout;
-    discards_library_writes_ = false;
-    is_aborted_ = false;
-    has_requests_ = true;
-    has_read_head_ = false;
-    head_bytes_ = 0;
-    body_bytes_ = 0;
-    framing_bytes_ = 0;
-    SetPhase(Phase::kReading);
-    if (!options_.memory)
-      return;
-    const absl::MutexLock lock(&options_.memory->mutex);
-    reservation_->Begin();
-  }
-
-  /** Called after each request. */
-  void EndRequest() {
-    Hold(0, /*can_end=*/false);
-    SetPhase(Phase::kWaiting);
-  }
-
-  bool HasBuffered() const { return begin_ < end_; }
-
-  bool is_readable() const override {
-    return HasBuffered() || Poll(socket_, POLLIN, options_.request_timeout);
-  }
-
-  bool is_writable() const override {
-    return Poll(socket_, POLLOUT, options_.write_timeout);
-  }
-
-  ssize_t read(char* data, size_t size) override {
-    if (!HasBuffered() && !FillBuffer())
-      return -1;
-    const size_t count = std::min(size, end_ - begin_);
-    if (!IsWithinBounds(count))
-      return -1;
-    std::copy_n(buffer_.data() + begin_, count, data);
-    begin_ += count;
-    return static_cast<ssize_t>(count);
-  }
-
-  ssize_t write(const char* data, size_t size) override {
-    if (discards_library_writes_)
-      return static_cast<ssize_t>(size);
-    return Send(std::string_view(data, size)) ? static_cast<ssize_t>(size) : -1;
-  }
-
-  /** Sends all of `data`. If the caller has disconnected or does not read,
-      returns false and causes the connection to be closed. */
-  bool Send(std::string_view data) {
-    while (!data.empty()) {
-      const ssize_t sent = ::send(socket_, data.data(), data.size(),
-                                  MSG_NOSIGNAL | MSG_DONTWAIT);
-      if (sent > 0) {
-        data.remove_prefix(static_cast<size_t>(sent));
-        continue;
-      }
-      if (sent < 0 && errno == EINTR)
-        continue;
-      if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) &&
-          Poll(socket_, POLLOUT, options_.write_timeout)) {
-        continue;
-      }
-      is_aborted_ = true;
-      can_write_ = false;
-      return false;
-    }
-    return true;
-  }
-
-  void get_remote_ip_and_port(std::string& ip, int& port) const override {
-    AddressOf(::getpeername, ip, port);
-  }
-
-  void get_local_ip_and_port(std::string& ip, int& port) const override {
-    AddressOf(::getsockname, ip, port);
-  }
-
-  socket_t socket() const override { return socket_; }
-
-  /** Reads and discards what arrives within `wait`. Returns false if there will
-      be no more. */
-  bool DiscardInput(absl::Duration wait) {
-    if (!Poll(socket_, POLLIN, wait))
-      return true;
-    ssize_t received = 0;
-    do {
-      received = ::recv(socket_, buffer_.data(), buffer_.size(), MSG_DONTWAIT);
-    } while (received < 0 && errno == EINTR);
-    return received > 0 || (received < 0 && errno == EAGAIN);
-  }
-
-  /** Discards what the library writes until the next request. */
-  void DiscardLibraryWrites() { discards_library_writes_ = true; }
-  /** Causes the connection to be closed after the current request. */
-  void Abort() { is_aborted_ = true; }
-  bool is_aborted() const { return is_aborted_; }
-  /** Returns false after a caller has disconnected or did not read. */
-  bool can_write() const { return can_write_; }
-
-  /** Sets whether this is the last request on the connection, which its
-      response then announces. */
-  void set_is_last(bool is_last) { is_last_ = is_last; }
-  bool is_last() const { return is_last_; }
-
- private:
-  /** Counts `count` bytes that the library reads, and returns whether it may.
-      It keeps all that it reads, without a bound of its own. */
-  bool IsWithinBounds(size_t count) {
-    if (!options_.memory)
-      return true;
-    if (!is_reading_body_) {
-      head_bytes_ += count;
-      return head_bytes_ <= kMaxHeadBytes;
-    }
-    framing_bytes_ += count;
-    return framing_bytes_ <= kMaxHeadBytes + kMaxFramingFactor * body_bytes_;
-  }
-
-  void Hold(size_t bytes, bool can_end) {
-    if (!options_.memory)
-      return;
-    const absl::MutexLock lock(&options_.memory->mutex);
-    reservation_->Update({.held_bytes = bytes,
-                          .progress_bytes = body_bytes_,
-                          .can_end = can_end});
-  }
-
-  bool FillBuffer() {
-    const absl::Duration remaining = read_deadline_ - absl::Now();
-    if (remaining <= absl::ZeroDuration() || !Poll(socket_, POLLIN, remaining))
-      return false;
-    ssize_t received = 0;
-    do {
-      received = ::recv(socket_, buffer_.data(), buffer_.size(), 0);
-    } while (received < 0 && errno == EINTR);
-    if (received <= 0)
-      return false;
-    begin_ = 0;
-    end_ = static_cast<size_t>(received);
-    return true;
-  }
-
-  template <class Function>
-  void AddressOf(Function function, std::string& ip, int& port) const {
-    sockaddr_in address{};
-    socklen_t length = sizeof(address);
-    if (function(socket_, reinterpret_cast<sockaddr*>(&address), &length) != 0)
-      return;
-    const uint32_t host = ntohl(address.sin_addr.s_addr);
-    ip = absl::StrCat(host >> 24, ".", (host >> 16) & 255, ".",
-                      (host >> 8) & 255, ".", host & 255);
-    port = ntohs(address.sin_port);
-  }
-
-  int socket_;
-  const HttpApiServer::Options& options_;
-  std::vector<char> buffer_;
-  size_t begin_ = 0;
-  size_t end_ = 0;
-  absl::Time read_deadline_;
-  bool discards_library_writes_ = false;
-  bool is_aborted_ = false;
-  bool can_write_ = true;
-  bool is_last_ = false;
-  std::atomic<bool> has_requests_{false};
-  bool has_read_head_ = false;
-  bool has_unread_body_ = false;
-  bool is_reading_body_ = false;
-  size_t head_bytes_ = 0;
-  size_t body_bytes_ = 0;
-  /** Bytes read with the body, which include the body. */
-  size_t framing_bytes_ = 0;
-  std::optional<MemoryBudget::Reservation> reservation_;
-  std::atomic<bool> is_interrupted_{false};
-  std::atomic<Phase> phase_{Phase::kWaiting};
-  std::atomic<int64_t> phase_since_ns_{absl::ToUnixNanos(absl::Now())};
-};
-
 thread_local SocketStream* current_stream = nullptr;
 
 /** A thread pool that starts a thread when a task finds none idle, up to a
@@ -588,7 +276,7 @@
   bool WaitForRequest(const SocketStream& stream) const {
     const absl::Time until = absl::Now() + options_.idle_timeout;
     while (!stream.HasBuffered()) {
-      if (Poll(stream.socket(), POLLIN, kStopPollInterval))
+      if (PollSocket(stream.socket(), POLLIN, kStopPollInterval))
         return true;
       if (is_stopping_ || IsThreadNeeded() || absl::Now() >= until)
         return false;
