The entry checks heads before its library reads them

What callers saw: requests to chicory_entry with equal or different lengths, a blank before the colon of a length, or a line that ends with a line feed alone left bytes that ran as the next request; identity beside a length ran; a transfer coding without chunks was held without a response until the caller closed.

Cause: the library skips lines that it cannot read and takes the first of several lengths.

Change: SocketStream receives the head itself, runs HttpRequestParser over it (head_only) and then has the library read the same bytes. For a refused head the library reads an empty request in its place, so that its response is the API's own error. Logged as request_malformed.

Why it works: one parser decides for both listeners, and the library gets only heads in which it can skip nothing.

--- a/modules/net/http_message.cc
+++ b/modules/net/http_message.cc
@@ -223,7 +223,7 @@
     }
     if (!impl_->has_head && impl_->parser.is_header_done())
       CheckHead();
-    if (state_ == ParseState::kMalformed)
+    if (state_ != ParseState::kNeedMore)
       return used;
     if (impl_->parser.is_done())
       state_ = ParseState::kComplete;
@@ -247,6 +247,8 @@
       CheckRequestFraming(impl_->headers, message.version() >= kHttp11);
   if (fault != FramingFault::kNone)
     SetMalformed(FramingFaultStatus(fault), FramingFaultName(fault));
+  else if (options_.head_only)
+    state_ = ParseState::kComplete;
 }
 
 void HttpRequestParser::SetMalformed(int status, absl::string_view reason) {
--- a/modules/net/http_message.h
+++ b/modules/net/http_message.h
@@ -107,6 +107,9 @@
   struct Options {
     size_t max_header_bytes = 16 << 10;
     size_t max_body_bytes = 4 << 20;
+    /** Whether only the head is parsed: it is complete when its end has been
+        received, and its body is not consumed. */
+    bool head_only = false;
   };
 
   explicit HttpRequestParser(Options options);
--- a/modules/serving/caller_api.cc
+++ b/modules/serving/caller_api.cc
@@ -47,11 +47,21 @@
 /** Returns the text for a request that was refused before it reached a
     handler. */
 const char* MalformedRequestMessage(int status) {
-  if (status == 413)
-    return "the request body exceeds the limit";
-  return status == 503 ? "the request was ended because it was slow while "
-                         "memory or connections were short"
-                       : "the request is malformed";
+  switch (status) {
+    case 408:
+      return "the request did not arrive in time";
+    case 413:
+      return "the request body exceeds the limit";
+    case 431:
+      return "the header fields exceed the limit";
+    case 501:
+      return "the request has a transfer coding that is not supported";
+    case 503:
+      return "the request was ended because it was slow while memory or "
+             "connections were short";
+    default:
+      return "the request is malformed";
+  }
 }
 
 }  // namespace
--- a/modules/serving/http_api_server.cc
+++ b/modules/serving/http_api_server.cc
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <set>
 #include <thread>
 #include <tuple>
@@ -18,6 +19,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/synchronization/mutex.h"
+#include "modules/net/http_message.h"
 #include "modules/serving/socket_stream.h"
 
 namespace chicory {
@@ -35,7 +37,12 @@
     send a reset, which can destroy the response on its way. */
 constexpr absl::Duration kLingerTimeout = absl::Seconds(1);
 
+/** Stands for a request that cannot be read. */
+constexpr char kEmptyRequest[] = "GET / HTTP/1.1\r\n\r\n";
+
 thread_local SocketStream* current_stream = nullptr;
+/** Status of the response to a request that is refused because of its head. */
+thread_local std::optional<int> refused_status;
 
 /** A thread pool that starts a thread when a task finds none idle, up to a
     bound. Further tasks wait; `on_full` is called for each of them, and again
@@ -125,7 +132,11 @@
     };
     // The head has been read; a handler that reads a body says so.
     set_pre_routing_handler(
-        [](const httplib::Request& request, httplib::Response&) {
+        [](const httplib::Request& request, httplib::Response& response) {
+          if (refused_status) {
+            response.status = *refused_status;
+            return HandlerResponse::Handled;
+          }
           current_stream->OnHeadRead(AnnouncesBody(request));
           return HandlerResponse::Unhandled;
         });
@@ -183,16 +194,11 @@
       const absl::MutexLock lock(&streams_mutex_);
       streams_.insert(&stream);
     }
-    bool succeeded = true;
     bool is_open = true;
     while (is_open && WaitForRequest(stream)) {
       stream.BeginRequest();
-      const bool is_last = is_draining_;
-      stream.set_is_last(is_last);
-      bool should_close = false;
-      succeeded = process_request(stream, is_last, should_close, nullptr);
+      is_open = ServeRequest(&stream);
       stream.EndRequest();
-      is_open = succeeded && !should_close && !is_last && !stream.is_aborted();
     }
     // The caller may still have to read the response.
     if (!is_open && stream.can_write())
@@ -204,7 +210,36 @@
     }
     ::shutdown(socket, SHUT_RDWR);
     ::close(socket);
-    return succeeded;
+    return true;
+  }
+
+  /** Receives a request and responds to it. Returns whether the connection
+      stays open. */
+  bool ServeRequest(SocketStream* stream) {
+    if (const auto refusal = stream->ReceiveHead()) {
+      Refuse(*refusal, stream);
+      return false;
+    }
+    const bool is_last = is_draining_;
+    stream->set_is_last(is_last);
+    bool should_close = false;
+    return process_request(*stream, is_last, should_close, nullptr) &&
+           !should_close && !is_last && !stream->is_aborted();
+  }
+
+  /** Responds to a request whose head is not valid, if its caller waits. The
+      library writes the response, so that it is that of the routes' error
+      handler. */
+  void Refuse(const HeadRefusal& refusal, SocketStream* stream) {
+    if (!refusal.status)
+      return;
+    if (options_.on_malformed)
+      options_.on_malformed(stream->PeerIp(), *refusal.status, refusal.reason);
+    stream->ReplaceHead(kEmptyRequest);
+    refused_status = refusal.status;
+    bool should_close = true;
+    process_request(*stream, /*close_connection=*/true, should_close, nullptr);
+    refused_status = std::nullopt;
   }
 
   /** Returns the status with which a request is answered whose caller waits for
--- a/modules/serving/http_api_server.h
+++ b/modules/serving/http_api_server.h
@@ -2,6 +2,7 @@
 #define MODULES_SERVING_HTTP_API_SERVER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -51,6 +52,10 @@
     SharedMemoryBudget* memory = nullptr;
     /** Called when a connection is ended for the sake of others. */
     std::function<void(const MemoryBudget::Eviction&)> on_ended;
+    /** Called when a request from `client`, an IPv4 address, is refused because
+        its head cannot be read; runs on any of the server's threads. */
+    std::function<void(uint32_t client, int status, const std::string& reason)>
+        on_malformed;
   };
 
   using Handler =
--- a/modules/serving/socket_stream.cc
+++ b/modules/serving/socket_stream.cc
@@ -6,9 +6,12 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <limits>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
+#include "modules/net/http_message.h"
 
 namespace chicory {
 
@@ -22,6 +25,7 @@
 constexpr size_t kMaxFramingFactor = 8;
 
 constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
 constexpr int kTooLarge = 413;
 constexpr int kUnavailable = 503;
 
@@ -89,6 +93,43 @@
   reservation_->Begin();
 }
 
+std::optional<HeadRefusal> SocketStream::ReceiveHead() {
+  HttpRequestParser parser(
+      {.max_header_bytes = kMaxHeadBytes,
+       .max_body_bytes = std::numeric_limits<size_t>::max(),
+       .head_only = true});
+  // Requests may follow each other without a pause.
+  head_.erase(0, taken_from_head_);
+  taken_from_head_ = 0;
+  size_t parsed = 0;
+  while (true) {
+    head_.append(buffer_.data() + begin_, end_ - begin_);
+    begin_ = end_;
+    parsed += parser.Feed(absl::string_view(head_).substr(parsed));
+    if (parser.state() == ParseState::kComplete)
+      return std::nullopt;
+    if (parser.state() == ParseState::kMalformed)
+      return HeadRefusal{.status = parser.error_status(),
+                         .reason = parser.error_reason()};
+    if (!FillBuffer())
+      return MissingHead();
+  }
+}
+
+void SocketStream::ReplaceHead(std::string head) {
+  head_ = std::move(head);
+  taken_from_head_ = 0;
+  begin_ = end_ = 0;
+}
+
+HeadRefusal SocketStream::MissingHead() const {
+  if (is_interrupted_)
+    return {.status = kUnavailable, .reason = "ended_for_others"};
+  if (absl::Now() >= read_deadline_)
+    return {.status = kRequestTimeout, .reason = "timeout"};
+  return {.status = std::nullopt, .reason = "caller_closed"};
+}
+
 void SocketStream::OnHeadRead(bool announces_body) {
   has_read_head_ = true;
   has_unread_body_ = announces_body;
@@ -155,12 +196,25 @@
 ssize_t SocketStream::read(char* data, size_t size) {
   if (!HasBuffered() && !FillBuffer())
     return -1;
-  const size_t count = std::min(size, end_ - begin_);
-  if (!IsWithinBounds(count))
-    return -1;
-  std::copy_n(buffer_.data() + begin_, count, data);
-  begin_ += count;
-  return static_cast<ssize_t>(count);
+  const size_t count = TakeBuffered(data, size);
+  return IsWithinBounds(count) ? static_cast<ssize_t>(count) : -1;
+}
+
+size_t SocketStream::TakeBuffered(char* data, size_t size) {
+  if (taken_from_head_ == head_.size()) {
+    const size_t count = std::min(size, end_ - begin_);
+    std::copy_n(buffer_.data() + begin_, count, data);
+    begin_ += count;
+    return count;
+  }
+  const size_t count = head_.copy(data, size, taken_from_head_);
+  taken_from_head_ += count;
+  if (taken_from_head_ < head_.size())
+    return count;
+  // Not kept by a connection that waits for its next request.
+  std::string().swap(head_);
+  taken_from_head_ = 0;
+  return count;
 }
 
 ssize_t SocketStream::write(const char* data, size_t size) {
--- a/modules/serving/socket_stream.h
+++ b/modules/serving/socket_stream.h
@@ -19,6 +19,14 @@
 /** Returns whether any of `events` occurs on `socket` within `wait`. */
 bool PollSocket(int socket, short events, absl::Duration wait);
 
+/** Why a request is refused before the library reads it. */
+struct HeadRefusal {
+  /** Status of the response; nullopt if the caller has gone. */
+  std::optional<int> status;
+  /** For log lines. */
+  std::string reason;
+};
+
 /** Adapts one connection to the stream interface of the HTTP library, and
     bounds what the library reads for a request.
 
@@ -44,6 +52,14 @@
   /** Resets the state of the previous request and starts the time-out of the
       next one. */
   void BeginRequest();
+  /** Receives the head of the request, which the library then reads. The
+     library skips lines that it cannot read and may end a body elsewhere than
+     the caller does, so the head is checked first. Returns nullopt if it is
+     valid.
+   */
+  std::optional<HeadRefusal> ReceiveHead();
+  /** Has the library read `head` in place of what was received. */
+  void ReplaceHead(std::string head);
   /** Called when the head of a request has been read and is valid. */
   void OnHeadRead(bool announces_body);
   /** Reads the body of a request. If that fails, sets the status of `response`
@@ -72,7 +88,9 @@
   /** Returns the address of the peer, 0 if it is unknown. */
   uint32_t PeerIp() const;
 
-  bool HasBuffered() const { return begin_ < end_; }
+  bool HasBuffered() const {
+    return taken_from_head_ < head_.size() || begin_ < end_;
+  }
   bool is_readable() const override;
   bool is_writable() const override;
   ssize_t read(char* data, size_t size) override;
@@ -102,6 +120,10 @@
 
  private:
   void SetPhase(Phase phase);
+  /** Returns why the head did not arrive. */
+  HeadRefusal MissingHead() const;
+  /** Moves at most `size` bytes to `data` and returns their number. */
+  size_t TakeBuffered(char* data, size_t size);
   /** Counts `count` bytes that the library reads, and returns whether it may.
       It keeps all that it reads, without a bound of its own. */
   bool IsWithinBounds(size_t count);
@@ -110,6 +132,10 @@
 
   const int socket_;
   const HttpApiServer::Options& options_;
+  /** A head that has been checked and what was received with it. Precedes what
+      is in `buffer_`. */
+  std::string head_;
+  size_t taken_from_head_ = 0;
   std::vector<char> buffer_;
   size_t begin_ = 0;
   size_t end_ = 0;
--- a/programs/entry/entry.cc
+++ b/programs/entry/entry.cc
@@ -43,6 +43,19 @@
   };
 }
 
+/** Returns a function that logs the requests to an API whose head cannot be
+    read. */
+std::function<void(uint32_t, int, const std::string&)> MalformedLogger(
+    const char* api) {
+  return [api](uint32_t client, int status, const std::string& reason) {
+    LogEvent(Severity::kWarning, "request_malformed",
+             {{"api", api},
+              {"caller", IpText(client)},
+              {"status", absl::StrCat(status)},
+              {"reason", reason}});
+  };
+}
+
 HttpApiServer::Options CallerServerOptions(const CheckedRow& settings,
                                            SharedMemoryBudget* memory,
                                            Counters* counters) {
@@ -51,7 +64,8 @@
       .max_threads = static_cast<size_t>(settings.integer("max_threads")),
       .max_body_bytes = static_cast<size_t>(settings.integer("max_body_bytes")),
       .memory = memory,
-      .on_ended = EndLogger("callers", counters)};
+      .on_ended = EndLogger("callers", counters),
+      .on_malformed = MalformedLogger("callers")};
 }
 
 HttpApiServer::Options OperatorServerOptions(const CheckedRow& settings,
@@ -60,7 +74,8 @@
   return {.listen = settings.text("operators_listen"),
           .max_threads = 16,
           .memory = memory,
-          .on_ended = EndLogger("operators", counters)};
+          .on_ended = EndLogger("operators", counters),
+          .on_malformed = MalformedLogger("operators")};
 }
 
 }  // namespace
--- a/tests/logic/http_api_server_test.cc
+++ b/tests/logic/http_api_server_test.cc
@@ -198,6 +198,82 @@
   }
 }
 
+/** Guards against bodies that run as requests, or requests with another body,
+    because the library skips the lines of a head that it cannot read. */
+TEST_CASE("a server runs no request whose head is in doubt") {
+  const std::string hidden =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+  const std::string length = absl::StrCat(hidden.size());
+  struct Doubtful {
+    const char* name;
+    std::string fields;
+    const char* status_line;
+  };
+  const Doubtful requests[] = {
+      {"coding without chunks", "Transfer-Encoding: gzip\r\n", "400"},
+      {"identity and a length",
+       absl::StrCat("Transfer-Encoding: identity\r\nContent-Length: ", length,
+                    "\r\n"),
+       "400"},
+      {"chunks below another coding", "Transfer-Encoding: chunked, gzip\r\n",
+       "400"},
+      {"coding below chunks", "Transfer-Encoding: gzip, chunked\r\n", "501"},
+      {"length and chunks",
+       "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "400"},
+      {"blank before the colon of a length",
+       absl::StrCat("Content-Length: 0\r\nContent-Length : ", length, "\r\n"),
+       "400"},
+      {"length in a line that ends with a line feed",
+       absl::StrCat("Content-Length: ", length, "\nX: y\r\n"), "400"},
+      {"equal lengths", "Content-Length: 0\r\nContent-Length: 0\r\n", "400"},
+      {"different lengths",
+       absl::StrCat("Content-Length: 0\r\nContent-Length: ", length, "\r\n"),
+       "400"},
+      {"length with a sign", "Content-Length: +0\r\n", "400"},
+      {"length that is no number", "Content-Length: x\r\n", "400"},
+      {"line without a colon", "Content-Length: 0\r\nnonsense\r\n", "400"},
+      {"head over the limit",
+       absl::StrCat("X: ", std::string(100000, 'x'), "\r\n"), "431"}};
+  for (const Doubtful& request : requests) {
+    INFO(request.name);
+    Fixture fixture;
+    CHECK(!fixture.Send(absl::StrCat("POST /a HTTP/1.1\r\nHost: h\r\n",
+                                     request.fields, "\r\n", hidden)));
+    const std::string received = fixture.Received();
+    CHECK(absl::StartsWith(
+        received, absl::StrCat("HTTP/1.1 ", request.status_line, " ")));
+    CHECK(absl::StrContains(received, "Connection: close\r\n"));
+    CHECK(received.rfind("HTTP/1.1 ") == 0);
+    CHECK(fixture.handled == 0);
+  }
+}
+
+/** Guards against heads that are read in part only, or bytes that are lost,
+    between the check and the library. */
+TEST_CASE("a server serves requests in whatever pieces they arrive") {
+  const std::string requests =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"
+      "GET /b HTTP/1.1\r\nHost: h\r\nX-Folded: y\r\n z\r\n\r\n"
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
+      "Connection: close\r\n\r\n";
+  for (const size_t step : {size_t{1}, size_t{7}, requests.size()}) {
+    INFO(step << " bytes at a time");
+    Fixture fixture;
+    fixture.client.set_option(asio::ip::tcp::no_delay(true));
+    for (size_t i = 0; i < requests.size(); i += step)
+      CHECK(!fixture.Send(requests.substr(i, step)));
+    const std::string received = fixture.Received();
+    int responses = 0;
+    for (size_t at = received.find("HTTP/1.1 200 "); at != std::string::npos;
+         at = received.find("HTTP/1.1 200 ", at + 1))
+      ++responses;
+    CHECK(responses == 4);
+    CHECK(fixture.handled == 3);
+  }
+}
+
 TEST_CASE("a caller whose announced body is legal is told to continue") {
   Fixture fixture;
   const std::string body(kMaxBodyBytes, 'x');
--- a/tests/process/bad_input.sh
+++ b/tests/process/bad_input.sh
@@ -32,6 +32,25 @@
 check_response "deep nesting" 400 '' -H "$KEY" -H 'Content-Type: application/json' --data-binary "@$FLEET/deep" "$chat_url"
 check_response "expired deadline" 504 'deadline_exceeded.*not run' -H "$KEY" -H 'Chicory-Deadline-Ms: 0' -d "$good" "$chat_url"
 check_response "closed port" 000 '' "http://127.0.0.1:1/"
+# send_raw BYTES: sends bytes unchanged and prints all that comes back.
+send_raw() {
+  local at
+  at=$(caller_address 1)
+  exec 9<>"/dev/tcp/${at%:*}/${at#*:}"
+  printf "$1" >&9
+  timeout 5 cat <&9
+  exec 9<&- 9>&-
+}
+say "requests whose end is in doubt are refused, and nothing inside them runs"
+inner="GET /v1/models HTTP/1.1\r\nHost: h\r\n$KEY\r\n\r\n"
+for framing in 'Transfer-Encoding: gzip' 'Transfer-Encoding: gzip, chunked' 'Content-Length: 0\r\nContent-Length: 0' \
+  'Content-Length: 0\r\nContent-Length : 9' 'Content-Length: 9\nX: y'; do
+  out=$(send_raw "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n$KEY\r\n$framing\r\n\r\n$inner")
+  expect "$framing" "$(head -1 <<<"$out")" '^HTTP/1.1 (400|501) '
+  expect "$framing" "$out" '"bad_request".*"not run"'
+  expect "$framing" "$(grep -c '^HTTP' <<<"$out")" '^1$'
+done
+expect "its reason" "$(grep request_malformed "$FLEET/entry1.log")" 'api=callers .*status=400 reason=several_lengths'
 say "random bytes on the callers' port"
 head -c 100000 /dev/urandom | timeout 5 curl -s -m 3 telnet://"$(caller_address 1)" >/dev/null 2>&1
 say "all errors in the settings are reported at once"
