An entry sends no response on an idle connection

Cause: the check of heads told a head that did not arrive from one that arrived in part by nothing; an interrupted wait looks the same for both.

Ruled out: the library, which writes nothing when the first line is missing.

Change: a missing head is answered only if a byte of it has arrived.

Why it works: the parser knows whether a request has begun.

--- a/modules/serving/socket_stream.cc
+++ b/modules/serving/socket_stream.cc
@@ -112,7 +112,7 @@
       return HeadRefusal{.status = parser.error_status(),
                          .reason = parser.error_reason()};
     if (!FillBuffer())
-      return MissingHead();
+      return MissingHead(parser.started());
   }
 }
 
@@ -122,7 +122,10 @@
   begin_ = end_ = 0;
 }
 
-HeadRefusal SocketStream::MissingHead() const {
+HeadRefusal SocketStream::MissingHead(bool has_begun) const {
+  // A response to no request would be taken for that to the next one.
+  if (!has_begun)
+    return {.status = std::nullopt, .reason = "no_request"};
   if (is_interrupted_)
     return {.status = kUnavailable, .reason = "ended_for_others"};
   if (absl::Now() >= read_deadline_)
--- a/modules/serving/socket_stream.h
+++ b/modules/serving/socket_stream.h
@@ -21,7 +21,7 @@
 
 /** Why a request is refused before the library reads it. */
 struct HeadRefusal {
-  /** Status of the response; nullopt if the caller has gone. */
+  /** Status of the response; nullopt if no caller waits for one. */
   std::optional<int> status;
   /** For log lines. */
   std::string reason;
@@ -120,8 +120,9 @@
 
  private:
   void SetPhase(Phase phase);
-  /** Returns why the head did not arrive. */
-  HeadRefusal MissingHead() const;
+  /** Returns why the head did not arrive, of which there is a part if
+      `has_begun`. */
+  HeadRefusal MissingHead(bool has_begun) const;
   /** Moves at most `size` bytes to `data` and returns their number. */
   size_t TakeBuffered(char* data, size_t size);
   /** Counts `count` bytes that the library reads, and returns whether it may.
--- a/tests/logic/http_api_server_test.cc
+++ b/tests/logic/http_api_server_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <string>
@@ -13,6 +14,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
 
 namespace chicory {
 namespace {
@@ -28,7 +30,10 @@
 
 /** A server with a memory budget, and one connection to it. */
 struct Fixture {
-  Fixture() : memory(kMemoryBytes), server(OptionsWith(&memory)), client(loop) {
+  explicit Fixture(size_t max_threads = 512)
+      : memory(kMemoryBytes),
+        server(OptionsWith(&memory, max_threads)),
+        client(loop) {
     server.routes().Post(
         "/a", HttpApiServer::WithBody(
                   [this](const httplib::Request&, httplib::Response& response) {
@@ -48,8 +53,10 @@
                     static_cast<asio::ip::port_type>(port)});
   }
 
-  static HttpApiServer::Options OptionsWith(SharedMemoryBudget* memory) {
+  static HttpApiServer::Options OptionsWith(SharedMemoryBudget* memory,
+                                            size_t max_threads) {
     return {.listen = "127.0.0.1:0",
+            .max_threads = max_threads,
             .max_body_bytes = kMaxBodyBytes,
             .memory = memory};
   }
@@ -274,6 +281,39 @@
   }
 }
 
+/** Guards against responses to no request, which callers take for those to
+    their next one. */
+TEST_CASE("only a caller that has begun a request is told that it is ended") {
+  struct Ended {
+    const char* name;
+    std::string sent;
+    const char* received;
+  };
+  const Ended callers[] = {
+      {"no request", "", ""},
+      {"after a response", "GET /b HTTP/1.1\r\nHost: h\r\n\r\n", ""},
+      {"part of a head", "POST /a HTTP/1.1\r\nHo", "HTTP/1.1 503 "}};
+  for (const Ended& caller : callers) {
+    INFO(caller.name);
+    Fixture fixture(/*max_threads=*/1);
+    CHECK(!fixture.Send(caller.sent));
+    if (absl::EndsWith(caller.sent, "\r\n\r\n")) {
+      boost::system::error_code error;
+      std::string response;
+      asio::read_until(fixture.client, asio::dynamic_buffer(response),
+                       "\r\n\r\nok", error);
+      CHECK(!error);
+    }
+    // The connection is being served.
+    absl::SleepFor(absl::Milliseconds(50));
+    asio::ip::tcp::socket other(fixture.loop);
+    other.connect(fixture.client.remote_endpoint());
+    const std::string received = fixture.Received();
+    CHECK(received.rfind(caller.received, 0) == 0);
+    CHECK(received.empty() == std::string(caller.received).empty());
+  }
+}
+
 TEST_CASE("a caller whose announced body is legal is told to continue") {
   Fixture fixture;
   const std::string body(kMaxBodyBytes, 'x');
