The comment of a test says what goes wrong in the field's terms

What a newcomer met: the comment of "a refused caller comes back when there may be a configuration" spoke of callers that "are told to retry".

Cause: a turn of phrase; the fault is a Retry-After that ends too early. Ruled out: the test; it is not changed. Change: two lines of comment. Why it works: it names the header that callers act on.

--- a/tests/logic/snapshot_plan_test.cc
+++ b/tests/logic/snapshot_plan_test.cc
@@ -387,8 +387,8 @@
   }
 }
 
-// Guards against callers that are told to retry while the outage lasts, which
-// uses up their only retry, and against retries that arrive together.
+// Guards against Retry-After times that end while the outage lasts, which
+// use up a caller's only retry, and against retries that arrive together.
 TEST_CASE("a refused caller comes back when there may be a configuration") {
   const absl::Time start = absl::UnixEpoch();
   SnapshotPlan plan(1);
